Name the platform's documents and what gossip tells of a node

Cause: configuration, keys and slice table take the same way from the platform through relays to all nodes, and freshness rests on replies to own probes. Change: Document, Versions, OwnState, PeerStamp.

--- /dev/null
+++ b/src/documents/mod.rs
@@ -0,0 +1,63 @@
+//! Versioned documents of the platform as this node holds them.
+
+use std::sync::Arc;
+
+/// Number of kinds, for tables indexed by kind.
+pub const KIND_COUNT: usize = 3;
+
+/// What a document holds.
+#[derives::key]
+pub enum DocumentKind {
+    /// Services, routes and workspaces.
+    Configuration = 0,
+    /// Key digests, granted and revoked.
+    Keys = 1,
+    /// Owners of the slices of quota and idempotency keys.
+    Slices = 2,
+}
+
+impl DocumentKind {
+    /// All kinds in the order of their index.
+    pub const ALL: [Self; KIND_COUNT] = [Self::Configuration, Self::Keys, Self::Slices];
+
+    /// Place in a table of [`KIND_COUNT`] rows.
+    #[must_use]
+    pub const fn index(self) -> usize {
+        self as usize
+    }
+
+    /// Name of the object in the platform.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Configuration => "configuration",
+            Self::Keys => "keys",
+            Self::Slices => "slices",
+        }
+    }
+}
+
+/// A version of a document.
+#[derives::value]
+#[derive(Eq)]
+pub struct Document {
+    /// What it holds.
+    pub kind: DocumentKind,
+    /// Version that the platform gave it; only grows.
+    pub version: u64,
+    /// Content as it stands in the platform.
+    pub content: Arc<[u8]>,
+}
+
+/// Versions of all documents that a node holds; 0 where it holds none.
+#[derives::key]
+#[derive(Default)]
+pub struct Versions(pub [u64; KIND_COUNT]);
+
+impl Versions {
+    /// Version of this kind.
+    #[must_use]
+    pub const fn of(&self, kind: DocumentKind) -> u64 {
+        self.0[kind.index()]
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod admission;
 pub mod arena;
 pub mod conf;
+pub mod documents;
 pub mod events;
 pub mod freshness;
 pub mod guard;
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -1,6 +1,9 @@
 //! Which nodes and targets there are.
 
-use std::net::{IpAddr, SocketAddr};
+use {
+    crate::documents::Versions,
+    std::net::{IpAddr, SocketAddr},
+};
 
 /// State of a member as this node knows it.
 #[derives::key]
@@ -109,3 +112,40 @@
         index.ok().map(|index| &self.members[index])
     }
 }
+
+/// What this node tells others about itself through gossip.
+#[derives::value]
+#[derive(Eq, Default)]
+pub struct OwnState {
+    /// Its target, once it announced itself.
+    pub target: Option<Announcement>,
+    /// It takes no new work.
+    pub draining: bool,
+    /// It is about to exit; told so that nobody has to suspect it.
+    pub left: bool,
+    /// Versions of the documents that it holds.
+    pub versions: Versions,
+    /// Age of its last confirmed look at the platform, if it had one, as a
+    /// point on its own monotonic clock in milliseconds.
+    pub platform_seen_ms: Option<u64>,
+}
+
+/// What a member told in reply to a probe of this node.
+///
+/// Replies to own probes only: a node that can hear others but is not heard
+/// by them gets none, and so notices that it is cut off.
+#[derives::value]
+#[derive(Eq)]
+pub struct PeerStamp {
+    /// The member that replied.
+    pub node_id: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Versions of the documents that it holds.
+    pub versions: Versions,
+    /// Its last confirmed look at the platform, on this node's monotonic
+    /// clock, counted back from when the probe was sent.
+    pub platform_seen_ms: Option<u64>,
+    /// When this node sent the probe.
+    pub probe_sent_ms: u64,
+}
