Add gossip membership over authenticated UDP

Cause: there is no list of targets; nodes must find each other, notice deaths and drains, and learn how fresh others' knowledge of the platform is. Ruled out: the clustering parts of libraries (house style); heartbeats to the platform, whose rate would grow with the fleet. Change: SWIM-like probing (own zone and other zones in turn, indirect probes, refutation by incarnation), news on packets, pull of whole tables while they differ, stamps only on replies to own probes, revocations that reach joiners. Cap'n Proto datagrams behind a truncated HMAC.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,3 +21,6 @@
 pub mod schema;
 pub mod settings;
 pub mod timer;
+
+// The generated code refers to its modules from the root of the crate.
+pub(crate) use schema::gossip_capnp;
--- /dev/null
+++ b/src/membership/spreading.rs
@@ -0,0 +1,133 @@
+//! News on packets, synchronisation of whole tables, revocations.
+
+use {
+    super::{Liveness, Outgoing, Packet, PacketKind, Record, Swim},
+    crate::keys::KeyDigest,
+    rand::Rng,
+    std::net::SocketAddr,
+};
+
+/// Members that hear at once of a new document version or revocation.
+const FAN_OUT: usize = 4;
+
+/// Records that ride on one packet.
+const NEWS_PER_PACKET: usize = 4;
+
+/// Digests that ride on one packet, and how often each is sent.
+const REVOCATIONS_PER_PACKET: usize = 8;
+const REVOCATION_SENDS: u32 = 12;
+
+/// Least time between two requests for all records, while tables differ.
+const SYNC_PERIOD_MS: u64 = 10_000;
+
+/// Records in one part of a synchronisation.
+const RECORDS_PER_PART: usize = 6;
+
+impl Swim {
+    pub(super) fn tell_some<R: Rng>(&mut self, now_ms: u64, rng: &mut R, out: &mut Vec<Outgoing>) {
+        let zone = self.own.zone.clone();
+        let mut keys = self.random_keys(FAN_OUT, rng, |record| record.zone == zone);
+        keys.extend(self.random_keys(2, rng, |record| record.zone != zone));
+        for key in keys {
+            self.ping(key, None, now_ms, out);
+        }
+    }
+
+    pub(super) fn packet(&mut self, kind: PacketKind, sequence: u64, now_ms: u64) -> Packet {
+        let mut revocations = Vec::new();
+        let fresh = self
+            .revocations
+            .iter_mut()
+            .filter(|(_, sends_left)| *sends_left > 0);
+        for (digest, sends_left) in fresh.take(REVOCATIONS_PER_PACKET) {
+            *sends_left -= 1;
+            revocations.push(*digest);
+        }
+        Packet {
+            sender: self.own.clone(),
+            sequence,
+            kind,
+            versions: self.state.versions,
+            platform_age_ms: self
+                .state
+                .platform_seen_ms
+                .map(|seen| now_ms.saturating_sub(seen)),
+            table_hash: self.table.hash(&self.own),
+            updates: self.table.take_news(NEWS_PER_PACKET),
+            revocations,
+        }
+    }
+
+    pub(super) fn add_revocations(&mut self, digests: &[KeyDigest]) -> Vec<KeyDigest> {
+        let mut added = Vec::new();
+        for digest in digests {
+            if !self.revocations.iter().any(|(known, _)| known == digest) {
+                self.revocations.push((*digest, REVOCATION_SENDS));
+                added.push(*digest);
+            }
+        }
+        added
+    }
+
+    pub(super) fn sync_if_different(
+        &mut self,
+        packet: &Packet,
+        now_ms: u64,
+        out: &mut Vec<Outgoing>,
+    ) {
+        if packet.table_hash == self.table.hash(&self.own) {
+            return;
+        }
+        let is_due = self
+            .synced_ms
+            .is_none_or(|synced_ms| now_ms >= synced_ms + SYNC_PERIOD_MS);
+        if is_due {
+            self.synced_ms = Some(now_ms);
+            let to = packet.sender.gossip_address();
+            let packet = self.packet(PacketKind::SyncRequest, 0, now_ms);
+            out.push(Outgoing { to, packet });
+        }
+    }
+
+    // A joiner has to learn all keys that were revoked on nodes directly:
+    // with the platform down nothing else would tell it, and a revoked key
+    // would work again at this node.
+    pub(super) fn queue_parts(&mut self, to: SocketAddr, now_ms: u64) {
+        let records: Vec<Record> = self
+            .table
+            .iter()
+            .map(|(_, entry)| entry.record.clone())
+            .collect();
+        let digests: Vec<KeyDigest> = self.revocations.iter().map(|(digest, _)| *digest).collect();
+        let part_count = records
+            .len()
+            .div_ceil(RECORDS_PER_PART)
+            .max(digests.len().div_ceil(REVOCATIONS_PER_PACKET))
+            .max(1);
+        for index in 0..part_count {
+            let mut packet = self.packet(PacketKind::SyncPart, 0, now_ms);
+            packet.updates = chunk(&records, index, RECORDS_PER_PART);
+            packet.revocations = chunk(&digests, index, REVOCATIONS_PER_PACKET);
+            self.parts.push(Outgoing { to, packet });
+        }
+    }
+
+    // A member that is suspected or dead here must hear of it to refute.
+    pub(super) fn remind(&self, packet: &mut Packet, node_id: &str) {
+        let Some(entry) = self.table.key(node_id).and_then(|key| self.table.get(key)) else {
+            return;
+        };
+        let is_doubted = entry.record.liveness != Liveness::Alive;
+        if is_doubted && !packet.updates.contains(&entry.record) {
+            packet.updates.push(entry.record.clone());
+        }
+    }
+}
+
+fn chunk<T: Clone>(items: &[T], index: usize, length: usize) -> Vec<T> {
+    items
+        .chunks(length)
+        .nth(index)
+        .map(<[T]>::to_vec)
+        .unwrap_or_default()
+}
--- /dev/null
+++ b/src/membership/swim.rs
@@ -0,0 +1,281 @@
+//! Failure detection and spreading of news, without I/O and clock.
+
+use {
+    super::{
+        Liveness, MemberTable, OwnState, Packet, PacketKind, PeerStamp, Record, View,
+        probing::PROBE_PERIOD_MS,
+        table::{MemberKey, Merge},
+    },
+    crate::keys::KeyDigest,
+    rand::Rng,
+    std::{collections::HashMap, net::SocketAddr},
+};
+
+/// A packet for the socket.
+#[derives::value]
+pub struct Outgoing {
+    /// Where it goes.
+    pub to: SocketAddr,
+    /// What it says.
+    pub packet: Packet,
+}
+
+/// What the shell tells other parts.
+#[derives::value]
+#[derive(Eq)]
+pub enum SwimEvent {
+    /// A member appeared or came back.
+    Joined(String),
+    /// A member does not answer.
+    Suspected(String),
+    /// A member is taken for dead.
+    Dead(String),
+    /// A member left.
+    Left(String),
+    /// A member replied to a probe.
+    Stamp(PeerStamp),
+    /// Keys that another node revoked.
+    Revoked(Vec<KeyDigest>),
+}
+
+#[derive(Debug, Clone)]
+pub(super) struct Probe {
+    pub(super) sent_ms: u64,
+    pub(super) subject: MemberKey,
+    pub(super) asked_others: bool,
+    /// Who asked for this probe, and with which sequence.
+    pub(super) on_behalf: Option<(SocketAddr, u64)>,
+}
+
+/// The protocol of one node.
+#[derive(Debug)]
+pub struct Swim {
+    pub(super) own: Record,
+    pub(super) state: OwnState,
+    pub(super) table: MemberTable,
+    pub(super) seeds: Vec<SocketAddr>,
+    pub(super) probes: HashMap<u64, Probe>,
+    pub(super) next_sequence: u64,
+    pub(super) round: u64,
+    pub(super) next_round_ms: u64,
+    pub(super) synced_ms: Option<u64>,
+    /// Keys revoked so far, in order of arrival, with the sends left.
+    pub(super) revocations: Vec<(KeyDigest, u32)>,
+    /// Parts of a synchronisation that wait for their turn.
+    pub(super) parts: Vec<Outgoing>,
+}
+
+impl Swim {
+    /// The protocol of the node with this record.
+    #[must_use]
+    pub fn new(own: Record, seeds: Vec<SocketAddr>) -> Self {
+        let mut table = MemberTable::new();
+        table.mark_changed();
+        Self {
+            own,
+            state: OwnState::default(),
+            table,
+            seeds,
+            probes: HashMap::new(),
+            next_sequence: 1,
+            round: 0,
+            next_round_ms: 0,
+            synced_ms: None,
+            revocations: Vec::new(),
+            parts: Vec::new(),
+        }
+    }
+
+    /// Adds addresses for the first contact.
+    pub fn add_seeds(&mut self, seeds: &[SocketAddr]) {
+        for seed in seeds {
+            if !self.seeds.contains(seed) && *seed != self.own.gossip_address() {
+                self.seeds.push(*seed);
+            }
+        }
+    }
+
+    /// Takes over what this node says about itself. Higher versions are told
+    /// to a few members at once.
+    pub fn set_own_state<R: Rng>(
+        &mut self,
+        state: OwnState,
+        now_ms: u64,
+        rng: &mut R,
+        out: &mut Vec<Outgoing>,
+    ) {
+        let has_newer_document = state.versions != self.state.versions;
+        let liveness = if state.left {
+            Liveness::Left
+        } else {
+            Liveness::Alive
+        };
+        let draining = state.draining || state.target.as_ref().is_some_and(|t| t.draining);
+        let record_changed = self.own.target != state.target
+            || self.own.draining != draining
+            || self.own.liveness != liveness;
+        self.state = state;
+        if record_changed {
+            self.own.target.clone_from(&self.state.target);
+            self.own.draining = draining;
+            self.own.liveness = liveness;
+            self.own.incarnation += 1;
+            self.table.mark_changed();
+        }
+        if record_changed || has_newer_document {
+            self.tell_some(now_ms, rng, out);
+        }
+    }
+
+    /// Spreads revocations that this node learnt from an operator.
+    pub fn revoke<R: Rng>(
+        &mut self,
+        digests: &[KeyDigest],
+        now_ms: u64,
+        rng: &mut R,
+        out: &mut Vec<Outgoing>,
+    ) {
+        if !self.add_revocations(digests).is_empty() {
+            self.tell_some(now_ms, rng, out);
+        }
+    }
+
+    /// The members if anything changed since the last call.
+    pub fn take_view(&mut self) -> Option<View> {
+        self.table.take_view(&self.own)
+    }
+
+    /// Regular work: probes, time outs, pieces of synchronisations.
+    pub fn tick<R: Rng>(
+        &mut self,
+        now_ms: u64,
+        rng: &mut R,
+        out: &mut Vec<Outgoing>,
+        events: &mut Vec<SwimEvent>,
+    ) {
+        self.expire_probes(now_ms, rng, out, events);
+        events.extend(self.table.tick(now_ms).into_iter().map(SwimEvent::Dead));
+        let part_count = self.parts.len().min(4);
+        out.extend(self.parts.drain(..part_count));
+        if now_ms >= self.next_round_ms {
+            self.next_round_ms = now_ms + PROBE_PERIOD_MS;
+            self.round += 1;
+            self.start_round(now_ms, rng, out);
+        }
+    }
+
+    /// Takes in a packet that came from `from`.
+    pub fn receive<R: Rng>(
+        &mut self,
+        packet: &Packet,
+        from: SocketAddr,
+        now_ms: u64,
+        rng: &mut R,
+        out: &mut Vec<Outgoing>,
+        events: &mut Vec<SwimEvent>,
+    ) {
+        if packet.sender.node_id == self.own.node_id {
+            return;
+        }
+        self.merge(&packet.sender, now_ms, events);
+        for update in &packet.updates {
+            self.merge(update, now_ms, events);
+        }
+        let new_revocations = self.add_revocations(&packet.revocations);
+        if !new_revocations.is_empty() {
+            events.push(SwimEvent::Revoked(new_revocations));
+            self.tell_some(now_ms, rng, out);
+        }
+        self.answer(packet, from, now_ms, out, events);
+    }
+
+    fn answer(
+        &mut self,
+        packet: &Packet,
+        from: SocketAddr,
+        now_ms: u64,
+        out: &mut Vec<Outgoing>,
+        events: &mut Vec<SwimEvent>,
+    ) {
+        match &packet.kind {
+            PacketKind::Ping => {
+                let mut ack = self.packet(PacketKind::Ack, packet.sequence, now_ms);
+                self.remind(&mut ack, &packet.sender.node_id);
+                out.push(Outgoing {
+                    to: from,
+                    packet: ack,
+                });
+            }
+            PacketKind::Ack => self.acked(packet, now_ms, out, events),
+            PacketKind::IndirectAck => {
+                self.probes.remove(&packet.sequence);
+            }
+            PacketKind::PingRequest { subject } => {
+                if let Some(key) = self.table.key(subject) {
+                    self.ping(key, Some((from, packet.sequence)), now_ms, out);
+                }
+            }
+            PacketKind::SyncRequest => self.queue_parts(from, now_ms),
+            PacketKind::SyncPart => {}
+        }
+    }
+
+    fn acked(
+        &mut self,
+        packet: &Packet,
+        now_ms: u64,
+        out: &mut Vec<Outgoing>,
+        events: &mut Vec<SwimEvent>,
+    ) {
+        let Some(probe) = self.probes.remove(&packet.sequence) else {
+            return;
+        };
+        if let Some((origin, sequence)) = probe.on_behalf {
+            let ack = self.packet(PacketKind::IndirectAck, sequence, now_ms);
+            out.push(Outgoing {
+                to: origin,
+                packet: ack,
+            });
+        }
+        // The age was right when the member replied, at some point after the
+        // probe was sent. Counting it from the sending makes the stamp older
+        // than it is, never younger, however long the reply was under way.
+        let platform_seen_ms = packet
+            .platform_age_ms
+            .and_then(|age_ms| probe.sent_ms.checked_sub(age_ms));
+        events.push(SwimEvent::Stamp(PeerStamp {
+            node_id: packet.sender.node_id.clone(),
+            zone: packet.sender.zone.clone(),
+            versions: packet.versions,
+            platform_seen_ms,
+            probe_sent_ms: probe.sent_ms,
+        }));
+        self.sync_if_different(packet, now_ms, out);
+    }
+
+    fn merge(&mut self, record: &Record, now_ms: u64, events: &mut Vec<SwimEvent>) {
+        if record.node_id == self.own.node_id {
+            self.refute(record);
+            return;
+        }
+        let node_id = record.node_id.clone();
+        match self.table.merge(record, now_ms) {
+            Merge::Joined => events.push(SwimEvent::Joined(node_id)),
+            Merge::Became(Liveness::Suspect) => events.push(SwimEvent::Suspected(node_id)),
+            Merge::Became(Liveness::Dead) => events.push(SwimEvent::Dead(node_id)),
+            Merge::Became(Liveness::Left) => events.push(SwimEvent::Left(node_id)),
+            Merge::Known | Merge::Updated | Merge::Became(Liveness::Alive) => {}
+        }
+    }
+
+    // A node that was cut off or paused is suspected while it lives. If it
+    // kept silent it would get no work until it is restarted; with a higher
+    // incarnation its own word beats the suspicion everywhere.
+    fn refute(&mut self, record: &Record) {
+        let is_about_this_process = record.started_unix_ms == self.own.started_unix_ms;
+        if is_about_this_process && record.supersedes(&self.own) {
+            self.own.incarnation = record.incarnation + 1;
+            self.table.mark_changed();
+        }
+    }
+}
--- /dev/null
+++ b/src/membership/table.rs
@@ -0,0 +1,242 @@
+//! Records of all known members and the news about them that is passed on.
+
+use {
+    super::{Liveness, Record, View},
+    crate::{arena::Arena, arena_key},
+    std::{
+        collections::HashMap,
+        hash::{Hash, Hasher},
+    },
+    xxhash_rust::xxh3::Xxh3,
+};
+
+arena_key! {
+    /// A member in the table.
+    MemberKey
+}
+
+/// How long a suspected member may refute before it is taken for dead.
+pub const SUSPICION_MS: u64 = 3000;
+
+/// How long the records of gone members are kept. A record that is dropped
+/// too early would come back as alive from a node that has not heard of the
+/// death; callers would then see time outs until it is suspected anew.
+pub const TOMBSTONE_MS: u64 = 600_000;
+
+/// Times that a piece of news is sent, per decimal digit of the member count.
+const SENDS_PER_DIGIT: u32 = 4;
+
+/// A record with what this node keeps beside it.
+#[derive(Debug, Clone)]
+pub struct Entry {
+    /// What gossip carries.
+    pub record: Record,
+    /// When the liveness last changed here.
+    pub changed_ms: u64,
+    /// How often the record may still be passed on.
+    pub sends_left: u32,
+}
+
+/// Whether a merged record changed the table.
+#[derives::key]
+pub enum Merge {
+    /// Nothing new.
+    Known,
+    /// First record of this member, or it came back.
+    Joined,
+    /// The member's liveness became this.
+    Became(Liveness),
+    /// Other fields changed.
+    Updated,
+}
+
+/// All known members but the node itself.
+#[derive(Debug, Default)]
+pub struct MemberTable {
+    entries: Arena<MemberKey, Entry>,
+    keys: HashMap<String, MemberKey>,
+    changed: bool,
+}
+
+impl MemberTable {
+    /// An empty table.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes in what gossip says about a member.
+    pub fn merge(&mut self, record: &Record, now_ms: u64) -> Merge {
+        let sends_left = self.sends();
+        let Some(key) = self.keys.get(&record.node_id) else {
+            return self.insert(record, now_ms, sends_left);
+        };
+        let entry = self.entries.get_mut(*key).expect("keys point to entries");
+        if !record.supersedes(&entry.record) {
+            return Merge::Known;
+        }
+        let before = entry.record.liveness;
+        entry.record = record.clone();
+        entry.sends_left = sends_left;
+        self.changed = true;
+        if before == record.liveness {
+            return Merge::Updated;
+        }
+        entry.changed_ms = now_ms;
+        let came_back = before > Liveness::Suspect && record.liveness <= Liveness::Suspect;
+        if came_back {
+            Merge::Joined
+        } else {
+            Merge::Became(record.liveness)
+        }
+    }
+
+    fn insert(&mut self, record: &Record, now_ms: u64, sends_left: u32) -> Merge {
+        let entry = Entry {
+            record: record.clone(),
+            changed_ms: now_ms,
+            sends_left,
+        };
+        let key = self.entries.insert(entry);
+        self.keys.insert(record.node_id.clone(), key);
+        self.changed = true;
+        if record.liveness <= Liveness::Suspect {
+            Merge::Joined
+        } else {
+            Merge::Became(record.liveness)
+        }
+    }
+
+    /// Marks a member as suspected; tells whether it was alive before.
+    pub fn suspect(&mut self, key: MemberKey, now_ms: u64) -> bool {
+        let sends_left = self.sends();
+        let Some(entry) = self.entries.get_mut(key) else {
+            return false;
+        };
+        if entry.record.liveness != Liveness::Alive {
+            return false;
+        }
+        entry.record.liveness = Liveness::Suspect;
+        entry.changed_ms = now_ms;
+        entry.sends_left = sends_left;
+        self.changed = true;
+        true
+    }
+
+    /// Takes suspected members that did not refute for dead and drops old
+    /// tombstones; returns the node ids of those newly dead.
+    pub fn tick(&mut self, now_ms: u64) -> Vec<String> {
+        let sends_left = self.sends();
+        let mut dead = Vec::new();
+        let mut expired = Vec::new();
+        for (key, entry) in self.entries.iter_mut() {
+            let age_ms = now_ms.saturating_sub(entry.changed_ms);
+            match entry.record.liveness {
+                Liveness::Suspect if age_ms >= SUSPICION_MS => {
+                    entry.record.liveness = Liveness::Dead;
+                    entry.changed_ms = now_ms;
+                    entry.sends_left = sends_left;
+                    dead.push(entry.record.node_id.clone());
+                }
+                Liveness::Dead | Liveness::Left if age_ms >= TOMBSTONE_MS => expired.push(key),
+                _ => {}
+            }
+        }
+        for key in expired {
+            if let Some(entry) = self.entries.remove(key) {
+                self.keys.remove(&entry.record.node_id);
+                self.changed = true;
+            }
+        }
+        self.changed |= !dead.is_empty();
+        dead
+    }
+
+    /// Up to `limit` pieces of news, those sent least often first.
+    pub fn take_news(&mut self, limit: usize) -> Vec<Record> {
+        let mut news: Vec<(u32, MemberKey)> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| entry.sends_left > 0)
+            .map(|(key, entry)| (entry.sends_left, key))
+            .collect();
+        news.sort_unstable_by(|left, right| right.cmp(left));
+        news.truncate(limit);
+        let mut records = Vec::with_capacity(news.len());
+        for (_, key) in news {
+            let entry = self.entries.get_mut(key).expect("key comes from the table");
+            entry.sends_left -= 1;
+            records.push(entry.record.clone());
+        }
+        records
+    }
+
+    /// The entry of a member.
+    #[must_use]
+    pub fn get(&self, key: MemberKey) -> Option<&Entry> {
+        self.entries.get(key)
+    }
+
+    /// The key of a member.
+    #[must_use]
+    pub fn key(&self, node_id: &str) -> Option<MemberKey> {
+        self.keys.get(node_id).copied()
+    }
+
+    /// All members.
+    pub fn iter(&self) -> impl Iterator<Item = (MemberKey, &Entry)> {
+        self.entries.iter()
+    }
+
+    /// Sum of the hashes of the records that are not gone, the node's own
+    /// included. Liveness is left out: it differs for moments all the time.
+    #[must_use]
+    pub fn hash(&self, own: &Record) -> u64 {
+        let present = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| !is_gone(&entry.record));
+        present.fold(record_hash(own), |sum, (_, entry)| {
+            sum.wrapping_add(record_hash(&entry.record))
+        })
+    }
+
+    /// The view for other parts if anything changed since the last call.
+    pub fn take_view(&mut self, own: &Record) -> Option<View> {
+        if !std::mem::take(&mut self.changed) {
+            return None;
+        }
+        let mut members: Vec<_> = self
+            .entries
+            .iter()
+            .map(|(_, entry)| entry.record.to_member())
+            .collect();
+        members.push(own.to_member());
+        members.sort_by(|left, right| left.node_id.cmp(&right.node_id));
+        Some(View { members })
+    }
+
+    /// Has the next `take_view` give a view in any case.
+    pub const fn mark_changed(&mut self) {
+        self.changed = true;
+    }
+
+    fn sends(&self) -> u32 {
+        let digits = (self.entries.len() + 1).ilog10() + 1;
+        SENDS_PER_DIGIT * digits
+    }
+}
+
+const fn is_gone(record: &Record) -> bool {
+    matches!(record.liveness, Liveness::Dead | Liveness::Left)
+}
+
+fn record_hash(record: &Record) -> u64 {
+    let mut hasher = Xxh3::new();
+    let comparable = Record {
+        liveness: Liveness::Alive,
+        ..record.clone()
+    };
+    comparable.hash(&mut hasher);
+    hasher.finish()
+}
--- a/src/schema/mod.rs
+++ b/src/schema/mod.rs
@@ -8,3 +8,9 @@
 #[rustfmt::skip]
 #[path = "generated/peer_capnp.rs"]
 pub mod peer_capnp;
+
+/// Gossip datagrams; see `gossip.capnp`.
+#[allow(clippy::all, clippy::pedantic, clippy::use_self, missing_docs, unsafe_code)]
+#[rustfmt::skip]
+#[path = "generated/gossip_capnp.rs"]
+pub mod gossip_capnp;
