--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod membership;
 pub mod model;
 pub mod quota;
+pub mod reference;
 pub mod retry;
 pub mod routing;
 pub mod schema;
