--- a/src/membership/table.rs
+++ b/src/membership/table.rs
@@ -35,6 +35,8 @@
     pub changed_ms: u64,
     /// How often the record may still be passed on.
     pub sends_left: u32,
+    /// Its part of the table's hash.
+    hash: u64,
 }
 
 /// Whether a merged record changed the table.
@@ -55,6 +57,8 @@
 pub struct MemberTable {
     entries: Arena<MemberKey, Entry>,
     keys: HashMap<String, MemberKey>,
+    /// Sum of the hashes of the entries that are not gone.
+    hash: u64,
     changed: bool,
 }
 
@@ -78,6 +82,9 @@
         let before = entry.record.liveness;
         entry.record = record.clone();
         entry.sends_left = sends_left;
+        self.hash = self.hash.wrapping_sub(entry.hash);
+        entry.hash = present_hash(record);
+        self.hash = self.hash.wrapping_add(entry.hash);
         self.changed = true;
         if before == record.liveness {
             return Merge::Updated;
@@ -92,11 +99,14 @@
     }
 
     fn insert(&mut self, record: &Record, now_ms: u64, sends_left: u32) -> Merge {
+        let hash = present_hash(record);
         let entry = Entry {
             record: record.clone(),
             changed_ms: now_ms,
             sends_left,
+            hash,
         };
+        self.hash = self.hash.wrapping_add(hash);
         let key = self.entries.insert(entry);
         self.keys.insert(record.node_id.clone(), key);
         self.changed = true;
@@ -136,6 +146,8 @@
                     entry.record.liveness = Liveness::Dead;
                     entry.changed_ms = now_ms;
                     entry.sends_left = sends_left;
+                    self.hash = self.hash.wrapping_sub(entry.hash);
+                    entry.hash = 0;
                     dead.push(entry.record.node_id.clone());
                 }
                 Liveness::Dead | Liveness::Left if age_ms >= TOMBSTONE_MS => expired.push(key),
@@ -189,16 +201,10 @@
     }
 
     /// Sum of the hashes of the records that are not gone, the node's own
-    /// included. Liveness is left out: it differs for moments all the time.
+    /// included; equal tables have equal sums.
     #[must_use]
     pub fn hash(&self, own: &Record) -> u64 {
-        let present = self
-            .entries
-            .iter()
-            .filter(|(_, entry)| !is_gone(&entry.record));
-        present.fold(record_hash(own), |sum, (_, entry)| {
-            sum.wrapping_add(record_hash(&entry.record))
-        })
+        self.hash.wrapping_add(present_hash(own))
     }
 
     /// The view for other parts if anything changed since the last call.
@@ -227,11 +233,12 @@
     }
 }
 
-const fn is_gone(record: &Record) -> bool {
-    matches!(record.liveness, Liveness::Dead | Liveness::Left)
-}
-
-fn record_hash(record: &Record) -> u64 {
+/// Hash of a record without its liveness, which differs for moments all the
+/// time; 0 for members that are gone.
+fn present_hash(record: &Record) -> u64 {
+    if record.liveness > Liveness::Suspect {
+        return 0;
+    }
     let mut hasher = Xxh3::new();
     let comparable = Record {
         liveness: Liveness::Alive,
