--- /dev/null
+++ b/tests/keys.rs
@@ -0,0 +1,135 @@
+//! Tenant keys: digests, the keys document, revocations told directly.
+
+use {
+    dogwoodbridge::keys::{KEY_PREFIX, KeyDigest, KeysError, KeysRecord, Revocations, new_key},
+    std::collections::HashSet,
+};
+
+#[test]
+fn keys_are_long_random_and_fit_a_header() {
+    let keys: HashSet<String> = (0..100).map(|_| new_key()).collect();
+    assert_eq!(keys.len(), 100);
+    for key in keys {
+        let random = key.strip_prefix(KEY_PREFIX).expect("the prefix");
+        assert_eq!(random.len(), 43, "256 bits in base64");
+        assert!(
+            key.chars()
+                .all(|c| c.is_ascii_alphanumeric() || "-_".contains(c))
+        );
+    }
+}
+
+/// A text and whether it is a digest.
+struct DigestText {
+    text: String,
+    valid: bool,
+}
+
+#[test]
+fn reads_digests() {
+    let digest = KeyDigest::of_key("abc");
+    let hex = "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad";
+    assert_eq!(digest.to_string(), hex);
+    let cases = [
+        DigestText {
+            text: hex.to_owned(),
+            valid: true,
+        },
+        DigestText {
+            text: hex.to_uppercase(),
+            valid: true,
+        },
+        DigestText {
+            text: hex[1..].to_owned(),
+            valid: false,
+        },
+        DigestText {
+            text: format!("{hex}0"),
+            valid: false,
+        },
+        DigestText {
+            text: hex.replace('b', "g"),
+            valid: false,
+        },
+        DigestText {
+            text: hex.replace("ba", "+a"),
+            valid: false,
+        },
+        DigestText {
+            text: "é".repeat(32),
+            valid: false,
+        },
+        DigestText {
+            text: String::new(),
+            valid: false,
+        },
+    ];
+    for case in cases {
+        assert_eq!(
+            case.text.parse::<KeyDigest>().is_ok(),
+            case.valid,
+            "{}",
+            case.text
+        );
+    }
+}
+
+#[test]
+fn any_text_is_read_without_panic() {
+    bolero::check!().with_type::<String>().for_each(|text| {
+        if let Ok(digest) = text.parse::<KeyDigest>() {
+            assert_eq!(digest.to_string(), text.to_lowercase());
+        }
+    });
+}
+
+#[test]
+fn any_document_is_read_without_panic() {
+    bolero::check!().for_each(|bytes: &[u8]| {
+        let _ = KeysRecord::read(bytes);
+    });
+}
+
+#[test]
+fn a_revocation_cannot_be_undone() {
+    let digest = KeyDigest::of_key("k1");
+    let mut record = KeysRecord::default();
+    assert!(record.grant(digest, "shop", 1).expect("a new key"));
+    assert!(!record.grant(digest, "shop", 2).expect("granted already"));
+    let elsewhere = record.grant(digest, "other", 2);
+    assert!(matches!(elsewhere, Err(KeysError::GrantedElsewhere { .. })));
+    assert!(record.revoke(digest, 3));
+    assert!(!record.revoke(digest, 4));
+    assert!(matches!(
+        record.grant(digest, "shop", 5),
+        Err(KeysError::Revoked)
+    ));
+    let read = KeysRecord::read(&record.write()).expect("reads what it wrote");
+    assert_eq!(read, record);
+}
+
+#[test]
+fn the_document_holds_no_key() {
+    let key = new_key();
+    let mut record = KeysRecord::default();
+    record
+        .grant(KeyDigest::of_key(&key), "shop", 1)
+        .expect("a new key");
+    let text = String::from_utf8(record.write()).expect("JSON");
+    assert!(!text.contains(&key) && !text.contains(&key[KEY_PREFIX.len()..]));
+}
+
+#[tokio::test]
+async fn revocations_are_told_once_and_kept_until_the_document_has_them() {
+    let revocations = Revocations::new();
+    let mut learnt = revocations.subscribe_learnt();
+    let digest = KeyDigest::of_key("k1");
+    assert!(revocations.apply(digest));
+    assert!(!revocations.apply(digest));
+    assert_eq!(learnt.recv().await.expect("told"), digest);
+    assert!(learnt.try_recv().is_err());
+    revocations.confirm(&HashSet::from([KeyDigest::of_key("k2")]));
+    assert!(revocations.pending().contains(&digest));
+    revocations.confirm(&HashSet::from([digest]));
+    assert!(revocations.pending().is_empty());
+}
