--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod arena;
 pub mod backoff;
 pub mod conf;
+pub mod control;
 pub mod documents;
 pub mod events;
 pub mod freshness;
