Add dogwoodctl: check, publish, keys, status, drain, explain

A publication whose answer is lost is sent again with the same condition, so that only one write can take effect, and resolved by its publish id.

--- /dev/null
+++ b/src/cli/errors.rs
@@ -0,0 +1,59 @@
+//! Why a command of `dogwoodctl` could not be carried out.
+
+use {
+    crate::{conf::CheckError, control::ControlError, keys::KeysError, platform::PlatformError},
+    std::net::SocketAddr,
+};
+
+/// A command that failed before it could report on its own.
+#[derive(Debug, thiserror::Error)]
+pub enum CliError {
+    /// A flag that the command needs is missing.
+    #[error("{flag} is missing: give the flag or its environment variable (see --help)")]
+    MissingFlag {
+        /// The flag.
+        flag: String,
+    },
+    /// The files cannot be read.
+    #[error(transparent)]
+    Check(#[from] CheckError),
+    /// The platform did not give what is needed.
+    #[error("nothing was changed: {0}")]
+    Platform(#[from] PlatformError),
+    /// The platform answers only with versions older than the current one.
+    #[error("nothing was changed: the platform's reads are older than version {version}")]
+    StaleReads {
+        /// The current version.
+        version: u64,
+    },
+    /// The published documents cannot be read.
+    #[error("nothing was changed: {0}")]
+    Document(#[from] crate::conf::CompileError),
+    /// The keys document does not allow the change.
+    #[error("nothing was changed: {0}")]
+    Keys(#[from] KeysError),
+    /// The workspace is not in the published configuration.
+    #[error("workspace {workspace:?} is not published; published are: {}", known.join(", "))]
+    UnknownWorkspace {
+        /// As it was given.
+        workspace: String,
+        /// All published workspaces.
+        known: Vec<String>,
+    },
+    /// No member has this name.
+    #[error("no node is named {node:?}; known are: {}", known.join(", "))]
+    UnknownNode {
+        /// As it was given.
+        node: String,
+        /// All known nodes.
+        known: Vec<String>,
+    },
+    /// A node could not be asked.
+    #[error("{address} {source}")]
+    Node {
+        /// Its control address.
+        address: SocketAddr,
+        /// Why.
+        source: ControlError,
+    },
+}
--- /dev/null
+++ b/src/cli/fleet.rs
@@ -0,0 +1,182 @@
+//! The nodes that operators reach.
+
+use {
+    super::CliError,
+    crate::control::{ControlError, NodeStatus, OperatorsClient, connect},
+    futures::{StreamExt, stream},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+    tarpc::context::{self, Context},
+};
+
+const CONNECT_LIMIT_MS: u64 = 2_000;
+const CALL_LIMIT: Duration = Duration::from_millis(4_000);
+const CALLS_AT_ONCE: usize = 64;
+
+/// The nodes of a fleet, found through some of them.
+#[derive(Debug, Clone)]
+pub struct Fleet {
+    seeds: Vec<SocketAddr>,
+    secret: String,
+}
+
+/// A node and what it answered.
+#[derive(Debug)]
+pub struct NodeAnswer {
+    /// Its control address.
+    pub address: SocketAddr,
+    /// Name and zone as other nodes tell them; absent for a seed that nobody
+    /// knows.
+    pub known_as: Option<(String, String)>,
+    /// Its own answer.
+    pub status: Result<NodeStatus, ControlError>,
+}
+
+impl NodeAnswer {
+    /// Its availability zone, as far as it is known.
+    #[must_use]
+    pub fn zone(&self) -> &str {
+        match (&self.status, &self.known_as) {
+            (Ok(status), _) => &status.zone,
+            (Err(_), Some((_, zone))) => zone,
+            (Err(_), None) => "?",
+        }
+    }
+
+    /// Its name, as far as it is known.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        match (&self.status, &self.known_as) {
+            (Ok(status), _) => &status.node_id,
+            (Err(_), Some((name, _))) => name,
+            (Err(_), None) => "?",
+        }
+    }
+}
+
+/// All nodes that were found, sorted by zone and name.
+#[derive(Debug)]
+pub struct FleetView {
+    /// Nodes, those that did not answer included.
+    pub nodes: Vec<NodeAnswer>,
+}
+
+impl Fleet {
+    /// A fleet that is found through these control addresses.
+    #[must_use]
+    pub const fn new(seeds: Vec<SocketAddr>, secret: String) -> Self {
+        Self { seeds, secret }
+    }
+
+    /// Asks the seeds, then all members that the answers name.
+    pub async fn look(&self) -> FleetView {
+        let mut asked = BTreeSet::new();
+        let mut known = BTreeMap::new();
+        let mut nodes = Vec::new();
+        let mut next: Vec<SocketAddr> = self.seeds.clone();
+        while !next.is_empty() {
+            asked.extend(next.iter().copied());
+            let answers = self.ask_status(&next).await;
+            for status in answers
+                .iter()
+                .filter_map(|answer| answer.status.as_ref().ok())
+            {
+                let members = status.members.iter().filter(|member| member.is_present());
+                for member in members {
+                    let name = (member.node_id.clone(), member.zone.clone());
+                    known.insert(member.control_address(), name);
+                }
+            }
+            nodes.extend(answers);
+            next = known
+                .keys()
+                .filter(|address| !asked.contains(address))
+                .copied()
+                .collect();
+        }
+        for node in &mut nodes {
+            node.known_as = known.get(&node.address).cloned();
+        }
+        nodes.sort_by(|a, b| (a.zone(), a.name()).cmp(&(b.zone(), b.name())));
+        FleetView { nodes }
+    }
+
+    async fn ask_status(&self, addresses: &[SocketAddr]) -> Vec<NodeAnswer> {
+        let ask = |address| async move {
+            let status = self.status(address).await;
+            NodeAnswer {
+                address,
+                known_as: None,
+                status,
+            }
+        };
+        stream::iter(addresses.iter().copied())
+            .map(ask)
+            .buffer_unordered(CALLS_AT_ONCE)
+            .collect()
+            .await
+    }
+
+    async fn status(&self, address: SocketAddr) -> Result<NodeStatus, ControlError> {
+        let client = self.connect(address).await?;
+        Ok(client.status(call_context()).await?)
+    }
+
+    /// Connects to one node.
+    pub async fn connect(&self, address: SocketAddr) -> Result<OperatorsClient, ControlError> {
+        connect(address, &self.secret, CONNECT_LIMIT_MS).await
+    }
+
+    /// Control address of a node, given by name or address.
+    pub async fn find(&self, node: &str) -> Result<SocketAddr, CliError> {
+        if let Ok(address) = node.parse() {
+            return Ok(address);
+        }
+        let view = self.look().await;
+        let found = view.nodes.iter().find(|answer| answer.name() == node);
+        found
+            .map(|answer| answer.address)
+            .ok_or_else(|| CliError::UnknownNode {
+                node: node.to_owned(),
+                known: view
+                    .nodes
+                    .iter()
+                    .map(|answer| answer.name().to_owned())
+                    .collect(),
+            })
+    }
+
+    /// Calls all nodes of a view at once.
+    pub async fn call_all<T, F, C>(&self, view: &FleetView, call: C) -> Vec<(String, Option<T>)>
+    where
+        C: Fn(OperatorsClient) -> F,
+        F: Future<Output = Result<T, ControlError>>,
+    {
+        let call = &call;
+        let call_one = |node: &NodeAnswer| {
+            let (address, zone) = (node.address, node.zone().to_owned());
+            async move {
+                let answer = match self.connect(address).await {
+                    Ok(client) => call(client).await,
+                    Err(error) => Err(error),
+                };
+                (zone, answer.ok())
+            }
+        };
+        let calls: Vec<_> = view.nodes.iter().map(call_one).collect();
+        stream::iter(calls)
+            .buffer_unordered(CALLS_AT_ONCE)
+            .collect()
+            .await
+    }
+}
+
+/// Context of a call with this tool's time limit.
+pub(super) fn call_context() -> Context {
+    let mut context = context::current();
+    context.deadline = Instant::now() + CALL_LIMIT;
+    context
+}
--- /dev/null
+++ b/src/cli/mod.rs
@@ -0,0 +1,38 @@
+//! `dogwoodctl`: what operators do from their own machine.
+
+mod args;
+mod check;
+mod drain;
+mod errors;
+mod explain;
+mod fleet;
+mod keys;
+mod keys_change;
+mod publication;
+mod publish;
+mod report;
+mod status;
+mod zones;
+
+pub use {
+    args::{Args, Command, KeyCommand, OutputFormat},
+    errors::CliError,
+    fleet::{Fleet, FleetView, NodeAnswer},
+    keys_change::{KeysOutcome, change_keys},
+    publication::{PublishOutcome, Winner, publish_record},
+    report::{Exit, Finished},
+    zones::{ZoneReport, zone_reports},
+};
+
+/// Carries out a command.
+pub async fn run(args: &Args) -> Result<Finished, CliError> {
+    match &args.command {
+        Command::Check { dir } => check::run(dir),
+        Command::Publish(publish) => publish::run(args, publish).await,
+        Command::Key { command } => keys::run(args, command).await,
+        Command::Status => status::run(args).await,
+        Command::Drain { node } => drain::run(args, node).await,
+        Command::Explain(explain) => explain::run(args, explain).await,
+        Command::Completions { shell } => Ok(Finished::completions(*shell)),
+    }
+}
--- /dev/null
+++ b/src/cli/publish.rs
@@ -0,0 +1,158 @@
+//! `dogwoodctl publish`.
+
+use {
+    super::{
+        Args, CliError, Exit, Finished, Fleet, PublishOutcome, Winner, ZoneReport,
+        args::PublishArgs, check::checked, publication::publish_record, zone_reports,
+    },
+    crate::{
+        conf::{ConfigurationRecord, Publication},
+        timer::unix_ms,
+    },
+    serde::Serialize,
+    std::{
+        fmt,
+        time::{Duration, Instant},
+    },
+    uuid::Uuid,
+};
+
+const POLL_PERIOD: Duration = Duration::from_millis(200);
+
+#[derive(Debug, Clone, Serialize)]
+struct PublishReport {
+    publication: Publication,
+    #[serde(flatten)]
+    outcome: PublishOutcome,
+    /// Absent when no nodes were asked.
+    zones: Option<Vec<ZoneReport>>,
+}
+
+pub(super) async fn run(args: &Args, publish: &PublishArgs) -> Result<Finished, CliError> {
+    let rules = match checked(&publish.dir)? {
+        Ok(rules) => rules,
+        Err(failed) => return Ok(failed),
+    };
+    let platform = args.platform()?;
+    let fleet = args.fleet_if_named()?;
+    let publication = Publication {
+        publish_id: Uuid::new_v4(),
+        publisher: publish.publisher.clone(),
+        published_unix_ms: unix_ms(),
+    };
+    let record = ConfigurationRecord {
+        publication: publication.clone(),
+        rules,
+    };
+    let outcome = publish_record(&platform, &record, publish.if_version).await;
+    let zones = match (&outcome, &fleet) {
+        (PublishOutcome::Published { version }, Some(fleet)) => {
+            Some(wait_in_force(fleet, *version, publish.wait_ms).await)
+        }
+        _ => None,
+    };
+    let report = PublishReport {
+        publication,
+        outcome,
+        zones,
+    };
+    Ok(Finished::new(report.exit(), &report))
+}
+
+async fn wait_in_force(fleet: &Fleet, version: u64, wait_ms: u64) -> Vec<ZoneReport> {
+    let started = Instant::now();
+    loop {
+        let view = fleet.look().await;
+        let zones = zone_reports(view.nodes.iter().map(|node| {
+            let in_force = node
+                .status
+                .as_ref()
+                .ok()
+                .map(|status| status.revision >= version);
+            (node.zone(), in_force)
+        }));
+        let is_done = !zones.is_empty() && zones.iter().all(ZoneReport::is_in_force);
+        if is_done || started.elapsed() >= Duration::from_millis(wait_ms) {
+            return zones;
+        }
+        tokio::time::sleep(POLL_PERIOD).await;
+    }
+}
+
+impl PublishReport {
+    fn exit(&self) -> Exit {
+        match &self.outcome {
+            PublishOutcome::Published { .. } => {
+                let zones = self.zones.as_deref().unwrap_or_default();
+                if zones.iter().all(ZoneReport::is_in_force) {
+                    Exit::Done
+                } else {
+                    Exit::Unsure
+                }
+            }
+            PublishOutcome::Conflict { .. }
+            | PublishOutcome::Overtaken { .. }
+            | PublishOutcome::NotPublished { .. } => Exit::Failed,
+            PublishOutcome::Unknown { .. } => Exit::Unsure,
+        }
+    }
+}
+
+impl fmt::Display for PublishReport {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let publish_id = self.publication.publish_id;
+        match &self.outcome {
+            PublishOutcome::Published { version } => {
+                write!(
+                    formatter,
+                    "published as version {version} (publish id {publish_id})"
+                )?;
+            }
+            PublishOutcome::Conflict { winner } => {
+                write!(
+                    formatter,
+                    "NOT published: conflict with {winner}. Look at it, then publish again"
+                )?;
+            }
+            PublishOutcome::Overtaken { winner } => write!(
+                formatter,
+                "NOT in force: the answer was lost, and now {winner} is in force. Publication \
+                 {publish_id} may have been in force before it"
+            )?,
+            PublishOutcome::NotPublished { reason } => {
+                write!(formatter, "NOT published: {reason}")?;
+            }
+            PublishOutcome::Unknown {
+                attempt_count,
+                reason,
+            } => write!(
+                formatter,
+                "UNKNOWN whether published after {attempt_count} tries: {reason}. Look for publish \
+                 id {publish_id} in the platform before publishing again"
+            )?,
+        }
+        match &self.zones {
+            Some(zones) => zones
+                .iter()
+                .try_for_each(|zone| write!(formatter, "\n{zone}")),
+            None if matches!(self.outcome, PublishOutcome::Published { .. }) => {
+                formatter.write_str("\nno --nodes given: not known where it is in force")
+            }
+            None => Ok(()),
+        }
+    }
+}
+
+impl fmt::Display for Winner {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "version {}", self.version)?;
+        match &self.publication {
+            Some(publication) => write!(
+                formatter,
+                " by {} (publish id {}, at {} ms Unix time)",
+                publication.publisher, publication.publish_id, publication.published_unix_ms
+            ),
+            None => formatter.write_str(" (who published it could not be read)"),
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod admission;
 pub mod arena;
 pub mod backoff;
+pub mod cli;
 pub mod conf;
 pub mod control;
 pub mod documents;
