Test the platform's client against a faulty object API

A table of faults for writes: unknown exactly when the write may have taken effect; a look is not fooled by stale reads; calls end within their limits.

--- /dev/null
+++ b/tests/platform.rs
@@ -0,0 +1,272 @@
+//! Contract of the platform's object API as the client sees it.
+
+mod support;
+
+use {
+    dogwoodbridge::{
+        documents::{DocumentKind, DocumentWriter, WriteResult},
+        platform::{MAX_OBJECT_BYTES, Platform, PlatformError, Watched, Write},
+    },
+    std::{net::IpAddr, time::Duration},
+    support::{FakePlatform, Faults},
+    tokio::time::timeout,
+};
+
+const NAME: &str = "keys";
+
+#[tokio::test]
+async fn reads_writes_and_conflicts() {
+    let fake = FakePlatform::new().await;
+    let platform = Platform::new(fake.address);
+    assert_eq!(platform.read(NAME).await.expect("absent").version, 0);
+    assert!(matches!(
+        platform.write(NAME, 0, b"a".to_vec()).await,
+        Write::Written(1)
+    ));
+    assert!(matches!(
+        platform.write(NAME, 0, b"b".to_vec()).await,
+        Write::Conflict(1)
+    ));
+    assert!(matches!(
+        platform.write(NAME, 1, b"b".to_vec()).await,
+        Write::Written(2)
+    ));
+    let object = platform.read(NAME).await.expect("present");
+    assert_eq!((object.version, object.content.as_slice()), (2, &b"b"[..]));
+    let counts = platform.call_counts();
+    assert_eq!(
+        (counts.read_count, counts.write_count, counts.watch_count),
+        (2, 3, 0)
+    );
+}
+
+#[tokio::test]
+async fn a_watch_ends_with_a_higher_version_or_its_time() {
+    let fake = FakePlatform::new().await;
+    let platform = Platform::new(fake.address);
+    fake.put(NAME, b"a");
+    let unchanged = platform.watch(NAME, 1, 20).await.expect("answers");
+    assert_eq!(unchanged, Watched::Unchanged);
+    let watch = platform.watch(NAME, 1, 20_000);
+    let write = async {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        fake.put(NAME, b"b");
+    };
+    let (watched, ()) = tokio::join!(watch, write);
+    let Ok(Watched::Changed(object)) = watched else {
+        panic!("{watched:?}");
+    };
+    assert_eq!(object.version, 2);
+    let Ok(Watched::Changed(object)) = platform.watch(NAME, 0, 20_000).await else {
+        panic!("a version above is there already");
+    };
+    assert_eq!(object.version, 2);
+}
+
+// The platform answers plain reads from a copy that is behind. A node that
+// believed them would miss a revocation and call itself fresh; the refusal of
+// an impossible write names the current version all the same.
+#[tokio::test]
+async fn the_current_version_is_not_fooled_by_stale_reads() {
+    let fake = FakePlatform::new().await;
+    let platform = Platform::new(fake.address);
+    assert_eq!(platform.current_version(NAME).await.expect("answers"), 0);
+    fake.put(NAME, b"a");
+    fake.put(NAME, b"b");
+    fake.set_faults(Faults {
+        stale: true,
+        ..Faults::default()
+    });
+    assert_eq!(platform.read(NAME).await.expect("answers").version, 1);
+    assert_eq!(platform.current_version(NAME).await.expect("answers"), 2);
+    assert_eq!(fake.get(NAME), (2, b"b".to_vec()), "a look changes nothing");
+}
+
+/// How a write ends under a fault.
+struct WriteCase {
+    name: &'static str,
+    faults: Faults,
+    byte_count: usize,
+    expected: &'static str,
+    applied: bool,
+}
+
+// A write may be lost on its way, or its answer may be. The client must tell
+// what is certain from what is not: a slice that is believed to be given up
+// and is not would be used twice.
+#[tokio::test]
+async fn says_unknown_exactly_when_a_write_may_have_taken_effect() {
+    let fault = Faults::default;
+    let cases = [
+        WriteCase {
+            name: "no fault",
+            faults: fault(),
+            byte_count: MAX_OBJECT_BYTES,
+            expected: "written",
+            applied: true,
+        },
+        WriteCase {
+            name: "answer lost",
+            faults: Faults {
+                lost_after_count: 1,
+                ..fault()
+            },
+            byte_count: 1,
+            expected: "unknown",
+            applied: true,
+        },
+        WriteCase {
+            name: "request lost",
+            faults: Faults {
+                lost_before_count: 1,
+                ..fault()
+            },
+            byte_count: 1,
+            expected: "unknown",
+            applied: false,
+        },
+        WriteCase {
+            name: "down",
+            faults: Faults {
+                down: true,
+                ..fault()
+            },
+            byte_count: 1,
+            expected: "unknown",
+            applied: false,
+        },
+        WriteCase {
+            name: "server error",
+            faults: Faults {
+                status: Some(503),
+                ..fault()
+            },
+            byte_count: 1,
+            expected: "unknown",
+            applied: false,
+        },
+        WriteCase {
+            name: "slow",
+            faults: Faults {
+                delay_ms: 60_000,
+                ..fault()
+            },
+            byte_count: 1,
+            expected: "unknown",
+            applied: false,
+        },
+        WriteCase {
+            name: "version not told",
+            faults: Faults {
+                no_version: true,
+                ..fault()
+            },
+            byte_count: 1,
+            expected: "unknown",
+            applied: true,
+        },
+        WriteCase {
+            name: "too large for the platform",
+            faults: Faults {
+                status: Some(413),
+                ..fault()
+            },
+            byte_count: 1,
+            expected: "refused",
+            applied: false,
+        },
+        WriteCase {
+            name: "larger than any object",
+            faults: fault(),
+            byte_count: MAX_OBJECT_BYTES + 1,
+            expected: "refused",
+            applied: false,
+        },
+        WriteCase {
+            name: "bad request",
+            faults: Faults {
+                status: Some(400),
+                ..fault()
+            },
+            byte_count: 1,
+            expected: "refused",
+            applied: false,
+        },
+    ];
+    for case in cases {
+        let fake = FakePlatform::new().await;
+        let platform = Platform::new(fake.address).with_call_limit_ms(300);
+        fake.set_faults(case.faults);
+        let written = match platform.write(NAME, 0, vec![b'x'; case.byte_count]).await {
+            Write::Written(_) => "written",
+            Write::Conflict(_) => "conflict",
+            Write::Refused(_) => "refused",
+            Write::Unknown(_) => "unknown",
+        };
+        assert_eq!(written, case.expected, "{}", case.name);
+        assert_eq!(fake.get(NAME).0 > 0, case.applied, "{}", case.name);
+    }
+}
+
+// Nothing listens at the platform's address: the write was certainly not sent.
+#[tokio::test]
+async fn a_failed_connect_is_a_certain_refusal() {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    drop(listener);
+    let platform = Platform::new(address);
+    let written = platform.write(NAME, 0, Vec::new()).await;
+    assert!(
+        matches!(written, Write::Refused(PlatformError::Unreachable(_))),
+        "{written:?}"
+    );
+    let written = DocumentWriter::write(&platform, DocumentKind::Keys, 0, Vec::new()).await;
+    assert_eq!(written, WriteResult::Unknown);
+}
+
+#[tokio::test]
+async fn writes_documents_for_other_parts() {
+    let fake = FakePlatform::new().await;
+    let platform = Platform::new(fake.address);
+    let write = |version| DocumentWriter::write(&platform, DocumentKind::Slices, version, vec![1]);
+    assert_eq!(write(0).await, WriteResult::Written(1));
+    assert_eq!(write(0).await, WriteResult::Conflict(1));
+    fake.set_faults(Faults {
+        lost_after_count: 1,
+        ..Faults::default()
+    });
+    assert_eq!(write(1).await, WriteResult::Unknown);
+    assert_eq!(fake.get("slices").0, 2);
+}
+
+// A platform that takes the request and never answers must not hold a reader
+// or a watcher longer than its limit.
+#[tokio::test]
+async fn calls_end_within_their_limits() {
+    let fake = FakePlatform::new().await;
+    let platform = Platform::new(fake.address).with_call_limit_ms(100);
+    fake.set_faults(Faults {
+        delay_ms: 600_000,
+        ..Faults::default()
+    });
+    let calls = async {
+        assert!(matches!(
+            platform.read(NAME).await,
+            Err(PlatformError::TimedOut { .. })
+        ));
+        let watched = platform.watch(NAME, 0, 100).await;
+        assert!(matches!(watched, Err(PlatformError::TimedOut { .. })));
+    };
+    timeout(Duration::from_secs(60), calls).await.expect("ends");
+}
+
+#[tokio::test]
+async fn connects_from_the_nodes_own_address() {
+    let fake = FakePlatform::new().await;
+    let own: IpAddr = "127.1.2.3".parse().expect("an address");
+    let platform = Platform::new(fake.address).with_local_ip(own);
+    platform.read(NAME).await.expect("answers");
+    assert_eq!(fake.peers()[0].ip(), own);
+}
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,247 @@
+//! An object API inside the test process, with faults.
+
+#![allow(dead_code)]
+
+use {
+    bytes::Bytes,
+    http_body_util::{BodyExt, Full},
+    hyper::{Method, Request, Response, StatusCode, body::Incoming, service::service_fn},
+    hyper_util::rt::TokioIo,
+    std::{
+        collections::HashMap,
+        io,
+        net::SocketAddr,
+        sync::{Arc, Mutex, MutexGuard},
+        time::Duration,
+    },
+    tokio::{
+        net::{TcpListener, TcpStream},
+        sync::watch,
+    },
+};
+
+/// Faults, in force until they are taken back or used up.
+#[derive(Debug, Clone, Default)]
+pub struct Faults {
+    /// Connections break at once.
+    pub down: bool,
+    /// Every answer has this status.
+    pub status: Option<u16>,
+    /// Answers wait this long.
+    pub delay_ms: u64,
+    /// Plain reads and watches give the version before the newest one.
+    pub stale: bool,
+    /// Writes that take effect and whose answers are lost. Looks don't count.
+    pub lost_after_count: usize,
+    /// Writes that are lost before they take effect. Looks don't count.
+    pub lost_before_count: usize,
+    /// Versions are not told.
+    pub no_version: bool,
+    /// Another operator's content is written just after a write whose answer
+    /// is lost, or just before one that is not.
+    pub racer: Option<Vec<u8>>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    objects: HashMap<String, Vec<Vec<u8>>>,
+    faults: Faults,
+    call_count: usize,
+    peers: Vec<SocketAddr>,
+}
+
+/// The object API.
+#[derive(Debug, Clone)]
+pub struct FakePlatform {
+    pub address: SocketAddr,
+    state: Arc<Mutex<State>>,
+    changed: Arc<watch::Sender<u64>>,
+}
+
+type Answer = Option<Response<Full<Bytes>>>;
+
+impl FakePlatform {
+    pub async fn new() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let platform = Self {
+            address: listener.local_addr().expect("bound"),
+            state: Arc::default(),
+            changed: Arc::new(watch::channel(0).0),
+        };
+        tokio::spawn(platform.clone().accept(listener));
+        platform
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("not poisoned")
+    }
+
+    pub fn set_faults(&self, faults: Faults) {
+        self.state().faults = faults;
+    }
+
+    pub fn call_count(&self) -> usize {
+        self.state().call_count
+    }
+
+    pub fn peers(&self) -> Vec<SocketAddr> {
+        self.state().peers.clone()
+    }
+
+    /// Writes as another operator; gives the new version.
+    pub fn put(&self, name: &str, content: &[u8]) -> u64 {
+        let version = self.append(name, content.to_vec());
+        self.changed.send_modify(|count| *count += 1);
+        version
+    }
+
+    pub fn get(&self, name: &str) -> (u64, Vec<u8>) {
+        let state = self.state();
+        let versions = state.objects.get(name).map_or(&[][..], Vec::as_slice);
+        let content = versions.last().cloned().unwrap_or_default();
+        (versions.len() as u64, content)
+    }
+
+    fn append(&self, name: &str, content: Vec<u8>) -> u64 {
+        let mut state = self.state();
+        let versions = state.objects.entry(name.to_owned()).or_default();
+        versions.push(content);
+        versions.len() as u64
+    }
+
+    async fn accept(self, listener: TcpListener) {
+        loop {
+            let (stream, peer) = listener.accept().await.expect("accepts");
+            self.state().peers.push(peer);
+            if self.state().faults.down {
+                continue;
+            }
+            tokio::spawn(self.clone().serve(stream));
+        }
+    }
+
+    async fn serve(self, stream: TcpStream) {
+        let service = service_fn(|request| {
+            let platform = self.clone();
+            async move {
+                let answer = platform.answer(request).await;
+                answer.ok_or_else(|| io::Error::other("answer lost"))
+            }
+        });
+        let connection = hyper::server::conn::http1::Builder::new();
+        let _ = connection
+            .serve_connection(TokioIo::new(stream), service)
+            .await;
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Answer {
+        self.state().call_count += 1;
+        let faults = self.state().faults.clone();
+        tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
+        if let Some(status) = faults.status {
+            return Some(response(status, None, Vec::new()));
+        }
+        let name = request
+            .uri()
+            .path()
+            .trim_start_matches("/objects/")
+            .to_owned();
+        let query = request.uri().query().unwrap_or_default().to_owned();
+        if request.method() == Method::PUT {
+            return self.answer_put(&name, request).await;
+        }
+        if query.contains("watch=1") {
+            return self.answer_watch(&name, &query).await;
+        }
+        Some(self.answer_get(&name))
+    }
+
+    fn answer_get(&self, name: &str) -> Response<Full<Bytes>> {
+        let (version, content) = self.visible(name);
+        let status = if version == 0 { 404 } else { 200 };
+        response(status, self.told(version), content)
+    }
+
+    fn visible(&self, name: &str) -> (u64, Vec<u8>) {
+        let state = self.state();
+        let versions = state.objects.get(name).map_or(&[][..], Vec::as_slice);
+        let count = versions.len() - usize::from(state.faults.stale && !versions.is_empty());
+        let content = versions[..count].last().cloned().unwrap_or_default();
+        (count as u64, content)
+    }
+
+    fn told(&self, version: u64) -> Option<u64> {
+        (!self.state().faults.no_version).then_some(version)
+    }
+
+    async fn answer_watch(&self, name: &str, query: &str) -> Answer {
+        let number = |field: &str| {
+            let value = query.split('&').find_map(|pair| pair.strip_prefix(field));
+            value
+                .and_then(|value| value.parse::<u64>().ok())
+                .unwrap_or(0)
+        };
+        let (above, wait_ms) = (number("above="), number("wait_ms="));
+        let mut changed = self.changed.subscribe();
+        let wait = changed.wait_for(|_| self.visible(name).0 > above);
+        let is_changed = tokio::time::timeout(Duration::from_millis(wait_ms), wait)
+            .await
+            .is_ok();
+        let (version, content) = self.visible(name);
+        if is_changed {
+            return Some(response(200, self.told(version), content));
+        }
+        Some(response(304, self.told(version), Vec::new()))
+    }
+
+    async fn answer_put(&self, name: &str, request: Request<Incoming>) -> Answer {
+        let if_version = request.headers().get("if-version")?.to_str().ok()?;
+        let if_version: u64 = if_version.parse().ok()?;
+        let content = request
+            .into_body()
+            .collect()
+            .await
+            .ok()?
+            .to_bytes()
+            .to_vec();
+        let is_look = if_version == i64::MAX as u64;
+        let mut faults = self.state().faults.clone();
+        if !is_look && faults.lost_before_count > 0 {
+            self.state().faults.lost_before_count -= 1;
+            return None;
+        }
+        let is_lost = !is_look && faults.lost_after_count > 0;
+        if !is_look && !is_lost {
+            self.race(name, &mut faults);
+        }
+        let current = self.get(name).0;
+        if current != if_version {
+            return Some(response(409, self.told(current), Vec::new()));
+        }
+        let version = self.put(name, &content);
+        if is_lost {
+            self.state().faults.lost_after_count -= 1;
+            self.race(name, &mut faults);
+            return None;
+        }
+        Some(response(200, self.told(version), Vec::new()))
+    }
+
+    fn race(&self, name: &str, faults: &mut Faults) {
+        if let Some(content) = faults.racer.take() {
+            self.state().faults.racer = None;
+            self.put(name, &content);
+        }
+    }
+}
+
+fn response(status: u16, version: Option<u64>, content: Vec<u8>) -> Response<Full<Bytes>> {
+    let status = StatusCode::from_u16(status).expect("a valid status");
+    let mut response = Response::builder().status(status);
+    if let Some(version) = version {
+        response = response.header("object-version", version);
+    }
+    response
+        .body(Full::new(Bytes::from(content)))
+        .expect("a valid response")
+}
