--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub mod node;
+
 use {
     bytes::Bytes,
     http_body_util::{BodyExt, Full},
