--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,7 +7,10 @@
 
 pub mod admission;
 pub mod arena;
+pub mod backoff;
+pub mod cli;
 pub mod conf;
+pub mod control;
 pub mod documents;
 pub mod events;
 pub mod freshness;
@@ -15,6 +18,7 @@
 pub mod keys;
 pub mod membership;
 pub mod model;
+pub mod platform;
 pub mod quota;
 pub mod reference;
 pub mod retry;
