Add the guard's table and the freshness tracker

Homes of idempotency keys need a table that never runs a key twice, and every part that uses slices needs to know how old its knowledge of the platform is. Both are pure: time is an argument.

--- a/src/freshness/mod.rs
+++ b/src/freshness/mod.rs
@@ -1,5 +1,19 @@
 //! How much a node may rely on what it knows of the platform.
 
+mod tracker;
+
+pub use tracker::{FreshnessTracker, Snapshot};
+
+/// Greatest age of a confirmed look at the platform that still counts.
+pub const FRESH_LIMIT_MS: u64 = 3000;
+
+/// Greatest age of a probe whose reply still speaks for a zone.
+pub const REPLY_LIMIT_MS: u64 = 4000;
+
+/// Allowance for monotonic clocks that run at different speeds, and for the
+/// time that a stamp needs to spread inside a zone.
+pub const DRIFT_MARGIN_MS: u64 = 1000;
+
 /// State of a node's knowledge of the platform.
 #[derives::key]
 pub enum Freshness {
--- a/src/guard/mod.rs
+++ b/src/guard/mod.rs
@@ -1,6 +1,16 @@
 //! At most one execution for each idempotency key.
 
-use crate::model::{Refusal, WorkspaceKey};
+mod table;
+
+pub use table::{
+    CLOCK_MARGIN_MS, GuardTable, GuardTime, History, KeyedRequest, MAX_ANSWER_BYTES,
+    MAX_RECORD_COUNT, RETENTION_MS,
+};
+
+use crate::{
+    model::{Refusal, WorkspaceKey},
+    slices::SliceIndex,
+};
 
 /// Identity of a keyed request: the same workspace and key mean the same
 /// request.
@@ -24,6 +34,42 @@
     pub body: bytes::Bytes,
 }
 
+impl StoredAnswer {
+    /// Bytes that it takes to keep.
+    #[must_use]
+    pub fn byte_count(&self) -> usize {
+        let headers = self.headers.iter();
+        let header_bytes: usize = headers.map(|(name, value)| name.len() + value.len()).sum();
+        header_bytes + self.body.len()
+    }
+}
+
+/// A key that moves to another home with its slice.
+#[derives::value]
+#[derive(Eq)]
+pub struct SliceRecord {
+    /// Workspace and key.
+    pub key: GuardKey,
+    /// Fingerprint of the request.
+    pub fingerprint: u64,
+    /// Its answer; `None` when the outcome is unknown.
+    pub answer: Option<StoredAnswer>,
+    /// How much longer it is kept.
+    pub keep_for_ms: u64,
+}
+
+/// The keys of a slice that was given up.
+#[derives::value]
+#[derive(Eq)]
+pub struct SliceExport {
+    /// The slice.
+    pub slice: SliceIndex,
+    /// What the giver knew of its past.
+    pub history: History,
+    /// Its keys.
+    pub records: Vec<SliceRecord>,
+}
+
 /// What to do with a keyed request at its home.
 #[derives::value]
 #[derive(Eq)]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,4 +20,5 @@
 pub mod routing;
 pub mod schema;
 pub mod settings;
+pub mod slices;
 pub mod timer;
