--- a/src/freshness/tracker.rs
+++ b/src/freshness/tracker.rs
@@ -91,7 +91,9 @@
     ) {
         let left = zones_wholly_left(view);
         let members = view.members.iter().filter(|m| m.node_id != self.node_id);
-        self.own_zone_has_others = members.clone().any(|m| m.zone == self.zone && m.is_usable());
+        self.own_zone_has_others = members
+            .clone()
+            .any(|m| m.zone == self.zone && m.is_usable());
         self.zones.extend(members.map(|member| member.zone.clone()));
         self.zones.retain(|zone| !left.contains(zone.as_str()));
         let table_zones = table_zones.into_iter().map(str::to_owned);
--- a/src/guard/mod.rs
+++ b/src/guard/mod.rs
@@ -93,3 +93,16 @@
     /// It may have run; resends are told so.
     Unknown,
 }
+
+/// A given-up slice's keys on their way to the next home.
+#[derives::value]
+#[derive(Eq)]
+pub struct Handover {
+    /// The keys.
+    pub export: SliceExport,
+    /// Version of the slice table that moved the slice.
+    pub moved_by_version: u64,
+    /// Start of the process that the slice was meant for when it was
+    /// released, before the table was written.
+    pub to_started_unix_ms: u64,
+}
--- a/src/guard/table.rs
+++ b/src/guard/table.rs
@@ -1,7 +1,7 @@
 //! The home's table of idempotency keys.
 
 use {
-    super::{Begin, Finish, GuardKey, SliceExport, SliceRecord, StoredAnswer},
+    super::{Begin, Finish, GuardKey, Handover, SliceExport, SliceRecord, StoredAnswer},
     crate::{
         freshness::Freshness,
         model::{Reason, Refusal},
@@ -61,6 +61,14 @@
     pub known_since_unix_ms: u64,
 }
 
+/// A slice that this home holds.
+#[derives::key]
+struct Held {
+    history: History,
+    /// No copy of its keys has come from the earlier home so far.
+    awaits_handover: bool,
+}
+
 #[derives::value]
 enum State {
     InProgress,
@@ -80,7 +88,10 @@
 /// Table of keys at their home; no I/O, no clock.
 #[derive(Debug)]
 pub struct GuardTable {
-    held: HashMap<SliceIndex, History>,
+    started_unix_ms: u64,
+    held: HashMap<SliceIndex, Held>,
+    /// Table versions by which slices had come here when they were released.
+    released: HashMap<SliceIndex, u64>,
     records: HashMap<GuardKey, Record>,
     /// Records in the order in which they expire; `serial` parts equal times.
     expiry: BTreeMap<(u64, u64), GuardKey>,
@@ -89,18 +100,14 @@
     max_record_count: usize,
 }
 
-impl Default for GuardTable {
-    fn default() -> Self {
-        Self::new()
-    }
-}
-
 impl GuardTable {
-    /// A table that holds no slice.
+    /// A table that holds no slice, of the process that started then.
     #[must_use]
-    pub fn new() -> Self {
+    pub fn new(started_unix_ms: u64) -> Self {
         Self {
+            started_unix_ms,
             held: HashMap::new(),
+            released: HashMap::new(),
             records: HashMap::new(),
             expiry: BTreeMap::new(),
             answer_bytes: 0,
@@ -118,20 +125,32 @@
 
     /// Begins to hold a slice with what is known of its past.
     pub fn hold(&mut self, slice: SliceIndex, history: History) {
-        self.held.insert(slice, history);
+        let released = self.released.get(&slice);
+        let awaits_handover = released.is_none_or(|version| *version < history.since_version);
+        let held = Held {
+            history,
+            awaits_handover,
+        };
+        self.held.insert(slice, held);
     }
 
     /// What is known of a held slice's past.
     #[must_use]
     pub fn history(&self, slice: SliceIndex) -> Option<History> {
-        self.held.get(&slice).copied()
+        self.held.get(&slice).map(|held| held.history)
+    }
+
+    /// Slices that are held, in no order.
+    pub fn held(&self) -> impl Iterator<Item = SliceIndex> {
+        self.held.keys().copied()
     }
 
     /// Stops holding a slice and takes out its keys, for its next home.
     ///
     /// From here on the slice is not used, whatever becomes of the write.
     pub fn release(&mut self, slice: SliceIndex, time: GuardTime) -> Option<SliceExport> {
-        let history = self.held.remove(&slice)?;
+        let history = self.held.remove(&slice)?.history;
+        self.released.insert(slice, history.since_version);
         let keys = self.records.keys().copied();
         let keys: Vec<GuardKey> = keys.filter(|key| key.slice() == slice).collect();
         let mut records = Vec::with_capacity(keys.len());
@@ -147,21 +166,36 @@
         })
     }
 
-    /// Takes in the keys of a slice that was given up in favour of this node
-    /// by version `moved_by` of the slice table.
+    /// Holds a released slice again after the table turned out not to have
+    /// moved it: its owner since `history.since_version` is still this node.
+    pub fn restore(&mut self, export: SliceExport, time: GuardTime) {
+        self.hold(export.slice, export.history);
+        for record in export.records {
+            self.import_record(record, time);
+        }
+    }
+
+    /// Takes in the keys of a slice that was given up in favour of this
+    /// process; false when the copy is of no use.
     ///
-    /// A copy that arrives late, after the slice went away and came back,
-    /// would claim a past that this home does not know; the version differs
-    /// then and the copy is ignored.
-    pub fn import(&mut self, export: SliceExport, moved_by: u64, time: GuardTime) -> bool {
+    /// A copy that arrives late would claim a past that this home does not
+    /// know: after the slice went away and came back, after this node
+    /// restarted and forgot what it ran itself, after an earlier copy. An
+    /// order could run twice. So a copy counts once, for the move that it
+    /// belongs to and for the process that lived before that move.
+    pub fn import(&mut self, handover: Handover, time: GuardTime) -> bool {
+        let Handover { export, .. } = handover;
         let Some(held) = self.held.get_mut(&export.slice) else {
             return false;
         };
-        if held.since_version != moved_by {
+        let is_meant = handover.to_started_unix_ms == self.started_unix_ms
+            && held.history.since_version == handover.moved_by_version;
+        if !is_meant || !held.awaits_handover {
             return false;
         }
-        let known_since = export.history.known_since_unix_ms;
-        held.known_since_unix_ms = held.known_since_unix_ms.min(known_since);
+        held.awaits_handover = false;
+        let known_since = &mut held.history.known_since_unix_ms;
+        *known_since = (*known_since).min(export.history.known_since_unix_ms);
         for record in export.records {
             self.import_record(record, time);
         }
--- a/src/schema/mod.rs
+++ b/src/schema/mod.rs
@@ -8,3 +8,9 @@
 #[rustfmt::skip]
 #[path = "generated/peer_capnp.rs"]
 pub mod peer_capnp;
+
+/// Calls between nodes; see `rpc.capnp`.
+#[allow(clippy::all, clippy::pedantic, clippy::use_self, missing_docs, unsafe_code)]
+#[rustfmt::skip]
+#[path = "generated/rpc_capnp.rs"]
+pub mod rpc_capnp;
