--- a/src/schema/rpc.capnp
+++ b/src/schema/rpc.capnp
@@ -1,5 +1,10 @@
 @0xd02d1c8f5b7a4e93;
 
+# The annotation of capnpc's rust.capnp, declared here so that the schema
+# compiles without an import path.
+annotation parentModule @0xabee386cd1450364 (file) :Text;
+$parentModule("schema");
+
 # Calls between nodes over capnp-rpc, port 7004.
 
 # What a connection offers before the peer has shown that it holds the fleet
--- a/tests/guard_property.rs
+++ b/tests/guard_property.rs
@@ -116,6 +116,7 @@
         let is_fresh = node
             .looked_ms
             .is_some_and(|at| self.now_ms < at + FRESH_LIMIT_MS);
+        if is_fresh {
             Freshness::Fresh
         } else {
             Freshness::CutOff
