--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod quota;
 pub mod retry;
 pub mod routing;
+pub mod rpc;
 pub mod schema;
 pub mod settings;
 pub mod slices;
--- /dev/null
+++ b/src/quota/messages.rs
@@ -0,0 +1,76 @@
+//! What owners, banks and borrowers tell each other.
+
+use crate::model::WorkspaceKey;
+
+/// A process of a node; a replacement in the same slot has another start.
+#[derives::value]
+#[derive(Eq, PartialOrd, Ord, Hash)]
+pub struct Process {
+    /// Name of its slot.
+    pub node_id: String,
+    /// Start of the process, in milliseconds since the Unix epoch.
+    pub started_unix_ms: u64,
+}
+
+/// A bank asks an owner for its share of a workspace.
+#[derives::value]
+#[derive(Eq)]
+pub struct LeaseAsk {
+    /// The workspace.
+    pub workspace: WorkspaceKey,
+    /// The asking bank.
+    pub bank: Process,
+}
+
+/// An owner's answer to a bank.
+#[derives::key]
+#[derive(Default)]
+pub struct LeaseAnswer {
+    /// Slices whose share is leased; 0 when nothing is granted.
+    pub slice_count: u16,
+    /// Level moved from the owner's bucket, in units of
+    /// [`super::UNITS_PER_TOKEN`].
+    pub level: u64,
+    /// Lifetime, counted by the bank from when it asked.
+    pub ttl_ms: u32,
+    /// When to ask again, where another bank holds the lease.
+    pub busy_ms: u32,
+}
+
+/// A node asks a bank for tokens and states what became of earlier ones.
+#[derives::value]
+#[derive(Eq)]
+pub struct BorrowAsk {
+    /// The workspace.
+    pub workspace: WorkspaceKey,
+    /// The asking node.
+    pub borrower: Process,
+    /// Process of the bank that the next three fields speak about.
+    pub bank_started_unix_ms: u64,
+    /// Last loan of this process that reached the borrower.
+    pub last_loan: u64,
+    /// Tokens of loans up to `last_loan` that are not spent yet.
+    pub held_count: u32,
+    /// Tokens of these loans that go back unspent with this message.
+    pub returned_count: u32,
+    /// Requests that wait.
+    pub need_count: u32,
+    /// Requests expected soon; granted only out of plenty.
+    pub extra_count: u32,
+}
+
+/// A bank's answer to a borrower.
+#[derives::key]
+#[derive(Default)]
+pub struct BorrowAnswer {
+    /// Start of the answering process.
+    pub bank_started_unix_ms: u64,
+    /// Number of the loan; grows with each.
+    pub loan: u64,
+    /// Tokens lent.
+    pub granted_count: u32,
+    /// Lifetime, counted by the borrower from when it asked.
+    pub ttl_ms: u32,
+    /// When the bank expects the next token, if it lent less than needed.
+    pub empty_for_ms: u32,
+}
--- a/src/quota/mod.rs
+++ b/src/quota/mod.rs
@@ -1,7 +1,15 @@
 //! Fleet-wide rate and burst of workspaces.
 
+mod messages;
+
+pub use messages::{BorrowAnswer, BorrowAsk, LeaseAnswer, LeaseAsk, Process};
+
 use crate::model::{Refusal, WorkspaceKey};
 
+/// Units of a bucket's level that make one token: a share of one slice accrues
+/// whole units in each microsecond, so that no sum of shares is ever rounded.
+pub const UNITS_PER_TOKEN: u64 = crate::slices::SLICE_COUNT as u64 * 1_000_000;
+
 /// Rate and burst of a workspace over the whole fleet.
 #[derives::value]
 #[derive(Copy, Eq)]
--- /dev/null
+++ b/src/rpc/codec.rs
@@ -0,0 +1,206 @@
+//! Between the generated types and the typed messages.
+
+use {
+    crate::{
+        guard::{GuardKey, Handover, History, SliceExport, SliceRecord, StoredAnswer},
+        model::{Names, WorkspaceKey},
+        quota::{BorrowAnswer, BorrowAsk, LeaseAnswer, LeaseAsk, Process},
+        schema::rpc_capnp as wire,
+        slices::{SLICE_COUNT, SliceIndex},
+    },
+    capnp::Error,
+};
+
+fn text(reader: capnp::text::Reader<'_>) -> Result<String, Error> {
+    Ok(reader.to_str()?.to_owned())
+}
+
+// Keys are local to a process and names travel. A name of a workspace that
+// this node does not know yet is added: peers are authenticated.
+fn workspace(names: &Names, name: capnp::text::Reader<'_>) -> Result<WorkspaceKey, Error> {
+    Ok(names.workspace(name.to_str()?))
+}
+
+fn read_process(reader: wire::process::Reader<'_>) -> Result<Process, Error> {
+    Ok(Process {
+        node_id: text(reader.get_node_id()?)?,
+        started_unix_ms: reader.get_started_unix_ms(),
+    })
+}
+
+fn write_process(process: &Process, mut builder: wire::process::Builder<'_>) {
+    builder.set_node_id(&process.node_id);
+    builder.set_started_unix_ms(process.started_unix_ms);
+}
+
+pub fn read_lease_ask(
+    names: &Names,
+    reader: wire::lease_ask::Reader<'_>,
+) -> Result<LeaseAsk, Error> {
+    Ok(LeaseAsk {
+        workspace: workspace(names, reader.get_workspace()?)?,
+        bank: read_process(reader.get_bank()?)?,
+    })
+}
+
+pub fn write_lease_ask(names: &Names, ask: &LeaseAsk, mut builder: wire::lease_ask::Builder<'_>) {
+    builder.set_workspace(names.workspace_name(ask.workspace));
+    write_process(&ask.bank, builder.init_bank());
+}
+
+pub fn read_lease_answer(reader: wire::lease_answer::Reader<'_>) -> LeaseAnswer {
+    LeaseAnswer {
+        slice_count: reader.get_slice_count(),
+        level: reader.get_level(),
+        ttl_ms: reader.get_ttl_ms(),
+        busy_ms: reader.get_busy_ms(),
+    }
+}
+
+pub fn write_lease_answer(answer: LeaseAnswer, mut builder: wire::lease_answer::Builder<'_>) {
+    builder.set_slice_count(answer.slice_count);
+    builder.set_level(answer.level);
+    builder.set_ttl_ms(answer.ttl_ms);
+    builder.set_busy_ms(answer.busy_ms);
+}
+
+pub fn read_borrow_ask(
+    names: &Names,
+    reader: wire::borrow_ask::Reader<'_>,
+) -> Result<BorrowAsk, Error> {
+    Ok(BorrowAsk {
+        workspace: workspace(names, reader.get_workspace()?)?,
+        borrower: read_process(reader.get_borrower()?)?,
+        bank_started_unix_ms: reader.get_bank_started_unix_ms(),
+        last_loan: reader.get_last_loan(),
+        held_count: reader.get_held_count(),
+        returned_count: reader.get_returned_count(),
+        need_count: reader.get_need_count(),
+        extra_count: reader.get_extra_count(),
+    })
+}
+
+pub fn write_borrow_ask(
+    names: &Names,
+    ask: &BorrowAsk,
+    mut builder: wire::borrow_ask::Builder<'_>,
+) {
+    builder.set_workspace(names.workspace_name(ask.workspace));
+    builder.set_bank_started_unix_ms(ask.bank_started_unix_ms);
+    builder.set_last_loan(ask.last_loan);
+    builder.set_held_count(ask.held_count);
+    builder.set_returned_count(ask.returned_count);
+    builder.set_need_count(ask.need_count);
+    builder.set_extra_count(ask.extra_count);
+    write_process(&ask.borrower, builder.init_borrower());
+}
+
+pub fn read_borrow_answer(reader: wire::borrow_answer::Reader<'_>) -> BorrowAnswer {
+    BorrowAnswer {
+        bank_started_unix_ms: reader.get_bank_started_unix_ms(),
+        loan: reader.get_loan(),
+        granted_count: reader.get_granted_count(),
+        ttl_ms: reader.get_ttl_ms(),
+        empty_for_ms: reader.get_empty_for_ms(),
+    }
+}
+
+pub fn write_borrow_answer(answer: BorrowAnswer, mut builder: wire::borrow_answer::Builder<'_>) {
+    builder.set_bank_started_unix_ms(answer.bank_started_unix_ms);
+    builder.set_loan(answer.loan);
+    builder.set_granted_count(answer.granted_count);
+    builder.set_ttl_ms(answer.ttl_ms);
+    builder.set_empty_for_ms(answer.empty_for_ms);
+}
+
+pub fn read_handover(names: &Names, reader: wire::handover::Reader<'_>) -> Result<Handover, Error> {
+    let slice = reader.get_slice();
+    if usize::from(slice) >= SLICE_COUNT {
+        return Err(Error::failed(format!("slice {slice} does not exist")));
+    }
+    let records = reader.get_records()?.iter();
+    let export = SliceExport {
+        slice: SliceIndex::new(slice),
+        history: History {
+            since_version: reader.get_since_version(),
+            known_since_unix_ms: reader.get_known_since_unix_ms(),
+        },
+        records: records
+            .map(|record| read_record(names, record))
+            .collect::<Result<_, _>>()?,
+    };
+    Ok(Handover {
+        export,
+        moved_by_version: reader.get_moved_by_version(),
+        to_started_unix_ms: reader.get_to_started_unix_ms(),
+    })
+}
+
+fn read_record(names: &Names, reader: wire::key_record::Reader<'_>) -> Result<SliceRecord, Error> {
+    let key_hash = <[u8; 16]>::try_from(reader.get_key_hash()?)
+        .map_err(|_| Error::failed("a key hash has 16 bytes".to_owned()))?;
+    let answer = match reader.get_status() {
+        0 => None,
+        status => Some(StoredAnswer {
+            status,
+            headers: read_headers(reader)?,
+            body: bytes::Bytes::copy_from_slice(reader.get_body()?),
+        }),
+    };
+    Ok(SliceRecord {
+        key: GuardKey {
+            workspace: workspace(names, reader.get_workspace()?)?,
+            key_hash: u128::from_be_bytes(key_hash),
+        },
+        fingerprint: reader.get_fingerprint(),
+        answer,
+        keep_for_ms: reader.get_keep_for_ms(),
+    })
+}
+
+fn read_headers(reader: wire::key_record::Reader<'_>) -> Result<Vec<(String, String)>, Error> {
+    let headers = reader.get_headers()?.iter();
+    headers
+        .map(|header| Ok((text(header.get_name()?)?, text(header.get_value()?)?)))
+        .collect()
+}
+
+pub fn write_handover(
+    names: &Names,
+    handover: &Handover,
+    mut builder: wire::handover::Builder<'_>,
+) {
+    let export = &handover.export;
+    let index = u16::try_from(export.slice.index()).expect("slices fit into 16 bits");
+    builder.set_slice(index);
+    builder.set_since_version(export.history.since_version);
+    builder.set_known_since_unix_ms(export.history.known_since_unix_ms);
+    builder.set_moved_by_version(handover.moved_by_version);
+    builder.set_to_started_unix_ms(handover.to_started_unix_ms);
+    let mut records = builder.init_records(list_length(&export.records));
+    for (index, record) in (0..).zip(&export.records) {
+        write_record(names, record, records.reborrow().get(index));
+    }
+}
+
+fn write_record(names: &Names, record: &SliceRecord, mut builder: wire::key_record::Builder<'_>) {
+    builder.set_workspace(names.workspace_name(record.key.workspace));
+    builder.set_key_hash(&record.key.key_hash.to_be_bytes());
+    builder.set_fingerprint(record.fingerprint);
+    builder.set_keep_for_ms(record.keep_for_ms);
+    let Some(answer) = &record.answer else {
+        return;
+    };
+    builder.set_status(answer.status);
+    builder.set_body(&answer.body);
+    let mut headers = builder.init_headers(list_length(&answer.headers));
+    for (index, (name, value)) in (0..).zip(&answer.headers) {
+        let mut header = headers.reborrow().get(index);
+        header.set_name(name);
+        header.set_value(value);
+    }
+}
+
+fn list_length<T>(items: &[T]) -> u32 {
+    u32::try_from(items.len()).expect("lists are bounded")
+}
--- /dev/null
+++ b/src/rpc/connection.rs
@@ -0,0 +1,267 @@
+//! Outgoing connections and the calls over them.
+
+use {
+    super::{
+        CallKind, RpcCounters, RpcError,
+        auth::{FleetAuth, NONCE_BYTES, Nonces, Prover, new_nonce},
+        client::{Call, Command, Reply},
+        codec,
+        thread::{CALL_LIMIT_MS, receive_options},
+    },
+    crate::{
+        documents::{Document, DocumentKind},
+        guard::Handover,
+        model::Names,
+        quota::{BorrowAnswer, BorrowAsk, LeaseAnswer, LeaseAsk},
+        schema::rpc_capnp::{gate, node},
+    },
+    capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork},
+    std::{
+        cell::RefCell,
+        collections::HashMap,
+        net::{IpAddr, SocketAddr},
+        rc::Rc,
+        sync::Arc,
+        time::Duration,
+    },
+    tokio::{
+        net::{TcpSocket, TcpStream},
+        sync::OnceCell,
+    },
+    tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt},
+};
+
+type Slot = Rc<OnceCell<node::Client>>;
+
+/// Connections to other nodes, one for each address.
+pub struct Connections {
+    own_ip: IpAddr,
+    auth: FleetAuth,
+    names: Names,
+    counters: Arc<RpcCounters>,
+    slots: RefCell<HashMap<SocketAddr, Slot>>,
+}
+
+impl Connections {
+    pub fn new(own_ip: IpAddr, auth: FleetAuth, names: Names, counters: Arc<RpcCounters>) -> Self {
+        Self {
+            own_ip,
+            auth,
+            names,
+            counters,
+            slots: RefCell::new(HashMap::new()),
+        }
+    }
+
+    /// Makes one call and sends its answer on.
+    pub async fn serve(&self, call: Call) {
+        let address = call.address;
+        match call.command {
+            Command::Document {
+                kind,
+                above_version,
+                reply,
+            } => {
+                let document = |node| self.document(node, kind, above_version);
+                self.answer(address, reply, document).await;
+            }
+            Command::Lease { ask, reply } => {
+                self.answer(address, reply, |node| self.lease(node, ask))
+                    .await;
+            }
+            Command::Borrow { ask, reply } => {
+                self.answer(address, reply, |node| self.borrow(node, ask))
+                    .await;
+            }
+            Command::HandOver { handover, reply } => {
+                self.answer(address, reply, |node| self.hand_over(node, handover))
+                    .await;
+            }
+        }
+    }
+
+    async fn answer<T, F: Future<Output = Result<T, capnp::Error>>>(
+        &self,
+        address: SocketAddr,
+        reply: Reply<T>,
+        call: impl FnOnce(node::Client) -> F,
+    ) {
+        let slot = self.slots.borrow_mut().entry(address).or_default().clone();
+        let limit = Duration::from_millis(CALL_LIMIT_MS);
+        let result = tokio::time::timeout(limit, self.call(address, &slot, call)).await;
+        let limit_ms = CALL_LIMIT_MS;
+        let result = result.unwrap_or(Err(RpcError::TimedOut { address, limit_ms }));
+        if result.is_err() {
+            self.forget(address, &slot);
+        }
+        // The asker may have given up.
+        let _ = reply.send(result);
+    }
+
+    async fn call<T, F: Future<Output = Result<T, capnp::Error>>>(
+        &self,
+        address: SocketAddr,
+        slot: &Slot,
+        call: impl FnOnce(node::Client) -> F,
+    ) -> Result<T, RpcError> {
+        let node = slot.get_or_try_init(|| self.open(address)).await?;
+        let result = call(node.clone()).await;
+        result.map_err(|error| failed(address, &error))
+    }
+
+    // A connection over which a call failed may be half open: the next call
+    // would wait for its whole time limit again. It is made anew instead.
+    fn forget(&self, address: SocketAddr, slot: &Slot) {
+        let mut slots = self.slots.borrow_mut();
+        if slots
+            .get(&address)
+            .is_some_and(|held| Rc::ptr_eq(held, slot))
+        {
+            slots.remove(&address);
+        }
+    }
+
+    async fn open(&self, address: SocketAddr) -> Result<node::Client, RpcError> {
+        let stream = self.connect(address).await;
+        let stream = stream.map_err(|error| RpcError::Unreachable {
+            address,
+            cause: error.to_string(),
+        })?;
+        let (reader, writer) = stream.into_split();
+        let network = VatNetwork::new(
+            reader.compat(),
+            writer.compat_write(),
+            Side::Client,
+            receive_options(),
+        );
+        let mut system = RpcSystem::new(Box::new(network), None);
+        let gate: gate::Client = system.bootstrap(Side::Server);
+        tokio::task::spawn_local(async move {
+            // How it ended shows at the calls that were under way.
+            let _ = system.await;
+        });
+        self.enter(address, gate).await
+    }
+
+    async fn connect(&self, address: SocketAddr) -> std::io::Result<TcpStream> {
+        let socket = match address {
+            SocketAddr::V4(_) => TcpSocket::new_v4()?,
+            SocketAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        socket.bind(SocketAddr::new(self.own_ip, 0))?;
+        let stream = socket.connect(address).await?;
+        stream.set_nodelay(true)?;
+        Ok(stream)
+    }
+
+    async fn enter(
+        &self,
+        address: SocketAddr,
+        gate: gate::Client,
+    ) -> Result<node::Client, RpcError> {
+        let client = new_nonce();
+        let mut request = gate.challenge_request();
+        request.get().set_client_nonce(&client);
+        let challenge = request.send().promise.await;
+        let challenge = challenge.map_err(|error| failed(address, &error))?;
+        let nonces = self
+            .check_server(client, &challenge)
+            .map_err(|error| failed(address, &error))?;
+        let nonces = nonces.ok_or(RpcError::NotAuthentic { address })?;
+        let proof = self.auth.proof(Prover::Client, &nonces);
+        let mut request = gate.enter_request();
+        request.get().set_client_proof(&proof);
+        let entered = request.send().promise.await;
+        let node = entered.and_then(|entered| entered.get()?.get_node());
+        node.map_err(|_| RpcError::NotAuthentic { address })
+    }
+
+    fn check_server(
+        &self,
+        client: [u8; NONCE_BYTES],
+        challenge: &capnp::capability::Response<gate::challenge_results::Owned>,
+    ) -> Result<Option<Nonces>, capnp::Error> {
+        let challenge = challenge.get()?;
+        let Ok(server) = <[u8; NONCE_BYTES]>::try_from(challenge.get_server_nonce()?) else {
+            return Ok(None);
+        };
+        let nonces = Nonces { client, server };
+        let proof = challenge.get_server_proof()?;
+        let is_valid = self.auth.is_valid(Prover::Server, &nonces, proof);
+        Ok(is_valid.then_some(nonces))
+    }
+
+    async fn document(
+        &self,
+        node: node::Client,
+        kind: DocumentKind,
+        above_version: u64,
+    ) -> Result<Option<Document>, capnp::Error> {
+        let mut request = node.document_request();
+        let index = u8::try_from(kind.index()).expect("kinds are few");
+        request.get().set_kind(index);
+        request.get().set_above_version(above_version);
+        self.counters.call(CallKind::Document);
+        let response = request.send().promise.await?;
+        let response = response.get()?;
+        self.counters
+            .words(CallKind::Document, response.total_size()?.word_count);
+        if response.get_version() <= above_version {
+            return Ok(None);
+        }
+        Ok(Some(Document {
+            kind,
+            version: response.get_version(),
+            content: response.get_content()?.into(),
+        }))
+    }
+
+    async fn lease(&self, node: node::Client, ask: LeaseAsk) -> Result<LeaseAnswer, capnp::Error> {
+        let mut request = node.lease_request();
+        codec::write_lease_ask(&self.names, &ask, request.get().init_ask());
+        let asked = request.get().into_reader().total_size()?.word_count;
+        self.counters.call(CallKind::Lease);
+        let response = request.send().promise.await?;
+        let response = response.get()?;
+        let answered = response.total_size()?.word_count;
+        self.counters.words(CallKind::Lease, asked + answered);
+        Ok(codec::read_lease_answer(response.get_answer()?))
+    }
+
+    async fn borrow(
+        &self,
+        node: node::Client,
+        ask: BorrowAsk,
+    ) -> Result<BorrowAnswer, capnp::Error> {
+        let mut request = node.borrow_request();
+        codec::write_borrow_ask(&self.names, &ask, request.get().init_ask());
+        let asked = request.get().into_reader().total_size()?.word_count;
+        self.counters.call(CallKind::Borrow);
+        let response = request.send().promise.await?;
+        let response = response.get()?;
+        let answered = response.total_size()?.word_count;
+        self.counters.words(CallKind::Borrow, asked + answered);
+        Ok(codec::read_borrow_answer(response.get_answer()?))
+    }
+
+    async fn hand_over(
+        &self,
+        node: node::Client,
+        handover: Handover,
+    ) -> Result<bool, capnp::Error> {
+        let mut request = node.hand_over_request();
+        codec::write_handover(&self.names, &handover, request.get().init_handover());
+        let asked = request.get().into_reader().total_size()?.word_count;
+        self.counters.call(CallKind::HandOver);
+        self.counters.words(CallKind::HandOver, asked);
+        let response = request.send().promise.await?;
+        Ok(response.get()?.get_accepted())
+    }
+}
+
+fn failed(address: SocketAddr, error: &capnp::Error) -> RpcError {
+    RpcError::Failed {
+        address,
+        cause: error.to_string(),
+    }
+}
