Add the slice table and what each node changes in it

Slices of quota and keys have owners in one versioned document. An owner gives slices up, or they are taken after a mark and a wait that is longer than any freshness limit. Owners are few in each zone: banks ask each of them.

--- a/src/slices/mod.rs
+++ b/src/slices/mod.rs
@@ -1,5 +1,19 @@
 //! Owners of the slices of quota and idempotency keys.
 
+mod codec;
+mod plan;
+mod share;
+mod steps;
+mod table;
+
+pub use {
+    codec::SlicesError,
+    plan::{Observed, Planner, SELF_CLAIM_WAIT_MS, TAKEOVER_WAIT_MS},
+    share::{KEY_OWNERS_PER_ZONE, QUOTA_OWNERS_PER_ZONE},
+    steps::{Moved, Step},
+    table::{Owner, Section, SliceTable, Slot, SlotKey},
+};
+
 /// Slices of each section; never changes while a fleet lives.
 pub const SLICE_COUNT: usize = 4096;
 
@@ -19,4 +33,9 @@
     pub const fn index(self) -> usize {
         self.0 as usize
     }
+
+    /// All slices of a section.
+    pub fn all() -> impl Iterator<Item = Self> {
+        (0..).take(SLICE_COUNT).map(Self)
+    }
 }
