--- a/benches/gossip.rs
+++ b/benches/gossip.rs
@@ -45,6 +45,7 @@
     fn new(node_count: usize) -> Self {
         let records: Vec<Record> = (0..node_count).map(record).collect();
         let seed = records[0].gossip_address();
+        let sources = records.iter().map(Record::gossip_address).collect();
         let addresses = records
             .iter()
             .enumerate()
@@ -59,6 +60,7 @@
         Self {
             nodes,
             addresses,
+            sources,
             codec,
             rng,
             now_ms: 0,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,9 +23,8 @@
 pub mod reference;
 pub mod retry;
 pub mod routing;
+pub mod rpc;
 pub mod schema;
 pub mod settings;
+pub mod slices;
 pub mod timer;
-
-// The generated code refers to its modules from the root of the crate.
-pub(crate) use schema::gossip_capnp;
--- a/src/quota/mod.rs
+++ b/src/quota/mod.rs
@@ -1,7 +1,29 @@
 //! Fleet-wide rate and burst of workspaces.
 
+mod bank;
+mod bucket;
+mod ledger;
+pub mod limits;
+mod messages;
+mod owner;
+mod purse;
+mod violations;
+
+pub use {
+    bank::Bank,
+    bucket::{Bucket, capacity},
+    messages::{BorrowAnswer, BorrowAsk, LeaseAnswer, LeaseAsk, Process},
+    owner::QuotaOwner,
+    purse::Purse,
+    violations::{Violation, window_violations},
+};
+
 use crate::model::{Refusal, WorkspaceKey};
 
+/// Units of a bucket's level that make one token: a share of one slice accrues
+/// whole units in each microsecond, so that no sum of shares is ever rounded.
+pub const UNITS_PER_TOKEN: u64 = crate::slices::SLICE_COUNT as u64 * 1_000_000;
+
 /// Rate and burst of a workspace over the whole fleet.
 #[derives::value]
 #[derive(Copy, Eq)]
--- a/src/schema/gossip.capnp
+++ b/src/schema/gossip.capnp
@@ -1,5 +1,10 @@
 @0xd8e4b7a6c1f20357;
 
+# The annotation of capnpc's rust.capnp, declared here so that the schema
+# compiles without an import path.
+annotation parentModule @0xabee386cd1450364 (file) :Text;
+$parentModule("schema");
+
 # Datagrams between nodes; packed, after a 16 byte HMAC-SHA256 tag.
 
 struct Target {
