--- /dev/null
+++ b/src/control/admin.rs
@@ -0,0 +1,85 @@
+//! `/metrics`, `/healthz` and `/readyz`.
+
+use {
+    crate::{
+        exchange::{AnswerBody, ListenerLimits, serve},
+        node::{Node, Policies},
+    },
+    bytes::Bytes,
+    hyper::{
+        Request, Response, StatusCode,
+        body::Incoming,
+        header::{CONTENT_TYPE, HeaderValue},
+    },
+    std::{
+        sync::{Arc, atomic::Ordering},
+        time::Duration,
+    },
+    tokio::net::TcpListener,
+};
+
+const LIMITS: ListenerLimits = ListenerLimits {
+    connection_count: 64,
+    header_bytes: 8 << 10,
+    header_timeout: Duration::from_secs(5),
+    stream_count: 16,
+};
+const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+/// Serves monitoring until the node stops.
+pub async fn serve_admin<P: Policies>(node: Arc<Node<P>>, listener: TcpListener) {
+    let stopped = node.stopped.clone();
+    let handle = move |request: Request<Incoming>| {
+        let response = respond(&node, request.uri().path());
+        std::future::ready(response)
+    };
+    serve(
+        listener,
+        LIMITS,
+        stopped.clone(),
+        stopped,
+        Arc::default(),
+        handle,
+    )
+    .await;
+}
+
+fn respond<P: Policies>(node: &Node<P>, path: &str) -> Response<AnswerBody> {
+    match path {
+        "/metrics" => metrics(node),
+        "/healthz" => text(StatusCode::OK, "ok\n"),
+        "/readyz" if node.is_draining() => text(StatusCode::SERVICE_UNAVAILABLE, "draining\n"),
+        "/readyz" if node.is_ready() => text(StatusCode::OK, "ready\n"),
+        "/readyz" => text(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "waiting for a configuration from the platform or a neighbour\n",
+        ),
+        _ => text(StatusCode::NOT_FOUND, "try /metrics, /healthz or /readyz\n"),
+    }
+}
+
+fn metrics<P: Policies>(node: &Node<P>) -> Response<AnswerBody> {
+    let (running, waiting) = node.admission().counts();
+    let connections = node.caller_connection_count.load(Ordering::Relaxed);
+    node.metrics.running.set(gauge(running));
+    node.metrics.waiting.set(gauge(waiting));
+    node.metrics.caller_connections.set(gauge(connections));
+    let Ok(body) = node.metrics.encode() else {
+        return text(StatusCode::INTERNAL_SERVER_ERROR, "metrics are broken\n");
+    };
+    let mut response = text(StatusCode::OK, &body);
+    response
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static(METRICS_TYPE));
+    response
+}
+
+fn gauge(count: usize) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
+
+fn text(status: StatusCode, body: &str) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::whole(Bytes::copy_from_slice(body.as_bytes())));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/src/control/metrics.rs
@@ -0,0 +1,113 @@
+//! Counters for Prometheus.
+
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text::encode},
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge,
+        histogram::{Histogram, exponential_buckets},
+    },
+    registry::Registry,
+};
+
+/// First bucket of the latency histogram, in seconds.
+const FIRST_BUCKET_S: f64 = 0.000_25;
+const BUCKET_FACTOR: f64 = 2.0;
+const BUCKET_COUNT: u16 = 16;
+
+/// Labels of a caller's request.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RequestLabels {
+    /// Class, `none` if no route matched.
+    pub class: &'static str,
+    /// Outcome.
+    pub outcome: &'static str,
+    /// Reason, `none` when whole.
+    pub reason: &'static str,
+}
+
+/// Metrics of a node.
+#[derive(Debug)]
+pub struct Metrics {
+    /// Attempts sent to targets.
+    pub attempts: Counter,
+    /// Attempts beyond the first.
+    pub retries: Counter,
+    /// Requests that the own target works on.
+    pub running: Gauge,
+    /// Requests that wait for the own target.
+    pub waiting: Gauge,
+    /// Open connections of callers.
+    pub caller_connections: Gauge,
+    requests: Family<RequestLabels, Counter>,
+    latency: Histogram,
+    registry: Registry,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Metrics {
+    /// Metrics at zero.
+    #[must_use]
+    pub fn new() -> Self {
+        let buckets = exponential_buckets(FIRST_BUCKET_S, BUCKET_FACTOR, BUCKET_COUNT);
+        let mut metrics = Self {
+            attempts: Counter::default(),
+            retries: Counter::default(),
+            running: Gauge::default(),
+            waiting: Gauge::default(),
+            caller_connections: Gauge::default(),
+            requests: Family::default(),
+            latency: Histogram::new(buckets),
+            registry: Registry::with_prefix("dogwood"),
+        };
+        metrics.register();
+        metrics
+    }
+
+    /// Counts a caller's request that has ended.
+    pub fn count_request(&self, labels: &RequestLabels, latency_us: u64) {
+        self.requests.get_or_create(labels).inc();
+        let latency_us = u32::try_from(latency_us).unwrap_or(u32::MAX);
+        self.latency.observe(f64::from(latency_us) / 1e6);
+    }
+
+    /// Text for Prometheus.
+    pub fn encode(&self) -> Result<String, std::fmt::Error> {
+        let mut text = String::new();
+        encode(&mut text, &self.registry)?;
+        Ok(text)
+    }
+
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("requests", "Callers' requests", self.requests.clone());
+        registry.register(
+            "request_seconds",
+            "Time from a caller's request to the head of its answer",
+            self.latency.clone(),
+        );
+        registry.register("attempts", "Attempts sent to targets", self.attempts.clone());
+        registry.register("retries", "Attempts beyond the first", self.retries.clone());
+        registry.register(
+            "admission_running",
+            "Requests that the own target works on",
+            self.running.clone(),
+        );
+        registry.register(
+            "admission_waiting",
+            "Requests that wait for the own target",
+            self.waiting.clone(),
+        );
+        registry.register(
+            "caller_connections",
+            "Open connections of callers",
+            self.caller_connections.clone(),
+        );
+    }
+}
--- /dev/null
+++ b/src/egress/attempts.rs
@@ -0,0 +1,243 @@
+//! Attempts at a request: pick a target, send, retry within the budget.
+
+use {
+    crate::{
+        event,
+        events::Event,
+        exchange::{Answer, Outbound},
+        model::{AdmissionLevel, Class, Outcome, Reason, Refusal, RequestContext},
+        model::{ServiceKey, WorkspaceKey},
+        node::{Node, Place, Policies},
+        peer::{self, Attempt, HopEnd, PeerLink},
+        retry::CallKey,
+        routing::{AttemptResult, RoutePolicy, TargetKey},
+        retry::RetryPolicy,
+        target::serve_local,
+    },
+    std::{sync::Arc, time::Duration},
+    uuid::Uuid,
+};
+
+/// Taken off the time that a hop is given, so that its answer, which knows
+/// more, comes before this side's own timeout.
+const HOP_MARGIN_US: u64 = 2000;
+/// The margin is at most this part of the remaining time.
+const HOP_MARGIN_PART: u64 = 10;
+
+/// A call on its way out of this node.
+#[derives::value]
+#[derive(Copy, Eq)]
+pub struct Call {
+    /// The caller's original request.
+    pub request_id: Uuid,
+    /// Workspace that it runs for.
+    pub workspace: WorkspaceKey,
+    /// Service that is called.
+    pub service: ServiceKey,
+    /// Importance.
+    pub class: Class,
+    /// When whoever called stops waiting.
+    pub deadline_us: u64,
+    /// Hops above.
+    pub depth: u8,
+    /// Whether it may be executed again after an unknown outcome.
+    pub repeatable: bool,
+    /// Holder of the retry allotment on this node.
+    pub retry: CallKey,
+}
+
+/// Sends a request until it is answered, refused for good or out of budget.
+pub async fn run_attempts<P: Policies>(
+    node: &Arc<Node<P>>,
+    call: &Call,
+    outbound: &Outbound,
+) -> Result<Answer, Refusal> {
+    let mut tried = Vec::new();
+    loop {
+        let refusal = match attempt(node, call, outbound, &mut tried).await {
+            Ok(answer) => return Ok(answer),
+            Err(refusal) => refusal,
+        };
+        if !may_repeat(call, refusal) {
+            return Err(refusal);
+        }
+        let now_us = node.timer.now_us();
+        if now_us >= call.deadline_us {
+            return Err(refusal);
+        }
+        if !node.retries().try_retry(call.retry, call.service, now_us) {
+            return Err(refusal.with_exhausted());
+        }
+        node.metrics.retries.inc();
+        let (id, reason, tried) = (call.request_id, refusal.reason, tried.len());
+        event!(Event::RequestRetried, "request={id} reason={reason} tried={tried}");
+    }
+}
+
+/// Whether sending again can help and cannot execute the request twice.
+fn may_repeat(call: &Call, refusal: Refusal) -> bool {
+    let is_safe = call.repeatable || refusal.outcome == Outcome::NotRun;
+    let can_help = matches!(
+        refusal.reason,
+        Reason::Overloaded
+            | Reason::Draining
+            | Reason::ConnectionLost
+            | Reason::BadAnswer
+            | Reason::TooManyConnections
+    );
+    // A target that its own node has just lost: others may be left.
+    let lost_target = refusal.reason == Reason::NoTarget;
+    is_safe && (can_help || lost_target) && !refusal.exhausted
+}
+
+async fn attempt<P: Policies>(
+    node: &Arc<Node<P>>,
+    call: &Call,
+    outbound: &Outbound,
+    tried: &mut Vec<TargetKey>,
+) -> Result<Answer, Refusal> {
+    let started_us = node.timer.now_us();
+    let remaining_us = call.deadline_us.saturating_sub(started_us);
+    if remaining_us == 0 {
+        return Err(Refusal::not_run(Reason::TooLate));
+    }
+    let picked = node
+        .routes()
+        .pick(call.service, call.class, tried, started_us);
+    let (target, place) = match picked {
+        Ok(picked) => picked,
+        Err(refusal) => {
+            let (id, reason) = (call.request_id, refusal.reason);
+            event!(Event::RouteRefused, "request={id} reason={reason}");
+            // There is nothing else to try at this hop.
+            return Err(refusal.with_exhausted());
+        }
+    };
+    log_pick(node, call, target, tried.len());
+    let outstanding = Outstanding::new(node, target, started_us);
+    if tried.is_empty() {
+        node.retries().first_attempt(call.service, started_us);
+    }
+    tried.push(target);
+    node.metrics.attempts.inc();
+    let lent = node.retries().lend(call.retry);
+    let context = context_of(call, remaining_us, lent);
+    let end = match place {
+        Place::Own => {
+            let (result, unspent) = serve_local(node, &context, outbound).await;
+            let level = node.admission().level(node.timer.now_us());
+            HopEnd {
+                result,
+                unspent,
+                level: Some(level),
+            }
+        }
+        Place::Peer(link) => send(node, &link, &context, outbound, remaining_us).await,
+    };
+    node.retries().give_back(call.retry, end.unspent);
+    outstanding.end(result_of(&end.result), end.level);
+    end.result
+}
+
+async fn send<P: Policies>(
+    node: &Node<P>,
+    link: &PeerLink,
+    context: &RequestContext,
+    outbound: &Outbound,
+    remaining_us: u64,
+) -> HopEnd {
+    let limit = Duration::from_micros(remaining_us);
+    let attempt = Attempt {
+        context,
+        outbound,
+        buffered_bytes: node.settings.buffered_answer_bytes,
+        limit,
+    };
+    let sending = peer::send(link, attempt, &node.auth, &node.names);
+    match tokio::time::timeout(limit, sending).await {
+        Ok(end) => end,
+        Err(_) => HopEnd::failed(Refusal::unknown(Reason::DeadlineExceeded), 0),
+    }
+}
+
+fn context_of(call: &Call, remaining_us: u64, lent: u8) -> RequestContext {
+    let margin_us = HOP_MARGIN_US.min(remaining_us / HOP_MARGIN_PART);
+    RequestContext {
+        request_id: call.request_id,
+        workspace: call.workspace,
+        service: call.service,
+        class: call.class,
+        remaining_us: remaining_us - margin_us,
+        retry_allotment: lent,
+        depth: call.depth,
+        repeatable: call.repeatable,
+    }
+}
+
+fn log_pick<P: Policies>(node: &Node<P>, call: &Call, target: TargetKey, tried: usize) {
+    if !log::log_enabled!(target: "dogwood", Event::RoutePicked.level()) {
+        return;
+    }
+    let id = call.request_id;
+    let service = node.names.service_name(call.service);
+    let class = call.class.name();
+    let routes = node.routes();
+    let to = routes.node_of(target);
+    event!(
+        Event::RoutePicked,
+        "request={id} service={service} class={class} node={to} tried={tried}"
+    );
+}
+
+const fn result_of(result: &Result<Answer, Refusal>) -> AttemptResult {
+    match result {
+        Ok(_) => AttemptResult::Answered,
+        Err(refusal) => match refusal.reason {
+            Reason::ConnectionLost | Reason::BadAnswer | Reason::DeadlineExceeded => {
+                AttemptResult::Failed
+            }
+            _ => AttemptResult::Refused,
+        },
+    }
+}
+
+/// An attempt that the router counts as outstanding; given up when dropped.
+struct Outstanding<'a, P: Policies> {
+    node: &'a Node<P>,
+    target: TargetKey,
+    started_us: u64,
+    ended: bool,
+}
+
+impl<'a, P: Policies> Outstanding<'a, P> {
+    const fn new(node: &'a Node<P>, target: TargetKey, started_us: u64) -> Self {
+        Self {
+            node,
+            target,
+            started_us,
+            ended: false,
+        }
+    }
+
+    fn end(mut self, result: AttemptResult, level: Option<AdmissionLevel>) {
+        self.finish(result, level);
+    }
+
+    fn finish(&mut self, result: AttemptResult, level: Option<AdmissionLevel>) {
+        self.ended = true;
+        let now_us = self.node.timer.now_us();
+        let latency_us = now_us.saturating_sub(self.started_us);
+        let mut routes = self.node.routes();
+        routes
+            .policy()
+            .end(self.target, result, latency_us, level, now_us);
+    }
+}
+
+impl<P: Policies> Drop for Outstanding<'_, P> {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.finish(AttemptResult::Cancelled, None);
+        }
+    }
+}
--- /dev/null
+++ b/src/egress/child.rs
@@ -0,0 +1,158 @@
+//! Downstream calls of the own target.
+
+use {
+    super::{Call, run_attempts},
+    crate::{
+        event,
+        events::Event,
+        exchange::{AnswerBody, CALL, DEADLINE, Outbound, refusal_response, response_of},
+        ingress::{Rejection, check_size, read_body, split_path, strip},
+        model::{MAX_DEPTH, Reason, Refusal},
+        node::{InFlightCall, Node, Policies},
+        retry::{CallKey, RetryPolicy},
+    },
+    hyper::{HeaderMap, Request, Response, body::Incoming},
+    std::sync::Arc,
+};
+
+/// Answers a downstream call.
+pub async fn handle<P: Policies>(
+    node: &Arc<Node<P>>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let _in_flight = node.begin();
+    match serve(node, request).await {
+        Ok(response) => response,
+        Err(rejection) => {
+            let reason = rejection.refusal.reason;
+            event!(Event::RequestRefused, "port=egress reason={reason}");
+            refusal_response(rejection.refusal, &rejection.detail)
+        }
+    }
+}
+
+async fn serve<P: Policies>(
+    node: &Arc<Node<P>>,
+    request: Request<Incoming>,
+) -> Result<Response<AnswerBody>, Rejection> {
+    let (handle, parent) = parent_of(node, request.headers())?;
+    let over = parent.over.clone();
+    let calling = call(node, handle, &parent, request);
+    tokio::select! {
+        result = calling => result,
+        // The parent's caller has its answer or is gone: nobody would read
+        // what the child brings, and its work would be wasted.
+        () = over.cancelled() => Err(Rejection::new(
+            Refusal::unknown(Reason::Cancelled).with_exhausted(),
+            "the call that this one belongs to is over",
+        )),
+    }
+}
+
+fn parent_of<P: Policies>(
+    node: &Node<P>,
+    headers: &HeaderMap,
+) -> Result<(u128, InFlightCall), Rejection> {
+    let mut values = headers.get_all(CALL).iter();
+    let handle = values
+        .next()
+        .filter(|_| values.next().is_none())
+        .and_then(|value| value.to_str().ok())
+        .filter(|value| value.len() == 32)
+        .and_then(|value| u128::from_str_radix(value, 16).ok());
+    let parent = handle.and_then(|handle| Some((handle, node.calls().get(handle)?)));
+    parent.ok_or_else(|| {
+        event!(Event::ContextForged, "port=egress handle unknown or over");
+        Rejection::new(
+            Refusal::not_run(Reason::BadHandle),
+            "dogwood-call must be the handle of a call in progress",
+        )
+    })
+}
+
+async fn call<P: Policies>(
+    node: &Arc<Node<P>>,
+    handle: u128,
+    parent: &InFlightCall,
+    request: Request<Incoming>,
+) -> Result<Response<AnswerBody>, Rejection> {
+    if parent.depth >= MAX_DEPTH {
+        let detail = format!("chains of calls end at {MAX_DEPTH} hops");
+        return Err(Rejection::new(Refusal::not_run(Reason::TooDeep), &detail));
+    }
+    check_size(&request, node.settings.max_header_bytes)?;
+    let running = node.running();
+    let (service, path) = split_path(&running, request.uri())?;
+    let (mut parts, body) = request.into_parts();
+    let route = running
+        .route(service, parts.method.as_str(), path.path())
+        .ok_or_else(|| Rejection::new(Refusal::not_run(Reason::NoRoute), "no route matches"))?;
+    let body = read_body(&node.settings, &parts.headers, body).await?;
+    let deadline_us = own_deadline_us(node, &parts.headers, parent.deadline_us)?;
+    strip(&mut parts.headers);
+    let share = Share::new(node, parent.retry);
+    let call = Call {
+        request_id: parent.request_id,
+        workspace: parent.workspace,
+        service,
+        class: parent.class,
+        deadline_us,
+        depth: parent.depth + 1,
+        repeatable: route.repeatable,
+        retry: share.own,
+    };
+    let outbound = Outbound {
+        method: parts.method,
+        path,
+        headers: parts.headers,
+        body,
+    };
+    let result = run_attempts(node, &call, &outbound).await;
+    drop(share);
+    if matches!(&result, Err(refusal) if refusal.exhausted) {
+        node.calls().mark_exhausted(handle);
+    }
+    Ok(response_of(result))
+}
+
+/// A target may wait less for a child than its own caller waits for it.
+fn own_deadline_us<P: Policies>(
+    node: &Node<P>,
+    headers: &HeaderMap,
+    parent_us: u64,
+) -> Result<u64, Rejection> {
+    let Some(value) = headers.get(DEADLINE) else {
+        return Ok(parent_us);
+    };
+    let wait_ms = crate::ingress::parse_deadline_ms(value)?;
+    Ok(parent_us.min(node.timer.now_us() + wait_ms * 1000))
+}
+
+/// Retry allotment that a child call holds on this node while it lives.
+struct Share<P: Policies> {
+    node: Arc<Node<P>>,
+    parent: CallKey,
+    own: CallKey,
+}
+
+impl<P: Policies> Share<P> {
+    fn new(node: &Arc<Node<P>>, parent: CallKey) -> Self {
+        let mut retries = node.retries();
+        let lent = retries.lend(parent);
+        let own = retries.open(lent);
+        drop(retries);
+        Self {
+            node: Arc::clone(node),
+            parent,
+            own,
+        }
+    }
+}
+
+impl<P: Policies> Drop for Share<P> {
+    fn drop(&mut self) {
+        let mut retries = self.node.retries();
+        let unspent = retries.close(self.own);
+        retries.give_back(self.parent, unspent);
+    }
+}
--- /dev/null
+++ b/src/egress/mod.rs
@@ -0,0 +1,55 @@
+//! The own target's way out: its announcements and its downstream calls.
+
+mod announce;
+mod attempts;
+mod child;
+
+pub use attempts::{Call, run_attempts};
+
+use {
+    crate::{
+        exchange::{AnswerBody, ListenerLimits, serve},
+        node::{Node, Policies},
+    },
+    hyper::{Request, Response, body::Incoming},
+    std::{sync::Arc, time::Duration},
+    tokio::net::TcpListener,
+};
+
+const CONNECTION_COUNT: usize = 8192;
+const STREAM_COUNT: u32 = 1024;
+const HEADER_TIMEOUT: Duration = Duration::from_secs(5);
+/// Paths below it are the node's own.
+const OWN_PATHS: &str = "/-/";
+
+/// Serves the own target until the node stops.
+pub async fn serve_egress<P: Policies>(node: Arc<Node<P>>, listener: TcpListener) {
+    let limits = ListenerLimits {
+        connection_count: CONNECTION_COUNT,
+        header_bytes: node.settings.max_header_bytes,
+        header_timeout: HEADER_TIMEOUT,
+        stream_count: STREAM_COUNT,
+    };
+    let stopped = node.stopped.clone();
+    let handle = move |request| handle(Arc::clone(&node), request);
+    serve(
+        listener,
+        limits,
+        stopped.clone(),
+        stopped,
+        Arc::default(),
+        handle,
+    )
+    .await;
+}
+
+async fn handle<P: Policies>(
+    node: Arc<Node<P>>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    if request.uri().path().starts_with(OWN_PATHS) {
+        announce::handle(&node, request).await
+    } else {
+        child::handle(&node, request).await
+    }
+}
--- /dev/null
+++ b/src/exchange/answer.rs
@@ -0,0 +1,110 @@
+//! Answers on their way back, and how refusals look to callers.
+
+use {
+    super::{AnswerBody, OUTCOME, REASON, RETRY_AFTER_MS, strip_hop_by_hop, strip_internal},
+    crate::model::{Outcome, Refusal},
+    bytes::Bytes,
+    hyper::{
+        HeaderMap, Response, StatusCode,
+        header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderValue, RETRY_AFTER},
+    },
+};
+
+/// When to come back after a failure that names no time of its own.
+const DEFAULT_RETRY_AFTER_MS: u32 = 1000;
+
+/// A target's answer.
+#[derive(Debug)]
+pub struct Answer {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers of the target, without those of the project or the connection.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: AnswerBody,
+}
+
+impl Answer {
+    /// An answer with headers as they came from a connection.
+    #[must_use]
+    pub fn new(status: StatusCode, mut headers: HeaderMap, body: AnswerBody) -> Self {
+        strip_hop_by_hop(&mut headers);
+        strip_internal(&mut headers);
+        if !body.is_streamed() && !matches!(&body, AnswerBody::Whole(Some(bytes)) if bytes.is_empty())
+        {
+            // The length of a whole body is known and is set anew.
+            headers.remove(CONTENT_LENGTH);
+        }
+        Self {
+            status,
+            headers,
+            body,
+        }
+    }
+}
+
+/// Response for whoever called: the target's answer or a refusal.
+#[must_use]
+pub fn response_of(result: Result<Answer, Refusal>) -> Response<AnswerBody> {
+    match result {
+        Ok(answer) => {
+            let mut response = Response::new(answer.body);
+            *response.status_mut() = answer.status;
+            *response.headers_mut() = answer.headers;
+            response
+                .headers_mut()
+                .insert(OUTCOME, HeaderValue::from_static(Outcome::Whole.name()));
+            response
+        }
+        Err(refusal) => refusal_response(refusal, ""),
+    }
+}
+
+/// Body of a refusal.
+#[derive(serde::Serialize)]
+struct RefusalBody<'a> {
+    outcome: &'a str,
+    reason: &'a str,
+    detail: &'a str,
+    retry_after_ms: u32,
+}
+
+/// Response for a refusal; `detail` says what is wrong with the request.
+#[must_use]
+pub fn refusal_response(refusal: Refusal, detail: &str) -> Response<AnswerBody> {
+    let retry_after_ms = retry_after_ms(refusal);
+    let body = RefusalBody {
+        outcome: refusal.outcome.name(),
+        reason: refusal.reason.name(),
+        detail,
+        retry_after_ms,
+    };
+    let body = serde_json::to_vec(&body).unwrap_or_default();
+    let mut response = Response::new(AnswerBody::whole(Bytes::from(body)));
+    *response.status_mut() = status_of(refusal);
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    headers.insert(OUTCOME, HeaderValue::from_static(refusal.outcome.name()));
+    headers.insert(REASON, HeaderValue::from_static(refusal.reason.name()));
+    if retry_after_ms > 0 {
+        headers.insert(RETRY_AFTER_MS, HeaderValue::from(retry_after_ms));
+        headers.insert(
+            RETRY_AFTER,
+            HeaderValue::from(retry_after_ms.div_ceil(1000).max(1)),
+        );
+    }
+    response
+}
+
+fn status_of(refusal: Refusal) -> StatusCode {
+    StatusCode::from_u16(refusal.reason.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR)
+}
+
+fn retry_after_ms(refusal: Refusal) -> u32 {
+    let is_passing = matches!(refusal.reason.status(), 429 | 502..=504);
+    if refusal.retry_after_ms == 0 && is_passing {
+        DEFAULT_RETRY_AFTER_MS
+    } else {
+        refusal.retry_after_ms
+    }
+}
--- /dev/null
+++ b/src/exchange/listener.rs
@@ -0,0 +1,197 @@
+//! Accepting connections and serving them until the node drains.
+
+use {
+    super::{AnswerBody, refusal_response},
+    crate::model::{Reason, Refusal},
+    http_body_util::BodyExt,
+    hyper::{Request, Response, body::Incoming, service::service_fn},
+    hyper_util::{
+        rt::{TokioExecutor, TokioIo, TokioTimer},
+        server::conn::auto,
+    },
+    std::{
+        convert::Infallible,
+        net::SocketAddr,
+        pin::pin,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, AtomicUsize, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::{
+        io::AsyncWriteExt,
+        net::{TcpListener, TcpSocket, TcpStream},
+    },
+    tokio_util::sync::CancellationToken,
+};
+
+const BACKLOG: u32 = 1024;
+/// Pause after a failed accept, such as for want of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+const STREAM_WINDOW_BYTES: u32 = 1 << 20;
+const CONNECTION_WINDOW_BYTES: u32 = 8 << 20;
+
+/// What a listener grants its connections.
+#[derive(Debug, Clone, Copy)]
+pub struct ListenerLimits {
+    /// Connections at a time.
+    pub connection_count: usize,
+    /// Headers of a request, in bytes.
+    pub header_bytes: usize,
+    /// Time for the headers of a request.
+    pub header_timeout: Duration,
+    /// Streams at a time on an HTTP/2 connection.
+    pub stream_count: u32,
+}
+
+/// Listens on an address.
+pub fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// Serves connections until `closing`; then accepts none, tells the open ones
+/// to end (`Connection: close`, GOAWAY) and returns when all have, or when
+/// `stopped` cuts them off.
+pub async fn serve<H, F>(
+    listener: TcpListener,
+    limits: ListenerLimits,
+    closing: CancellationToken,
+    stopped: CancellationToken,
+    open_count: Arc<AtomicUsize>,
+    handle: H,
+) where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<AnswerBody>> + Send + 'static,
+{
+    let connections = tokio_util::task::TaskTracker::new();
+    loop {
+        let accepted = tokio::select! {
+            () = closing.cancelled() => break,
+            accepted = listener.accept() => accepted,
+        };
+        let Ok((stream, _)) = accepted else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        if open_count.load(Ordering::Relaxed) >= limits.connection_count {
+            connections.spawn(refuse(stream));
+            continue;
+        }
+        let counted = Counted::new(Arc::clone(&open_count));
+        let (closing, stopped) = (closing.clone(), stopped.clone());
+        let connection = serve_connection(stream, limits, closing, handle.clone());
+        connections.spawn(async move {
+            tokio::select! {
+                () = stopped.cancelled() => {}
+                () = connection => {}
+            }
+            drop(counted);
+        });
+    }
+    drop(listener);
+    connections.close();
+    connections.wait().await;
+}
+
+async fn serve_connection<H, F>(
+    stream: TcpStream,
+    limits: ListenerLimits,
+    closing: CancellationToken,
+    handle: H,
+) where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<AnswerBody>> + Send + 'static,
+{
+    let _ = stream.set_nodelay(true);
+    let was_used = Arc::new(AtomicBool::new(false));
+    let mark = Arc::clone(&was_used);
+    let service = service_fn(move |request| {
+        mark.store(true, Ordering::Relaxed);
+        let answer = handle(request);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let builder = builder(limits);
+    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    let mut first_request = pin!(tokio::time::sleep(limits.header_timeout));
+    let mut is_checked = false;
+    let mut is_told = false;
+    loop {
+        tokio::select! {
+            _ = connection.as_mut() => return,
+            () = closing.cancelled(), if !is_told => {
+                is_told = true;
+                connection.as_mut().graceful_shutdown();
+            }
+            // The library waits without limit for the bytes that tell the
+            // HTTP versions apart; silent connections would use up the limit
+            // on connections.
+            () = first_request.as_mut(), if !is_checked => {
+                is_checked = true;
+                if !was_used.load(Ordering::Relaxed) {
+                    return;
+                }
+            }
+        }
+    }
+}
+
+fn builder(limits: ListenerLimits) -> auto::Builder<TokioExecutor> {
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.header_timeout)
+        .max_buf_size(limits.header_bytes.saturating_mul(2).max(16 << 10));
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_concurrent_streams(limits.stream_count)
+        // A node that cancels much at once is no attacker; the default of 20
+        // would end its connection with everything else on it.
+        .max_pending_accept_reset_streams(limits.stream_count as usize)
+        .initial_stream_window_size(STREAM_WINDOW_BYTES)
+        .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
+        .max_header_list_size(u32::try_from(limits.header_bytes * 2).unwrap_or(u32::MAX));
+    builder
+}
+
+async fn refuse(mut stream: TcpStream) {
+    let refusal = Refusal::not_run(Reason::TooManyConnections);
+    let (parts, body) = refusal_response(refusal, "this node has no connections left").into_parts();
+    let Ok(body) = body.collect().await else {
+        return;
+    };
+    let body = body.to_bytes();
+    let mut text = format!("HTTP/1.1 {}\r\nconnection: close\r\n", parts.status);
+    text.push_str(&format!("content-length: {}\r\n", body.len()));
+    for (name, value) in &parts.headers {
+        text.push_str(&format!("{name}: {}\r\n", value.to_str().unwrap_or("")));
+    }
+    text.push_str("\r\n");
+    let _ = stream.write_all(text.as_bytes()).await;
+    let _ = stream.write_all(&body).await;
+    let _ = stream.shutdown().await;
+}
+
+/// Counts an open connection as long as it lives.
+struct Counted(Arc<AtomicUsize>);
+
+impl Counted {
+    fn new(count: Arc<AtomicUsize>) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(count)
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/src/node/admission_table.rs
@@ -0,0 +1,253 @@
+//! Admission at the own target: the policy and those who wait for it.
+
+use {
+    super::{Node, Policies},
+    crate::{
+        admission::{
+            AdmissionPolicy, Arrival, Decision, LoadReport, TargetResult, TargetSize, TicketKey,
+        },
+        model::{AdmissionLevel, Reason, Refusal},
+    },
+    std::{collections::HashMap, sync::Arc, time::Duration},
+    tokio::sync::oneshot,
+};
+
+type Verdict = Result<(), Refusal>;
+
+/// The admission policy with the requests that wait for its decision.
+pub struct AdmissionTable<A> {
+    policy: Option<A>,
+    // Tells tickets of a policy from those of its predecessor: after a restart
+    // of the target, a late end would otherwise free a stranger's place.
+    epoch: u64,
+    waiting: HashMap<TicketKey, oneshot::Sender<Verdict>>,
+    decisions: Vec<Decision>,
+    drained: bool,
+}
+
+enum Arrived {
+    Started(TicketKey),
+    Waits(TicketKey, oneshot::Receiver<Verdict>),
+}
+
+impl<A: AdmissionPolicy> Default for AdmissionTable<A> {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl<A: AdmissionPolicy> AdmissionTable<A> {
+    /// A table without a target.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            policy: None,
+            epoch: 0,
+            waiting: HashMap::new(),
+            decisions: Vec::new(),
+            drained: false,
+        }
+    }
+
+    /// The target announced itself.
+    pub fn set_size(&mut self, size: TargetSize, restarted: bool, now_us: u64) {
+        // A policy that has drained stays so; a target that works again needs
+        // a new one.
+        if self.policy.is_none() || (restarted && self.drained) {
+            self.epoch += 1;
+            self.waiting.clear();
+            self.drained = false;
+            self.policy = Some(A::new(size));
+        } else if let Some(policy) = &mut self.policy {
+            policy.set_size(size, restarted, now_us);
+        }
+    }
+
+    /// The target reported its load.
+    pub fn report(&mut self, report: LoadReport) {
+        if let Some(policy) = &mut self.policy {
+            policy.report(report);
+        }
+    }
+
+    /// Refuses what waits and what arrives from now on.
+    pub fn drain(&mut self, now_us: u64) {
+        if self.drained {
+            return;
+        }
+        self.drained = true;
+        self.with_policy(|policy, decisions| policy.drain(now_us, decisions));
+    }
+
+    /// Regular look at queues and limits.
+    pub fn tick(&mut self, now_us: u64) {
+        self.with_policy(|policy, decisions| policy.tick(now_us, decisions));
+    }
+
+    /// Level that answers carry upstream.
+    #[must_use]
+    pub fn level(&self, now_us: u64) -> AdmissionLevel {
+        let level = self.policy.as_ref().map(|policy| policy.level(now_us));
+        level.unwrap_or_else(AdmissionLevel::idle)
+    }
+
+    /// Requests that run and that wait.
+    #[must_use]
+    pub fn counts(&self) -> (usize, usize) {
+        self.policy.as_ref().map_or((0, 0), |policy| {
+            (policy.running_count(), policy.waiting_count())
+        })
+    }
+
+    fn arrive(&mut self, arrival: Arrival, now_us: u64) -> Result<Arrived, Refusal> {
+        let Some(policy) = &mut self.policy else {
+            return Err(Refusal::not_run(Reason::NoTarget));
+        };
+        let ticket = policy.arrive(arrival, now_us, &mut self.decisions);
+        let mut own = None;
+        for decision in self.decisions.drain(..) {
+            let (key, verdict) = verdict_of(decision);
+            if key == ticket {
+                own = Some(verdict);
+            } else if let Some(waiter) = self.waiting.remove(&key) {
+                let _ = waiter.send(verdict);
+            }
+        }
+        match own {
+            Some(Ok(())) => Ok(Arrived::Started(ticket)),
+            Some(Err(refusal)) => Err(refusal),
+            None => {
+                let (sender, receiver) = oneshot::channel();
+                self.waiting.insert(ticket, sender);
+                Ok(Arrived::Waits(ticket, receiver))
+            }
+        }
+    }
+
+    fn end(&mut self, ticket: TicketKey, result: TargetResult, now_us: u64) {
+        self.with_policy(|policy, decisions| policy.end(ticket, result, now_us, decisions));
+    }
+
+    /// Whether the ticket was still waiting.
+    fn withdraw(&mut self, ticket: TicketKey, now_us: u64) -> bool {
+        if self.waiting.remove(&ticket).is_none() {
+            return false;
+        }
+        self.with_policy(|policy, decisions| policy.withdraw(ticket, now_us, decisions));
+        true
+    }
+
+    fn with_policy(&mut self, step: impl FnOnce(&mut A, &mut Vec<Decision>)) {
+        let Some(policy) = &mut self.policy else {
+            return;
+        };
+        step(policy, &mut self.decisions);
+        for decision in self.decisions.drain(..) {
+            let (key, verdict) = verdict_of(decision);
+            if let Some(waiter) = self.waiting.remove(&key) {
+                let _ = waiter.send(verdict);
+            }
+        }
+    }
+}
+
+fn verdict_of(decision: Decision) -> (TicketKey, Verdict) {
+    match decision {
+        Decision::Start(key) => (key, Ok(())),
+        Decision::Refuse(key, refusal) => (key, Err(refusal)),
+    }
+}
+
+/// A request at the own target, from its arrival to its end.
+///
+/// Dropping it withdraws a request that waits and ends one that runs as
+/// cancelled.
+pub struct Ticket<P: Policies> {
+    node: Arc<Node<P>>,
+    key: TicketKey,
+    epoch: u64,
+    waiting: Option<oneshot::Receiver<Verdict>>,
+    ended: bool,
+}
+
+impl<P: Policies> Ticket<P> {
+    /// The started request ended.
+    pub fn end(mut self, result: TargetResult) {
+        self.finish(result);
+    }
+
+    fn finish(&mut self, result: TargetResult) {
+        if std::mem::replace(&mut self.ended, true) {
+            return;
+        }
+        let now_us = self.node.timer.now_us();
+        let mut table = self.node.admission();
+        if table.epoch == self.epoch {
+            table.end(self.key, result, now_us);
+        }
+    }
+
+    fn give_up(&mut self, mut verdict: oneshot::Receiver<Verdict>) {
+        self.ended = true;
+        let now_us = self.node.timer.now_us();
+        let mut table = self.node.admission();
+        if table.epoch != self.epoch || table.withdraw(self.key, now_us) {
+            return;
+        }
+        // Decided in the meantime. A start that nobody takes up would hold
+        // its slot for good.
+        if verdict.try_recv() == Ok(Ok(())) {
+            table.end(self.key, TargetResult::Cancelled, now_us);
+        }
+    }
+}
+
+impl<P: Policies> Drop for Ticket<P> {
+    fn drop(&mut self) {
+        match self.waiting.take() {
+            Some(verdict) => self.give_up(verdict),
+            None => self.finish(TargetResult::Cancelled),
+        }
+    }
+}
+
+/// Waits for admission, at most until the deadline.
+pub async fn admit<P: Policies>(
+    node: &Arc<Node<P>>,
+    arrival: Arrival,
+) -> Result<Ticket<P>, Refusal> {
+    let now_us = node.timer.now_us();
+    let (arrived, epoch) = {
+        let mut table = node.admission();
+        (table.arrive(arrival, now_us)?, table.epoch)
+    };
+    let (key, waiting) = match arrived {
+        Arrived::Started(key) => (key, None),
+        Arrived::Waits(key, receiver) => (key, Some(receiver)),
+    };
+    let mut ticket = Ticket {
+        node: Arc::clone(node),
+        key,
+        epoch,
+        waiting,
+        ended: false,
+    };
+    let Some(verdict) = &mut ticket.waiting else {
+        return Ok(ticket);
+    };
+    let limit = Duration::from_micros(arrival.deadline_us.saturating_sub(now_us));
+    let verdict = tokio::time::timeout(limit, verdict).await;
+    match verdict {
+        Err(_) => Err(Refusal::not_run(Reason::TooLate)),
+        Ok(decided) => {
+            ticket.waiting = None;
+            match decided.unwrap_or(Err(Refusal::not_run(Reason::Draining))) {
+                Ok(()) => Ok(ticket),
+                Err(refusal) => {
+                    ticket.ended = true;
+                    Err(refusal)
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/node/mod.rs
@@ -0,0 +1,256 @@
+//! A node: its tables, the systems that run over them, and its parts.
+
+mod admission_table;
+mod calls;
+mod route_table;
+mod start;
+mod systems;
+mod thin;
+
+pub use {
+    admission_table::{AdmissionTable, Ticket, admit},
+    calls::{CallHandle, CallTable, InFlightCall},
+    route_table::{Place, RouteTable},
+    start::{StartError, start},
+    systems::{follow_members, run_ticks},
+    thin::{LeastOutstanding, LocalQuota, SimpleBudget},
+};
+
+use {
+    crate::{
+        admission::AdmissionPolicy,
+        conf::Running,
+        control::Metrics,
+        event,
+        events::Event,
+        freshness::Freshness,
+        membership::{OwnState, View},
+        model::Names,
+        peer::FleetAuth,
+        quota::QuotaGate,
+        retry::RetryPolicy,
+        routing::RoutePolicy,
+        settings::Settings,
+        target::TargetPool,
+        timer::Timer,
+    },
+    std::{
+        marker::PhantomData,
+        sync::{
+            Arc, Mutex, MutexGuard,
+            atomic::{AtomicU64, AtomicUsize, Ordering},
+        },
+    },
+    tokio::sync::watch,
+    tokio_util::sync::CancellationToken,
+};
+
+/// Stands for "not cut off" in [`Node::cut_off_since_ms`].
+pub const NOT_CUT_OFF: u64 = u64::MAX;
+
+/// The decisions that vary, chosen once at start.
+pub trait Policies: Send + Sync + 'static {
+    /// Admission at the own target.
+    type Admission: AdmissionPolicy;
+    /// Choice of targets.
+    type Routing: RoutePolicy;
+    /// Retries.
+    type Retry: RetryPolicy;
+    /// Rate and burst of workspaces.
+    type Quota: QuotaGate;
+}
+
+/// A set of policies by type.
+#[derive(Debug)]
+pub struct PolicySet<A, R, T, Q>(PhantomData<fn() -> (A, R, T, Q)>);
+
+impl<A, R, T, Q> Policies for PolicySet<A, R, T, Q>
+where
+    A: AdmissionPolicy,
+    R: RoutePolicy,
+    T: RetryPolicy,
+    Q: QuotaGate,
+{
+    type Admission = A;
+    type Routing = R;
+    type Retry = T;
+    type Quota = Q;
+}
+
+/// What a node is made of besides its policies.
+#[derive(Debug)]
+pub struct NodeInputs<Q> {
+    /// Checked settings.
+    pub settings: Arc<Settings>,
+    /// Names shared with configuration and membership.
+    pub names: Names,
+    /// Timer service.
+    pub timer: Timer,
+    /// Configuration in force; revision 0 while there is none.
+    pub running: watch::Receiver<Arc<Running>>,
+    /// Members as gossip knows them.
+    pub view: watch::Receiver<Arc<View>>,
+    /// What gossip tells others about this node.
+    pub own_state: watch::Sender<OwnState>,
+    /// State of the knowledge of the platform.
+    pub freshness: watch::Receiver<Freshness>,
+    /// Quota of workspaces.
+    pub quota: Q,
+}
+
+/// One process of the fleet.
+///
+/// Each area of state has its own lock, held for single steps only and never
+/// while waiting.
+pub struct Node<P: Policies> {
+    /// Checked settings.
+    pub settings: Arc<Settings>,
+    /// Names shared with configuration and membership.
+    pub names: Names,
+    /// Timer service.
+    pub timer: Timer,
+    /// What gossip tells others about this node.
+    pub own_state: watch::Sender<OwnState>,
+    /// Quota of workspaces.
+    pub quota: P::Quota,
+    /// Counters for `/metrics`.
+    pub metrics: Metrics,
+    /// Fleet secret at work.
+    pub auth: FleetAuth,
+    /// Connections to the own target.
+    pub target: Arc<TargetPool>,
+    /// Open connections of callers.
+    pub caller_connection_count: Arc<AtomicUsize>,
+    /// Ends the connections of callers.
+    pub closing: CancellationToken,
+    /// Ends everything.
+    pub stopped: CancellationToken,
+    running: watch::Receiver<Arc<Running>>,
+    view: watch::Receiver<Arc<View>>,
+    freshness: watch::Receiver<Freshness>,
+    admission: Mutex<AdmissionTable<P::Admission>>,
+    routes: Mutex<RouteTable<P::Routing>>,
+    retries: Mutex<P::Retry>,
+    calls: Mutex<CallTable>,
+    in_flight_count: AtomicUsize,
+    cut_off_since_ms: AtomicU64,
+    drain: CancellationToken,
+}
+
+impl<P: Policies> Node<P> {
+    /// A node that does nothing yet.
+    #[must_use]
+    pub fn new(inputs: NodeInputs<P::Quota>) -> Arc<Self> {
+        let auth = FleetAuth::new(&inputs.settings.fleet_secret);
+        Arc::new(Self {
+            auth,
+            target: TargetPool::new(inputs.settings.ip),
+            settings: inputs.settings,
+            names: inputs.names,
+            timer: inputs.timer,
+            own_state: inputs.own_state,
+            quota: inputs.quota,
+            metrics: Metrics::new(),
+            caller_connection_count: Arc::default(),
+            closing: CancellationToken::new(),
+            stopped: CancellationToken::new(),
+            running: inputs.running,
+            view: inputs.view,
+            freshness: inputs.freshness,
+            admission: Mutex::new(AdmissionTable::new()),
+            routes: Mutex::new(RouteTable::new()),
+            retries: Mutex::new(P::Retry::new()),
+            calls: Mutex::new(CallTable::new()),
+            in_flight_count: AtomicUsize::new(0),
+            cut_off_since_ms: AtomicU64::new(NOT_CUT_OFF),
+            drain: CancellationToken::new(),
+        })
+    }
+
+    /// The configuration in force.
+    #[must_use]
+    pub fn running(&self) -> Arc<Running> {
+        Arc::clone(&self.running.borrow())
+    }
+
+    /// Whether there is a configuration to serve by.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.running.borrow().revision > 0
+    }
+
+    /// Takes no new work from now on and tells everyone; running work ends.
+    ///
+    /// The one way in for SIGTERM and operators; `shutdown::run` carries it out.
+    pub fn drain(&self) {
+        if self.drain.is_cancelled() {
+            return;
+        }
+        event!(Event::DrainStarted, "node={}", self.settings.node_id);
+        self.own_state.send_modify(|own| own.draining = true);
+        self.drain.cancel();
+    }
+
+    /// Whether a drain has begun.
+    #[must_use]
+    pub fn is_draining(&self) -> bool {
+        self.drain.is_cancelled()
+    }
+
+    /// Waits until a drain begins.
+    pub async fn drain_begins(&self) {
+        self.drain.cancelled().await;
+    }
+
+    /// Requests that this node works on in any role.
+    #[must_use]
+    pub fn in_flight_count(&self) -> usize {
+        self.in_flight_count.load(Ordering::Acquire)
+    }
+
+    /// Counts a request as in flight until the guard is dropped.
+    #[must_use]
+    pub fn begin(self: &Arc<Self>) -> InFlightGuard<P> {
+        self.in_flight_count.fetch_add(1, Ordering::AcqRel);
+        InFlightGuard(Arc::clone(self))
+    }
+
+    /// Since when this node has been cut off, or [`NOT_CUT_OFF`].
+    #[must_use]
+    pub fn cut_off_since_ms(&self) -> u64 {
+        self.cut_off_since_ms.load(Ordering::Relaxed)
+    }
+
+    /// Admission at the own target.
+    pub fn admission(&self) -> MutexGuard<'_, AdmissionTable<P::Admission>> {
+        locked(&self.admission)
+    }
+
+    /// Targets and their choice.
+    pub fn routes(&self) -> MutexGuard<'_, RouteTable<P::Routing>> {
+        locked(&self.routes)
+    }
+
+    /// Retry allotments.
+    pub fn retries(&self) -> MutexGuard<'_, P::Retry> {
+        locked(&self.retries)
+    }
+
+    /// Calls that the own target works on.
+    pub fn calls(&self) -> MutexGuard<'_, CallTable> {
+        locked(&self.calls)
+    }
+}
+
+fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().expect("lock is not poisoned")
+}
+
+/// Counts a request as in flight while it lives.
+pub struct InFlightGuard<P: Policies>(Arc<Node<P>>);
+
+impl<P: Policies> Drop for InFlightGuard<P> {
+    fn drop(&mut self) {
+        self.0.in_flight_count.fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- /dev/null
+++ b/src/node/route_table.rs
@@ -0,0 +1,218 @@
+//! Targets of the fleet: the routing policy and the ways to them.
+
+use {
+    crate::{
+        event,
+        events::Event,
+        membership::{Announcement, Member, MemberState, OwnState, View},
+        model::{Class, Names, Refusal, ServiceKey},
+        peer::PeerLink,
+        routing::{Distance, RoutePolicy, TargetInfo, TargetKey},
+        settings::Settings,
+    },
+    std::{
+        collections::{BTreeMap, HashMap},
+        net::SocketAddr,
+        sync::Arc,
+    },
+};
+
+/// Way to a target.
+#[derive(Debug, Clone)]
+pub enum Place {
+    /// Beside this node.
+    Own,
+    /// Beside another node.
+    Peer(Arc<PeerLink>),
+}
+
+/// Tells a restart in place from the same process.
+#[derives::key]
+struct Identity {
+    address: SocketAddr,
+    started_unix_ms: u64,
+}
+
+#[derive(Debug)]
+struct Row {
+    target: TargetKey,
+    info: TargetInfo,
+    identity: Identity,
+    place: Place,
+}
+
+/// The routing policy with the nodes of its targets.
+#[derive(Debug)]
+pub struct RouteTable<R> {
+    policy: R,
+    rows: BTreeMap<String, Row>,
+    nodes: HashMap<TargetKey, String>,
+}
+
+impl<R: RoutePolicy> Default for RouteTable<R> {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl<R: RoutePolicy> RouteTable<R> {
+    /// A table without targets.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            policy: R::new(),
+            rows: BTreeMap::new(),
+            nodes: HashMap::new(),
+        }
+    }
+
+    /// The policy, to tell it how attempts ended.
+    pub const fn policy(&mut self) -> &mut R {
+        &mut self.policy
+    }
+
+    /// Picks a target and the way to it.
+    pub fn pick(
+        &mut self,
+        service: ServiceKey,
+        class: Class,
+        tried: &[TargetKey],
+        now_us: u64,
+    ) -> Result<(TargetKey, Place), Refusal> {
+        let target = self
+            .policy
+            .pick(service, class, tried, now_us, &mut rand::rng())?;
+        let row = self.nodes.get(&target).and_then(|node| self.rows.get(node));
+        let place = row.map(|row| row.place.clone());
+        place
+            .map(|place| (target, place))
+            .ok_or(Refusal::not_run(crate::model::Reason::NoTarget))
+    }
+
+    /// Name of the node beside a target.
+    #[must_use]
+    pub fn node_of(&self, target: TargetKey) -> &str {
+        self.nodes.get(&target).map_or("", String::as_str)
+    }
+
+    /// Regular look at ejected targets.
+    pub fn tick(&mut self, now_us: u64) {
+        for (target, is_ejected) in self.policy.tick(now_us) {
+            let node = self.node_of(target);
+            if is_ejected {
+                event!(Event::TargetEjected, "node={node}");
+            } else {
+                event!(Event::TargetRestored, "node={node}");
+            }
+        }
+    }
+
+    /// Takes over what membership knows.
+    pub fn sync(
+        &mut self,
+        view: &View,
+        own: &OwnState,
+        settings: &Settings,
+        names: &Names,
+        now_us: u64,
+    ) {
+        let mut gone: Vec<String> = self.rows.keys().cloned().collect();
+        for member in &view.members {
+            if member.node_id == settings.node_id {
+                continue;
+            }
+            let Some(target) = member.target.as_ref().filter(|_| takes_part(member.state)) else {
+                continue;
+            };
+            let info = TargetInfo {
+                draining: target.draining || member.state == MemberState::Draining,
+                ..info_of(target, distance(settings, member), names)
+            };
+            let identity = Identity {
+                address: member.peer_address(),
+                started_unix_ms: member.started_unix_ms,
+            };
+            gone.retain(|node| *node != member.node_id);
+            self.put(&member.node_id, info, identity, settings, now_us);
+        }
+        if let Some(target) = &own.target {
+            let info = TargetInfo {
+                draining: target.draining || own.draining,
+                ..info_of(target, Distance::SameZone, names)
+            };
+            let identity = Identity {
+                address: SocketAddr::new(settings.reachable_ip(), settings.peer_port),
+                started_unix_ms: 0,
+            };
+            gone.retain(|node| *node != settings.node_id);
+            self.put(&settings.node_id, info, identity, settings, now_us);
+        }
+        for node in gone {
+            self.remove(&node);
+        }
+    }
+
+    fn put(
+        &mut self,
+        node: &str,
+        info: TargetInfo,
+        identity: Identity,
+        settings: &Settings,
+        now_us: u64,
+    ) {
+        if let Some(row) = self.rows.get_mut(node) {
+            if row.identity == identity && row.info.service == info.service {
+                if row.info != info {
+                    row.info = info;
+                    self.policy.update(row.target, info);
+                }
+                return;
+            }
+            self.remove(node);
+        }
+        let place = if node == settings.node_id {
+            Place::Own
+        } else {
+            Place::Peer(PeerLink::new(settings.ip, identity.address))
+        };
+        let target = self.policy.add(info, now_us);
+        self.nodes.insert(target, node.to_owned());
+        let row = Row {
+            target,
+            info,
+            identity,
+            place,
+        };
+        self.rows.insert(node.to_owned(), row);
+    }
+
+    fn remove(&mut self, node: &str) {
+        if let Some(row) = self.rows.remove(node) {
+            self.policy.remove(row.target);
+            self.nodes.remove(&row.target);
+        }
+    }
+}
+
+const fn takes_part(state: MemberState) -> bool {
+    !matches!(state, MemberState::Left | MemberState::Dead)
+}
+
+fn info_of(target: &Announcement, distance: Distance, names: &Names) -> TargetInfo {
+    TargetInfo {
+        service: names.service(&target.service),
+        distance,
+        slot_count: target.slot_count,
+        draining: target.draining,
+    }
+}
+
+fn distance(settings: &Settings, member: &Member) -> Distance {
+    if member.region != settings.region {
+        Distance::OtherRegion
+    } else if member.zone != settings.zone {
+        Distance::SameRegion
+    } else {
+        Distance::SameZone
+    }
+}
--- /dev/null
+++ b/src/node/systems.rs
@@ -0,0 +1,69 @@
+//! Systems that run over the tables of a node.
+
+use {
+    super::{NOT_CUT_OFF, Node, Policies},
+    crate::{event, events::Event, freshness::Freshness, timer::TICK_MS},
+    std::sync::{Arc, atomic::Ordering},
+};
+
+/// Silence after which a target counts as lost, in milliseconds.
+const TARGET_SILENCE_MS: u64 = 5000;
+
+/// Runs the systems that look at time once per tick, until the node stops.
+pub async fn run_ticks<P: Policies>(node: Arc<Node<P>>) {
+    let mut ticks = node.timer.subscribe(TICK_MS);
+    loop {
+        let tick = tokio::select! {
+            () = node.stopped.cancelled() => return,
+            tick = ticks.next() => tick,
+        };
+        let Some(tick) = tick else {
+            return;
+        };
+        node.admission().tick(tick.now_us);
+        node.routes().tick(tick.now_us);
+        lose_silent_target(&node, tick.now_ms());
+        watch_freshness(&node, tick.now_ms());
+    }
+}
+
+/// Keeps the targets of the routing policy as membership knows them.
+pub async fn follow_members<P: Policies>(node: Arc<Node<P>>) {
+    let mut view = node.view.clone();
+    let mut own = node.own_state.subscribe();
+    loop {
+        let members = Arc::clone(&view.borrow_and_update());
+        let own_state = own.borrow_and_update().clone();
+        node.routes().sync(
+            &members,
+            &own_state,
+            &node.settings,
+            &node.names,
+            node.timer.now_us(),
+        );
+        let changed = tokio::select! {
+            () = node.stopped.cancelled() => return,
+            changed = view.changed() => changed,
+            changed = own.changed() => changed,
+        };
+        if changed.is_err() {
+            return;
+        }
+    }
+}
+
+fn lose_silent_target<P: Policies>(node: &Node<P>, now_ms: u64) {
+    if node.target.lose_if_silent(now_ms, TARGET_SILENCE_MS) {
+        event!(Event::TargetLost, "silent_ms={TARGET_SILENCE_MS}");
+        node.own_state.send_modify(|own| own.target = None);
+    }
+}
+
+fn watch_freshness<P: Policies>(node: &Node<P>, now_ms: u64) {
+    let is_cut_off = *node.freshness.borrow() == Freshness::CutOff;
+    let was_cut_off = node.cut_off_since_ms() != NOT_CUT_OFF;
+    if is_cut_off != was_cut_off {
+        let since_ms = if is_cut_off { now_ms } else { NOT_CUT_OFF };
+        node.cut_off_since_ms.store(since_ms, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/src/peer/client.rs
@@ -0,0 +1,171 @@
+//! Sending an attempt to another node and reading what became of it.
+
+use {
+    super::{
+        AttemptAnswer, FleetAuth, PeerLink, decode_answer, encode_context, link::PeerSender,
+    },
+    crate::{
+        exchange::{ANSWER, ANSWER_AUTH, AUTH, Answer, AnswerBody, CONTEXT, Collected, Outbound},
+        exchange::{collect, pump},
+        model::{AdmissionLevel, Names, Reason, Refusal, RequestContext},
+    },
+    bytes::Bytes,
+    http_body_util::Full,
+    hyper::{Request, Response, Uri, body::Incoming},
+    std::time::Duration,
+};
+
+/// How an attempt ended at its hop.
+#[derive(Debug)]
+pub struct HopEnd {
+    /// The target's answer or why there is none.
+    pub result: Result<Answer, Refusal>,
+    /// Retry allotment that came back.
+    pub unspent: u8,
+    /// Admission level of the answering node, if it answered.
+    pub level: Option<AdmissionLevel>,
+}
+
+impl HopEnd {
+    /// An end without a word from the other node.
+    #[must_use]
+    pub const fn failed(refusal: Refusal, unspent: u8) -> Self {
+        Self {
+            result: Err(refusal),
+            unspent,
+            level: None,
+        }
+    }
+}
+
+/// One attempt to send a request to another node.
+#[derive(Debug, Clone, Copy)]
+pub struct Attempt<'a> {
+    /// What the other node is told.
+    pub context: &'a RequestContext,
+    /// The request.
+    pub outbound: &'a Outbound,
+    /// Answers up to this size are delivered only when whole.
+    pub buffered_bytes: usize,
+    /// Time until the deadline on this node.
+    pub limit: Duration,
+}
+
+/// Sends an attempt; dropping the future cancels it on the other node.
+pub async fn send(
+    link: &PeerLink,
+    attempt: Attempt<'_>,
+    auth: &FleetAuth,
+    names: &Names,
+) -> HopEnd {
+    let context = attempt.context;
+    let unsent = Refusal::not_run(Reason::ConnectionLost);
+    let Ok(mut sender) = link.sender(context.class).await else {
+        return HopEnd::failed(unsent, context.retry_allotment);
+    };
+    let attempt_id = rand::random();
+    let Some(request) = request_of(link, attempt, attempt_id, auth, names) else {
+        let refusal = Refusal::not_run(Reason::BadRequest);
+        return HopEnd::failed(refusal, context.retry_allotment);
+    };
+    let response = match try_send(&mut sender, request).await {
+        Ok(response) => response,
+        Err(Unanswered::Unsent) => return HopEnd::failed(unsent, context.retry_allotment),
+        // What was lent is lost with the answer: it may still be spent.
+        Err(Unanswered::Lost) => {
+            return HopEnd::failed(Refusal::unknown(Reason::ConnectionLost), 0);
+        }
+    };
+    let Some(told) = authentic_answer(&response, attempt_id, auth) else {
+        return HopEnd::failed(Refusal::unknown(Reason::BadAnswer), 0);
+    };
+    let result = match told.refusal {
+        Some(refusal) => Err(refusal),
+        None => read_answer(response, attempt).await,
+    };
+    HopEnd {
+        result,
+        unspent: told.unspent.min(context.retry_allotment),
+        level: Some(told.level),
+    }
+}
+
+enum Unanswered {
+    Unsent,
+    Lost,
+}
+
+async fn try_send(
+    sender: &mut PeerSender,
+    request: Request<Full<Bytes>>,
+) -> Result<Response<Incoming>, Unanswered> {
+    if sender.ready().await.is_err() {
+        return Err(Unanswered::Unsent);
+    }
+    sender.try_send_request(request).await.map_err(|mut error| {
+        // Only a request that comes back unsent has provably not left.
+        match error.take_message() {
+            Some(_) => Unanswered::Unsent,
+            None => Unanswered::Lost,
+        }
+    })
+}
+
+fn request_of(
+    link: &PeerLink,
+    attempt: Attempt<'_>,
+    attempt_id: u64,
+    auth: &FleetAuth,
+    names: &Names,
+) -> Option<Request<Full<Bytes>>> {
+    let outbound = attempt.outbound;
+    let uri = Uri::builder()
+        .scheme("http")
+        .authority(link.address().to_string())
+        .path_and_query(outbound.path.clone())
+        .build()
+        .ok()?;
+    let context = encode_context(attempt.context, attempt_id, names);
+    let proof = auth.sign(&[
+        context.as_bytes(),
+        outbound.method.as_str().as_bytes(),
+        outbound.path.as_str().as_bytes(),
+    ]);
+    let mut request = Request::new(Full::new(outbound.body.clone()));
+    *request.method_mut() = outbound.method.clone();
+    *request.uri_mut() = uri;
+    *request.headers_mut() = outbound.headers.clone();
+    request.headers_mut().insert(CONTEXT, context);
+    request.headers_mut().insert(AUTH, proof);
+    Some(request)
+}
+
+/// The other node's word on this very attempt. An answer to a different
+/// attempt, late or crossed, must never be delivered in its place.
+fn authentic_answer(
+    response: &Response<Incoming>,
+    attempt_id: u64,
+    auth: &FleetAuth,
+) -> Option<AttemptAnswer> {
+    let value = response.headers().get(ANSWER)?;
+    let proof = response.headers().get(ANSWER_AUTH)?;
+    if !auth.is_authentic(proof, &[value.as_bytes()]) {
+        return None;
+    }
+    decode_answer(value)
+        .ok()
+        .filter(|told| told.attempt_id == attempt_id)
+}
+
+async fn read_answer(
+    response: Response<Incoming>,
+    attempt: Attempt<'_>,
+) -> Result<Answer, Refusal> {
+    let (parts, body) = response.into_parts();
+    let body = match collect(body, attempt.buffered_bytes).await {
+        Ok(Collected::Whole(bytes)) => AnswerBody::whole(bytes),
+        Ok(Collected::Larger(head, rest)) => pump(head, rest, attempt.limit, (), |(), _| {}),
+        Err(_) => return Err(Refusal::unknown(Reason::ConnectionLost)),
+    };
+    Ok(Answer::new(parts.status, parts.headers, body))
+}
--- /dev/null
+++ b/src/peer/headers.rs
@@ -0,0 +1,221 @@
+//! Context and answer headers between nodes, with their authentication.
+
+use {
+    crate::{
+        model::{AdmissionLevel, Class, Names, Outcome, Reason, Refusal, RequestContext},
+        schema::peer_capnp,
+        timer::unix_ms,
+    },
+    base64::{Engine, engine::general_purpose::STANDARD_NO_PAD},
+    capnp::{message, serialize},
+    hmac::{Hmac, Mac},
+    hyper::header::HeaderValue,
+    sha2::Sha256,
+    uuid::Uuid,
+};
+
+/// Longest time between sending and arrival of a context, in milliseconds.
+pub const MAX_CONTEXT_AGE_MS: u64 = 30_000;
+
+/// Why a header of another node is not believed.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum PeerHeaderError {
+    /// Not base64, not Cap'n Proto, or a field out of range.
+    #[error("malformed")]
+    Malformed,
+    /// The authentication does not match.
+    #[error("not authentic")]
+    NotAuthentic,
+    /// Sent too long ago.
+    #[error("sent more than {MAX_CONTEXT_AGE_MS} ms ago")]
+    TooOld,
+}
+
+impl From<capnp::Error> for PeerHeaderError {
+    fn from(_: capnp::Error) -> Self {
+        Self::Malformed
+    }
+}
+
+/// What a node tells about an attempt besides the HTTP answer.
+#[derives::value]
+#[derive(Copy, Eq)]
+pub struct AttemptAnswer {
+    /// The attempt.
+    pub attempt_id: u64,
+    /// Set unless the answer is a target's own.
+    pub refusal: Option<Refusal>,
+    /// Retry allotment that comes back.
+    pub unspent: u8,
+    /// Admission level of the answering node.
+    pub level: AdmissionLevel,
+}
+
+/// Signs and verifies with the fleet secret.
+#[derive(Debug, Clone)]
+pub struct FleetAuth {
+    mac: Hmac<Sha256>,
+}
+
+impl FleetAuth {
+    /// Authentication by this secret.
+    #[must_use]
+    pub fn new(secret: &str) -> Self {
+        let mac = Hmac::new_from_slice(secret.as_bytes()).expect("any length of key works");
+        Self { mac }
+    }
+
+    /// Header value that proves these parts, in this order.
+    #[must_use]
+    pub fn sign(&self, parts: &[&[u8]]) -> HeaderValue {
+        let tag = self.mac_of(parts).finalize().into_bytes();
+        let mut hex = String::with_capacity(tag.len() * 2);
+        for byte in tag {
+            hex.push(char::from_digit(u32::from(byte >> 4), 16).unwrap_or('0'));
+            hex.push(char::from_digit(u32::from(byte & 15), 16).unwrap_or('0'));
+        }
+        HeaderValue::try_from(hex).expect("hex digits are visible")
+    }
+
+    /// Whether the header value proves these parts; takes the same time
+    /// wherever the two differ.
+    #[must_use]
+    pub fn is_authentic(&self, value: &HeaderValue, parts: &[&[u8]]) -> bool {
+        let Some(tag) = from_hex(value.as_bytes()) else {
+            return false;
+        };
+        self.mac_of(parts).verify_slice(&tag).is_ok()
+    }
+
+    fn mac_of(&self, parts: &[&[u8]]) -> Hmac<Sha256> {
+        let mut mac = self.mac.clone();
+        for part in parts {
+            // The length keeps parts apart: without it, bytes could be moved
+            // from the path to the method under the same tag.
+            mac.update(&(part.len() as u64).to_le_bytes());
+            mac.update(part);
+        }
+        mac
+    }
+}
+
+fn from_hex(text: &[u8]) -> Option<Vec<u8>> {
+    if !text.len().is_multiple_of(2) {
+        return None;
+    }
+    let digit = |byte: u8| char::from(byte).to_digit(16);
+    text.chunks_exact(2)
+        .map(|pair| u8::try_from(digit(pair[0])? << 4 | digit(pair[1])?).ok())
+        .collect()
+}
+
+/// Header value of a context.
+#[must_use]
+pub fn encode_context(context: &RequestContext, attempt_id: u64, names: &Names) -> HeaderValue {
+    let mut message = message::Builder::new_default();
+    let mut builder = message.init_root::<peer_capnp::context::Builder<'_>>();
+    builder.set_request_id(context.request_id.as_bytes());
+    builder.set_workspace(names.workspace_name(context.workspace));
+    builder.set_service(names.service_name(context.service));
+    builder.set_class(context.class as u8);
+    builder.set_remaining_us(context.remaining_us);
+    builder.set_retry_allotment(context.retry_allotment);
+    builder.set_depth(context.depth);
+    builder.set_repeatable(context.repeatable);
+    builder.set_sent_unix_ms(unix_ms());
+    builder.set_attempt_id(attempt_id);
+    to_header(&message)
+}
+
+/// Context and attempt id of an authenticated header value.
+pub fn decode_context(
+    value: &HeaderValue,
+    names: &Names,
+) -> Result<(RequestContext, u64), PeerHeaderError> {
+    let bytes = from_header(value)?;
+    let message = serialize::read_message(bytes.as_slice(), message::ReaderOptions::new())?;
+    let reader = message.get_root::<peer_capnp::context::Reader<'_>>()?;
+    if unix_ms().saturating_sub(reader.get_sent_unix_ms()) > MAX_CONTEXT_AGE_MS {
+        return Err(PeerHeaderError::TooOld);
+    }
+    let text = |text: capnp::text::Reader<'_>| {
+        text.to_string()
+            .map_err(|_| PeerHeaderError::Malformed)
+    };
+    let class = Class::from_index(usize::from(reader.get_class()));
+    let context = RequestContext {
+        request_id: Uuid::from_slice(reader.get_request_id()?)
+            .map_err(|_| PeerHeaderError::Malformed)?,
+        workspace: names.workspace(&text(reader.get_workspace()?)?),
+        service: names.service(&text(reader.get_service()?)?),
+        class: class.ok_or(PeerHeaderError::Malformed)?,
+        remaining_us: reader.get_remaining_us(),
+        retry_allotment: reader.get_retry_allotment(),
+        depth: reader.get_depth(),
+        repeatable: reader.get_repeatable(),
+    };
+    Ok((context, reader.get_attempt_id()))
+}
+
+/// Header value of an answer.
+#[must_use]
+pub fn encode_answer(answer: &AttemptAnswer) -> HeaderValue {
+    let mut message = message::Builder::new_default();
+    let mut builder = message.init_root::<peer_capnp::answer::Builder<'_>>();
+    builder.set_attempt_id(answer.attempt_id);
+    if let Some(refusal) = answer.refusal {
+        builder.set_outcome(refusal.outcome as u8);
+        builder.set_reason(refusal.reason as u8);
+        builder.set_retry_after_ms(refusal.retry_after_ms);
+        builder.set_exhausted(refusal.exhausted);
+    }
+    builder.set_unspent(answer.unspent);
+    builder.set_lowest_class(answer.level.lowest_class as u8);
+    builder.set_load_percent(answer.level.load_percent);
+    builder.set_draining(answer.level.draining);
+    to_header(&message)
+}
+
+/// Answer of an authenticated header value.
+pub fn decode_answer(value: &HeaderValue) -> Result<AttemptAnswer, PeerHeaderError> {
+    let bytes = from_header(value)?;
+    let message = serialize::read_message(bytes.as_slice(), message::ReaderOptions::new())?;
+    let reader = message.get_root::<peer_capnp::answer::Reader<'_>>()?;
+    let lowest_class = Class::from_index(usize::from(reader.get_lowest_class()));
+    let outcome = match reader.get_outcome() {
+        0 => None,
+        1 => Some(Outcome::NotRun),
+        2 => Some(Outcome::Unknown),
+        _ => return Err(PeerHeaderError::Malformed),
+    };
+    let refusal = match outcome {
+        None => None,
+        Some(outcome) => Some(Refusal {
+            outcome,
+            reason: Reason::from_code(reader.get_reason()).ok_or(PeerHeaderError::Malformed)?,
+            retry_after_ms: reader.get_retry_after_ms(),
+            exhausted: reader.get_exhausted(),
+        }),
+    };
+    Ok(AttemptAnswer {
+        attempt_id: reader.get_attempt_id(),
+        refusal,
+        unspent: reader.get_unspent(),
+        level: AdmissionLevel {
+            lowest_class: lowest_class.ok_or(PeerHeaderError::Malformed)?,
+            load_percent: reader.get_load_percent(),
+            draining: reader.get_draining(),
+        },
+    })
+}
+
+fn to_header(message: &message::Builder<message::HeapAllocator>) -> HeaderValue {
+    let bytes = serialize::write_message_to_words(message);
+    HeaderValue::try_from(STANDARD_NO_PAD.encode(bytes)).expect("base64 is visible")
+}
+
+fn from_header(value: &HeaderValue) -> Result<Vec<u8>, PeerHeaderError> {
+    STANDARD_NO_PAD
+        .decode(value.as_bytes())
+        .map_err(|_| PeerHeaderError::Malformed)
+}
--- /dev/null
+++ b/src/peer/mod.rs
@@ -0,0 +1,16 @@
+//! HTTP/2 between nodes.
+
+mod client;
+mod headers;
+mod link;
+mod server;
+
+pub use {
+    client::{Attempt, HopEnd, send},
+    headers::{
+        AttemptAnswer, FleetAuth, MAX_CONTEXT_AGE_MS, PeerHeaderError, decode_answer,
+        decode_context, encode_answer, encode_context,
+    },
+    link::{LinkError, PeerLink, connect_from},
+    server::serve_peers,
+};
--- /dev/null
+++ b/src/peer/server.rs
@@ -0,0 +1,118 @@
+//! Attempts that arrive from other nodes.
+
+use {
+    super::{AttemptAnswer, decode_context, encode_answer},
+    crate::{
+        event,
+        events::Event,
+        exchange::{
+            ANSWER, ANSWER_AUTH, AUTH, AnswerBody, CONTEXT, Collected, ListenerLimits, Outbound,
+            collect, refusal_response, response_of, serve, strip_hop_by_hop, strip_internal,
+        },
+        model::{Reason, Refusal, RequestContext},
+        node::{Node, Policies},
+        target::serve_local,
+    },
+    hyper::{Request, Response, body::Incoming, http::uri::PathAndQuery},
+    std::{sync::Arc, time::Duration},
+    tokio::net::TcpListener,
+};
+
+const CONNECTION_COUNT: usize = 8192;
+const STREAM_COUNT: u32 = 4096;
+const HEADER_TIMEOUT: Duration = Duration::from_secs(5);
+/// Room for what nodes add to a caller's headers.
+const ADDED_HEADER_BYTES: usize = 4096;
+
+/// Serves other nodes until the node stops.
+///
+/// It goes on during a drain: attempts on their way are answered.
+pub async fn serve_peers<P: Policies>(node: Arc<Node<P>>, listener: TcpListener) {
+    let limits = ListenerLimits {
+        connection_count: CONNECTION_COUNT,
+        header_bytes: node.settings.max_header_bytes + ADDED_HEADER_BYTES,
+        header_timeout: HEADER_TIMEOUT,
+        stream_count: STREAM_COUNT,
+    };
+    let stopped = node.stopped.clone();
+    let handle = move |request| handle(Arc::clone(&node), request);
+    serve(
+        listener,
+        limits,
+        stopped.clone(),
+        stopped,
+        Arc::default(),
+        handle,
+    )
+    .await;
+}
+
+async fn handle<P: Policies>(
+    node: Arc<Node<P>>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let Some((context, attempt_id)) = authentic_context(&node, &request) else {
+        let method = request.method();
+        event!(Event::ContextForged, "port=peer method={method}");
+        let refusal = Refusal::not_run(Reason::NotAuthentic);
+        return refusal_response(refusal, "only nodes of the fleet may send here");
+    };
+    let _in_flight = node.begin();
+    let (result, unspent) = match read(&node, request).await {
+        Ok(outbound) => serve_local(&node, &context, &outbound).await,
+        Err(refusal) => (Err(refusal), context.retry_allotment),
+    };
+    let mut level = node.admission().level(node.timer.now_us());
+    level.draining |= node.is_draining();
+    let told = AttemptAnswer {
+        attempt_id,
+        refusal: result.as_ref().err().copied(),
+        unspent,
+        level,
+    };
+    let value = encode_answer(&told);
+    let proof = node.auth.sign(&[value.as_bytes()]);
+    let mut response = response_of(result);
+    response.headers_mut().insert(ANSWER, value);
+    response.headers_mut().insert(ANSWER_AUTH, proof);
+    response
+}
+
+fn authentic_context<P: Policies>(
+    node: &Node<P>,
+    request: &Request<Incoming>,
+) -> Option<(RequestContext, u64)> {
+    let context = request.headers().get(CONTEXT)?;
+    let proof = request.headers().get(AUTH)?;
+    let path = request.uri().path_and_query()?;
+    let parts = [
+        context.as_bytes(),
+        request.method().as_str().as_bytes(),
+        path.as_str().as_bytes(),
+    ];
+    if !node.auth.is_authentic(proof, &parts) {
+        return None;
+    }
+    decode_context(context, &node.names).ok()
+}
+
+async fn read<P: Policies>(
+    node: &Node<P>,
+    request: Request<Incoming>,
+) -> Result<Outbound, Refusal> {
+    let (mut parts, body) = request.into_parts();
+    let body = match collect(body, node.settings.max_body_bytes).await {
+        Ok(Collected::Whole(bytes)) => bytes,
+        Ok(Collected::Larger(..)) => return Err(Refusal::not_run(Reason::TooLarge)),
+        Err(_) => return Err(Refusal::not_run(Reason::BadRequest)),
+    };
+    strip_internal(&mut parts.headers);
+    strip_hop_by_hop(&mut parts.headers);
+    let path = parts.uri.into_parts().path_and_query;
+    Ok(Outbound {
+        method: parts.method,
+        path: path.unwrap_or_else(|| PathAndQuery::from_static("/")),
+        headers: parts.headers,
+        body,
+    })
+}
--- a/src/schema/peer.capnp
+++ b/src/schema/peer.capnp
@@ -13,6 +13,8 @@
   repeatable @7 :Bool;
   # Wall-clock time of sending; bounds how long a recorded header can be replayed.
   sentUnixMs @8 :UInt64;
+  # Made anew for each attempt; the answer repeats it.
+  attemptId @9 :UInt64;
 }
 
 struct Answer {
@@ -29,4 +31,6 @@
   lowestClass @6 :UInt8;
   loadPercent @7 :UInt16;
   draining @8 :Bool;
+  # Attempt that this answers.
+  attemptId @9 :UInt64;
 }
--- /dev/null
+++ b/src/target/serve.rs
@@ -0,0 +1,161 @@
+//! A request at the node of its target: admission, exchange, end.
+
+use {
+    super::{
+        Lease, exchange,
+        exchange::{is_shed, shed_refusal},
+    },
+    crate::{
+        admission::{Arrival, TargetResult},
+        exchange::{Answer, AnswerBody, Collected, Outbound, collect, pump},
+        model::{MAX_DEPTH, Reason, Refusal, RequestContext},
+        node::{CallHandle, InFlightCall, Node, Policies, Ticket, admit},
+        retry::RetryPolicy,
+    },
+    hyper::{Response, body::Incoming},
+    std::{sync::Arc, time::Duration},
+    tokio_util::sync::CancellationToken,
+};
+
+/// A request that the target works on. Dropping it cancels everything below.
+struct Running<P: Policies> {
+    ticket: Ticket<P>,
+    call: CallHandle<P>,
+}
+
+impl<P: Policies> Running<P> {
+    /// Ends the request; returns the allotment that is left.
+    fn end(self, result: TargetResult) -> u8 {
+        let rest = self.call.end();
+        self.ticket.end(result);
+        rest.unspent
+    }
+
+    /// Ends the request by a refusal, which is marked if a child failed for
+    /// good: repeating it higher up would multiply the child's retries.
+    fn fail(self, result: TargetResult, refusal: Refusal) -> (Result<Answer, Refusal>, u8) {
+        let rest = self.call.end();
+        self.ticket.end(result);
+        let exhausted = refusal.exhausted || rest.is_exhausted;
+        let refusal = Refusal {
+            exhausted,
+            ..refusal
+        };
+        (Err(refusal), rest.unspent)
+    }
+}
+
+/// Serves a request at the own target; returns the answer and the retry
+/// allotment that is left.
+pub async fn serve_local<P: Policies>(
+    node: &Arc<Node<P>>,
+    context: &RequestContext,
+    outbound: &Outbound,
+) -> (Result<Answer, Refusal>, u8) {
+    let refused = |refusal| (Err(refusal), context.retry_allotment);
+    if context.depth > MAX_DEPTH {
+        return refused(Refusal::not_run(Reason::TooDeep));
+    }
+    let deadline_us = node.timer.now_us() + context.remaining_us;
+    let arrival = Arrival {
+        class: context.class,
+        workspace: context.workspace,
+        deadline_us,
+    };
+    let ticket = match admit(node, arrival).await {
+        Ok(ticket) => ticket,
+        Err(refusal) => return refused(refusal),
+    };
+    let remaining_us = deadline_us.saturating_sub(node.timer.now_us());
+    if remaining_us == 0 {
+        return refused(Refusal::not_run(Reason::TooLate));
+    }
+    let call = CallHandle::new(node, in_flight_call(node, context, deadline_us));
+    let running = Running { ticket, call };
+    let work = work(node, running, outbound, remaining_us);
+    let limit = Duration::from_micros(remaining_us);
+    match tokio::time::timeout(limit, work).await {
+        Ok(end) => end,
+        Err(_) => (Err(Refusal::unknown(Reason::DeadlineExceeded)), 0),
+    }
+}
+
+fn in_flight_call<P: Policies>(
+    node: &Node<P>,
+    context: &RequestContext,
+    deadline_us: u64,
+) -> InFlightCall {
+    InFlightCall {
+        request_id: context.request_id,
+        workspace: context.workspace,
+        class: context.class,
+        deadline_us,
+        depth: context.depth,
+        retry: node.retries().open(context.retry_allotment),
+        over: CancellationToken::new(),
+        is_exhausted: false,
+    }
+}
+
+async fn work<P: Policies>(
+    node: &Arc<Node<P>>,
+    running: Running<P>,
+    outbound: &Outbound,
+    remaining_us: u64,
+) -> (Result<Answer, Refusal>, u8) {
+    let handle = running.call.handle();
+    let sent = exchange(&node.target, handle, outbound, remaining_us / 1000).await;
+    match sent {
+        Err(refusal) => running.fail(TargetResult::Failed, refusal),
+        Ok((response, lease)) => {
+            deliver(node, running, response, lease, remaining_us).await
+        }
+    }
+}
+
+async fn deliver<P: Policies>(
+    node: &Node<P>,
+    running: Running<P>,
+    response: Response<Incoming>,
+    lease: Lease,
+    remaining_us: u64,
+) -> (Result<Answer, Refusal>, u8) {
+    let shed = shed_refusal(&response);
+    let (parts, body) = response.into_parts();
+    let result = if is_shed(parts.status) {
+        TargetResult::Shed
+    } else {
+        TargetResult::Answered
+    };
+    match collect(body, node.settings.buffered_answer_bytes).await {
+        Err(_) => running.fail(
+            TargetResult::Failed,
+            Refusal::unknown(Reason::BadAnswer),
+        ),
+        Ok(Collected::Whole(bytes)) => {
+            lease.keep();
+            if let Some(refusal) = shed {
+                return running.fail(result, refusal);
+            }
+            let unspent = running.end(result);
+            let body = AnswerBody::whole(bytes);
+            (Ok(Answer::new(parts.status, parts.headers, body)), unspent)
+        }
+        Ok(Collected::Larger(head, rest)) => {
+            let limit = Duration::from_micros(remaining_us);
+            let body = pump(head, rest, limit, (running, lease), end_stream);
+            // The call still runs and may spend its allotment.
+            (Ok(Answer::new(parts.status, parts.headers, body)), 0)
+        }
+    }
+}
+
+fn end_stream<P: Policies>((running, lease): (Running<P>, Lease), is_whole: bool) {
+    if is_whole {
+        lease.keep();
+        running.end(TargetResult::Answered);
+    } else {
+        drop(lease);
+        running.end(TargetResult::Failed);
+    }
+}
