--- a/src/bin/dogwoodd.rs
+++ b/src/bin/dogwoodd.rs
@@ -12,9 +12,7 @@
         logging,
         membership::{OwnState, View},
         model::Names,
-        node::{
-            LeastOutstanding, LocalQuota, Node, NodeInputs, PolicySet, SimpleBudget, start,
-        },
+        node::{LeastOutstanding, LocalQuota, Node, NodeInputs, PolicySet, SimpleBudget, start},
         retry::RetryPolicy,
         settings::{AdmissionChoice, RetryChoice, Settings},
         shutdown,
--- a/src/control/metrics.rs
+++ b/src/control/metrics.rs
@@ -92,7 +92,11 @@
             "Time from a caller's request to the head of its answer",
             self.latency.clone(),
         );
-        registry.register("attempts", "Attempts sent to targets", self.attempts.clone());
+        registry.register(
+            "attempts",
+            "Attempts sent to targets",
+            self.attempts.clone(),
+        );
         registry.register("retries", "Attempts beyond the first", self.retries.clone());
         registry.register(
             "admission_running",
--- a/src/egress/attempts.rs
+++ b/src/egress/attempts.rs
@@ -10,8 +10,8 @@
         node::{Node, Place, Policies},
         peer::{self, Attempt, HopEnd, PeerLink},
         retry::CallKey,
-        routing::{AttemptResult, RoutePolicy, TargetKey},
         retry::RetryPolicy,
+        routing::{AttemptResult, RoutePolicy, TargetKey},
         target::serve_local,
     },
     std::{sync::Arc, time::Duration},
@@ -70,7 +70,10 @@
         }
         node.metrics.retries.inc();
         let (id, reason, tried) = (call.request_id, refusal.reason, tried.len());
-        event!(Event::RequestRetried, "request={id} reason={reason} tried={tried}");
+        event!(
+            Event::RequestRetried,
+            "request={id} reason={reason} tried={tried}"
+        );
     }
 }
 
--- a/src/exchange/answer.rs
+++ b/src/exchange/answer.rs
@@ -30,7 +30,8 @@
     pub fn new(status: StatusCode, mut headers: HeaderMap, body: AnswerBody) -> Self {
         strip_hop_by_hop(&mut headers);
         strip_internal(&mut headers);
-        if !body.is_streamed() && !matches!(&body, AnswerBody::Whole(Some(bytes)) if bytes.is_empty())
+        if !body.is_streamed()
+            && !matches!(&body, AnswerBody::Whole(Some(bytes)) if bytes.is_empty())
         {
             // The length of a whole body is known and is set anew.
             headers.remove(CONTENT_LENGTH);
--- a/src/exchange/body.rs
+++ b/src/exchange/body.rs
@@ -113,7 +113,11 @@
 }
 
 fn joined(first: Bytes, more: BytesMut) -> Bytes {
-    if more.is_empty() { first } else { more.freeze() }
+    if more.is_empty() {
+        first
+    } else {
+        more.freeze()
+    }
 }
 
 /// Passes on the rest of a large body until its end, its deadline or the
--- a/src/ingress/checks.rs
+++ b/src/ingress/checks.rs
@@ -150,7 +150,9 @@
 /// Removes key, internal and connection headers; whoever set internal ones is
 /// logged.
 pub fn strip(headers: &mut HeaderMap) {
-    let forged = headers.keys().find(|name| is_internal(name) && *name != crate::exchange::CALL);
+    let forged = headers
+        .keys()
+        .find(|name| is_internal(name) && *name != crate::exchange::CALL);
     if let Some(name) = forged {
         event!(Event::ContextForged, "header={name} dropped");
     }
--- a/src/ingress/serve.rs
+++ b/src/ingress/serve.rs
@@ -82,12 +82,17 @@
 ) {
     let labels = RequestLabels {
         class: class.map_or("none", Class::name),
-        outcome: ended.map_or(Outcome::Whole, |refusal| refusal.outcome).name(),
+        outcome: ended
+            .map_or(Outcome::Whole, |refusal| refusal.outcome)
+            .name(),
         reason: ended.map_or("none", |refusal| refusal.reason.name()),
     };
     if let Some(refusal) = ended {
         let (outcome, reason) = (refusal.outcome.name(), refusal.reason);
-        event!(Event::RequestRefused, "port=caller outcome={outcome} reason={reason}");
+        event!(
+            Event::RequestRefused,
+            "port=caller outcome={outcome} reason={reason}"
+        );
     }
     node.metrics.count_request(&labels, latency_us);
 }
@@ -100,7 +105,10 @@
     let running = node.running();
     if running.revision == 0 {
         let refusal = Refusal::not_run(Reason::NotReady);
-        return Err(Rejection::new(refusal, "this node has no configuration yet"));
+        return Err(Rejection::new(
+            refusal,
+            "this node has no configuration yet",
+        ));
     }
     let workspace = workspace_of(node, &running, request.headers())?;
     check_size(&request, node.settings.max_header_bytes)?;
@@ -167,7 +175,10 @@
     let reject = |reason, detail| Rejection::new(Refusal::not_run(reason), detail);
     let mut values = headers.get_all(KEY).iter();
     let Some(key) = values.next() else {
-        return Err(reject(Reason::MissingKey, "the header dogwood-key is missing"));
+        return Err(reject(
+            Reason::MissingKey,
+            "the header dogwood-key is missing",
+        ));
     };
     if values.next().is_some() {
         return Err(reject(Reason::BadRequest, "dogwood-key must be given once"));
@@ -182,7 +193,10 @@
         KeyState::Unknown => return Err(reject(Reason::UnknownKey, "the key is unknown")),
     };
     let Some(rules) = running.workspaces.get(&workspace) else {
-        return Err(reject(Reason::UnknownKey, "the key's workspace is not configured"));
+        return Err(reject(
+            Reason::UnknownKey,
+            "the key's workspace is not configured",
+        ));
     };
     let cut_off_ms = node.timer.now_ms().saturating_sub(node.cut_off_since_ms());
     if cut_off_ms > rules.key_lease_ms {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -62,7 +62,10 @@
 
 /// A set of policies by type.
 #[derive(Debug)]
-pub struct PolicySet<A, R, T, Q>(PhantomData<fn() -> (A, R, T, Q)>);
+pub struct PolicySet<A, R, T, Q>(PhantomData<Choice<A, R, T, Q>>);
+
+/// A type that names the policies without holding any.
+type Choice<A, R, T, Q> = fn() -> (A, R, T, Q);
 
 impl<A, R, T, Q> Policies for PolicySet<A, R, T, Q>
 where
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -1,9 +1,7 @@
 //! Sending an attempt to another node and reading what became of it.
 
 use {
-    super::{
-        AttemptAnswer, FleetAuth, PeerLink, decode_answer, encode_context, link::PeerSender,
-    },
+    super::{AttemptAnswer, FleetAuth, PeerLink, decode_answer, encode_context, link::PeerSender},
     crate::{
         exchange::{ANSWER, ANSWER_AUTH, AUTH, Answer, AnswerBody, CONTEXT, Collected, Outbound},
         exchange::{collect, pump},
--- a/src/peer/headers.rs
+++ b/src/peer/headers.rs
@@ -138,10 +138,8 @@
     if unix_ms().saturating_sub(reader.get_sent_unix_ms()) > MAX_CONTEXT_AGE_MS {
         return Err(PeerHeaderError::TooOld);
     }
-    let text = |text: capnp::text::Reader<'_>| {
-        text.to_string()
-            .map_err(|_| PeerHeaderError::Malformed)
-    };
+    let text =
+        |text: capnp::text::Reader<'_>| text.to_string().map_err(|_| PeerHeaderError::Malformed);
     let class = Class::from_index(usize::from(reader.get_class()));
     let context = RequestContext {
         request_id: Uuid::from_slice(reader.get_request_id()?)
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -127,7 +127,10 @@
 impl Lane {
     fn open_sender(&self) -> Option<PeerSender> {
         let sender = self.sender.lock().expect("lock is not poisoned");
-        sender.as_ref().filter(|sender| !sender.is_closed()).cloned()
+        sender
+            .as_ref()
+            .filter(|sender| !sender.is_closed())
+            .cloned()
     }
 }
 
--- a/src/target/exchange.rs
+++ b/src/target/exchange.rs
@@ -55,7 +55,8 @@
 /// The refusal for an answer by which the target says that it shed the
 /// request untouched. Any other 429 or 503 is an answer like all others.
 pub fn shed_refusal(response: &Response<Incoming>) -> Option<Refusal> {
-    let says_not_run = response.headers().get(SHED)?.as_bytes() == Outcome::NotRun.name().as_bytes();
+    let says_not_run =
+        response.headers().get(SHED)?.as_bytes() == Outcome::NotRun.name().as_bytes();
     (is_shed(response.status()) && says_not_run).then_some(Refusal::not_run(Reason::Overloaded))
 }
 
--- a/src/target/pool.rs
+++ b/src/target/pool.rs
@@ -165,7 +165,9 @@
 
 async fn connect(ip: IpAddr, address: SocketAddr) -> Result<Connection, PoolError> {
     let stream = connect_from(ip, address).await?;
-    let (sender, connection) = http1::Builder::new().handshake(TokioIo::new(stream)).await?;
+    let (sender, connection) = http1::Builder::new()
+        .handshake(TokioIo::new(stream))
+        .await?;
     let task = tokio::spawn(async move {
         let _ = connection.await;
     });
--- a/src/target/serve.rs
+++ b/src/target/serve.rs
@@ -107,9 +107,7 @@
     let sent = exchange(&node.target, handle, outbound, remaining_us / 1000).await;
     match sent {
         Err(refusal) => running.fail(TargetResult::Failed, refusal),
-        Ok((response, lease)) => {
-            deliver(node, running, response, lease, remaining_us).await
-        }
+        Ok((response, lease)) => deliver(node, running, response, lease, remaining_us).await,
     }
 }
 
@@ -128,10 +126,7 @@
         TargetResult::Answered
     };
     match collect(body, node.settings.buffered_answer_bytes).await {
-        Err(_) => running.fail(
-            TargetResult::Failed,
-            Refusal::unknown(Reason::BadAnswer),
-        ),
+        Err(_) => running.fail(TargetResult::Failed, Refusal::unknown(Reason::BadAnswer)),
         Ok(Collected::Whole(bytes)) => {
             lease.keep();
             if let Some(refusal) = shed {
--- /dev/null
+++ b/tests/support/mesh.rs
@@ -0,0 +1,265 @@
+//! Nodes with hand-made configuration and membership.
+
+use {
+    super::target::Target,
+    clap::Parser,
+    dogwoodbridge::{
+        admission::AdmitAll,
+        conf::{RouteRules, Running, ServiceRules, WorkspaceRules},
+        freshness::Freshness,
+        keys::KeyDigest,
+        membership::{Member, MemberPorts, MemberState, OwnState, View},
+        model::{Class, Names},
+        node::{LeastOutstanding, LocalQuota, Node, NodeInputs, PolicySet, SimpleBudget, start},
+        quota::Rate,
+        settings::{Settings, ports},
+        timer::Timer,
+    },
+    sha2::{Digest, Sha256},
+    std::{
+        net::{IpAddr, Ipv4Addr, SocketAddr},
+        sync::{
+            Arc,
+            atomic::{AtomicU16, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::sync::watch,
+    tokio_util::{sync::CancellationToken, task::TaskTracker},
+};
+
+pub const KEY: &str = "tally-key-1";
+pub const REVOKED_KEY: &str = "tally-key-0";
+pub const SECRET: &str = "fleet-secret-of-the-tests";
+
+pub type TestNode = Node<PolicySet<AdmitAll, LeastOutstanding, SimpleBudget, LocalQuota>>;
+
+/// A node with its target.
+pub struct Instance {
+    pub node: Arc<TestNode>,
+    pub target: Arc<Target>,
+    pub running: watch::Sender<Arc<Running>>,
+    pub freshness: watch::Sender<Freshness>,
+    pub tasks: TaskTracker,
+    view: watch::Sender<Arc<View>>,
+}
+
+impl Instance {
+    pub fn caller_address(&self) -> SocketAddr {
+        SocketAddr::new(self.node.settings.ip, ports::CALLER)
+    }
+
+    pub fn peer_address(&self) -> SocketAddr {
+        SocketAddr::new(self.node.settings.ip, ports::PEER)
+    }
+
+    pub fn egress_address(&self) -> SocketAddr {
+        SocketAddr::new(self.node.settings.ip, ports::EGRESS)
+    }
+
+    pub fn admin_address(&self) -> SocketAddr {
+        SocketAddr::new(self.node.settings.ip, ports::ADMIN)
+    }
+}
+
+/// Nodes that know each other.
+pub struct Mesh {
+    pub instances: Arc<Vec<Instance>>,
+}
+
+impl Mesh {
+    /// One node and target for each of these services.
+    pub async fn start(services: &[&str]) -> Self {
+        Self::start_with(services, &[]).await
+    }
+
+    /// The same, with further flags of `dogwoodd`.
+    pub async fn start_with(services: &[&str], flags: &[&str]) -> Self {
+        let mut instances = Vec::new();
+        for service in services {
+            instances.push(start_instance(service, services, flags).await);
+        }
+        let mesh = Self {
+            instances: Arc::new(instances),
+        };
+        for instance in mesh.instances.iter() {
+            instance.target.announce(false).await;
+        }
+        mesh.spread();
+        tokio::spawn(spread_regularly(Arc::clone(&mesh.instances)));
+        // The routing tables follow in tasks of their own.
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        mesh
+    }
+
+    pub fn spread(&self) {
+        spread(&self.instances);
+    }
+}
+
+impl std::ops::Index<usize> for Mesh {
+    type Output = Instance;
+
+    fn index(&self, index: usize) -> &Instance {
+        &self.instances[index]
+    }
+}
+
+/// Stands for gossip.
+async fn spread_regularly(instances: Arc<Vec<Instance>>) {
+    loop {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        spread(&instances);
+    }
+}
+
+fn spread(instances: &[Instance]) {
+    let mut members: Vec<Member> = instances.iter().map(member_of).collect();
+    members.sort_by(|a, b| a.node_id.cmp(&b.node_id));
+    let view = Arc::new(View { members });
+    for instance in instances {
+        instance.view.send_if_modified(|known| {
+            let is_new = *known != view;
+            *known = Arc::clone(&view);
+            is_new
+        });
+    }
+}
+
+fn member_of(instance: &Instance) -> Member {
+    let settings = &instance.node.settings;
+    let own = instance.node.own_state.borrow();
+    let state = match (own.left, own.draining) {
+        (true, _) => MemberState::Left,
+        (false, true) => MemberState::Draining,
+        (false, false) => MemberState::Alive,
+    };
+    Member {
+        node_id: settings.node_id.clone(),
+        ip: settings.ip,
+        ports: MemberPorts {
+            peer: settings.peer_port,
+            gossip: settings.gossip_port,
+            rpc: settings.rpc_port,
+            control: settings.control_port,
+        },
+        region: settings.region.clone(),
+        zone: settings.zone.clone(),
+        started_unix_ms: 1,
+        incarnation: 0,
+        state,
+        target: own.target.clone(),
+    }
+}
+
+fn next_ip() -> IpAddr {
+    static NEXT: AtomicU16 = AtomicU16::new(1);
+    let [high, low] = NEXT.fetch_add(1, Ordering::Relaxed).to_be_bytes();
+    let process = u8::try_from(std::process::id() % 100).unwrap();
+    IpAddr::V4(Ipv4Addr::new(127, 100 + process, high, low))
+}
+
+async fn start_instance(service: &str, services: &[&str], flags: &[&str]) -> Instance {
+    let ip = next_ip();
+    let node_id = format!("node-{ip}");
+    let ip_text = ip.to_string();
+    let mut arguments = vec![
+        "dogwoodd",
+        "--node-id",
+        &node_id,
+        "--ip",
+        &ip_text,
+        "--region",
+        "r1",
+        "--zone",
+        "a",
+        "--platform",
+        "127.0.0.1:1",
+        "--fleet-secret",
+        SECRET,
+        "--operator-secret",
+        "operator-secret-of-the-tests",
+    ];
+    arguments.extend_from_slice(flags);
+    let settings = Arc::new(Settings::parse_from(arguments));
+    settings.check().unwrap();
+    let names = Names::new();
+    let timer = Timer::new(CancellationToken::new());
+    let (running, running_receiver) = watch::channel(Arc::new(configuration(&names, services)));
+    let (view, view_receiver) = watch::channel(Arc::new(View::default()));
+    let (freshness, freshness_receiver) = watch::channel(Freshness::Fresh);
+    let (own_state, _) = watch::channel(OwnState::default());
+    let node = TestNode::new(NodeInputs {
+        settings,
+        names,
+        quota: LocalQuota::new(timer.clone()),
+        timer,
+        running: running_receiver,
+        view: view_receiver,
+        own_state,
+        freshness: freshness_receiver,
+    });
+    let tasks = start(&node).unwrap();
+    let egress = SocketAddr::new(ip, ports::EGRESS);
+    let target = Target::start(service, ip, egress).await;
+    Instance {
+        node,
+        target,
+        running,
+        freshness,
+        tasks,
+        view,
+    }
+}
+
+fn configuration(names: &Names, services: &[&str]) -> Running {
+    let mut running = Running {
+        revision: 1,
+        ..Running::default()
+    };
+    for service in services {
+        let key = names.service(service);
+        running.service_names.insert((*service).to_owned(), key);
+        let route = |path: &str, class, repeatable| RouteRules {
+            methods: Vec::new(),
+            path: path.split('/').map(str::to_owned).collect(),
+            class,
+            repeatable,
+            deadline_ms: 3000,
+        };
+        let routes = vec![
+            route("once/**", Class::Critical, false),
+            route("**", Class::Browse, true),
+        ];
+        let rules = ServiceRules {
+            service: key,
+            retry_limit: 3,
+            routes,
+        };
+        running.services.insert(key, rules);
+    }
+    for (workspace, keys, rate) in [
+        ("tally", [KEY, REVOKED_KEY].as_slice(), 100_000),
+        ("tiny", &["tiny-key"], 2),
+    ] {
+        let key = names.workspace(workspace);
+        let rules = WorkspaceRules {
+            workspace: key,
+            rate: Rate {
+                rate_per_s: rate,
+                burst_count: rate,
+            },
+            key_lease_ms: 100,
+        };
+        running.workspaces.insert(key, rules);
+        for presented in keys {
+            running.granted.insert(digest(presented), key);
+        }
+    }
+    running.revoked.insert(digest(REVOKED_KEY));
+    running
+}
+
+pub fn digest(key: &str) -> KeyDigest {
+    KeyDigest(Sha256::digest(key.as_bytes()).into())
+}
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,7 @@
+//! Nodes and targets in one process for tests of the data path.
+
+#![allow(dead_code, missing_docs)]
+
+pub mod client;
+pub mod mesh;
+pub mod target;
