--- a/tests/datapath.rs
+++ b/tests/datapath.rs
@@ -445,3 +445,19 @@
         assert!(seen.text().contains(says), "{path}: {}", seen.text());
     }
 }
+
+/// A target dies without a word, its node stays. Sent there for good, every
+/// request would fail until somebody noticed.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silent_target_is_lost_and_others_serve() {
+    let mesh = Mesh::start(&["a", "a"]).await;
+    mesh[0].target.stop.cancel();
+    for _ in 0..20 {
+        assert_eq!(get(&mesh, 0, "/a/echo").await.summary(), (200, "whole", ""));
+    }
+    while mesh[0].node.own_state.borrow().target.is_some() {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let seen = get(&mesh, 0, "/a/echo").await;
+    assert_eq!(seen.summary(), (200, "whole", ""));
+}
--- a/tests/support/mesh.rs
+++ b/tests/support/mesh.rs
@@ -84,6 +84,7 @@
         };
         for instance in mesh.instances.iter() {
             instance.target.announce(false).await;
+            tokio::spawn(Arc::clone(&instance.target).keep_announcing());
         }
         mesh.spread();
         tokio::spawn(spread_regularly(Arc::clone(&mesh.instances)));
--- a/tests/support/target.rs
+++ b/tests/support/target.rs
@@ -15,7 +15,10 @@
     hyper_util::rt::TokioIo,
     std::{
         net::{IpAddr, SocketAddr},
-        sync::{Arc, Mutex},
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicBool, Ordering},
+        },
         time::Duration,
     },
     tokio::net::TcpListener,
@@ -40,6 +43,7 @@
     pub port: u16,
     pub journal: Journal,
     pub stop: CancellationToken,
+    draining: AtomicBool,
     egress: SocketAddr,
 }
 
@@ -51,13 +55,23 @@
             port: listener.local_addr().unwrap().port(),
             journal: Journal::default(),
             stop: CancellationToken::new(),
+            draining: AtomicBool::new(false),
             egress,
         });
         tokio::spawn(Arc::clone(&target).accept(listener));
         target
     }
 
+    /// Repeats what it announced last, as targets do, until it stops.
+    pub async fn keep_announcing(self: Arc<Self>) {
+        while !self.stop.is_cancelled() {
+            tokio::time::sleep(Duration::from_secs(1)).await;
+            self.announce(self.draining.load(Ordering::Relaxed)).await;
+        }
+    }
+
     pub async fn announce(&self, draining: bool) {
+        self.draining.store(draining, Ordering::Relaxed);
         let body = serde_json::json!({
             "service": self.service, "port": self.port,
             "slots": 64, "connections": 128, "draining": draining,
