Tell refused callers before closing, let peers go by GOAWAY

Change: bodies of refused requests are read for up to 4 MiB or 1 s; the drain waits for callers' connections and closes those of peers gracefully; links exist for all members.

--- a/src/egress/announce.rs
+++ b/src/egress/announce.rs
@@ -81,7 +81,8 @@
 ) -> Result<(), AnnounceError> {
     let path = request.uri().path().to_owned();
     let is_post = request.method() == Method::POST;
-    let Collected::Whole(body) = collect(request.into_body(), MAX_BYTES).await? else {
+    let mut body = request.into_body();
+    let Collected::Whole(body) = collect(&mut body, MAX_BYTES).await? else {
         return Err(AnnounceError::TooLarge);
     };
     match path.as_str() {
--- a/src/egress/child.rs
+++ b/src/egress/child.rs
@@ -6,12 +6,12 @@
         event,
         events::Event,
         exchange::{AnswerBody, CALL, DEADLINE, Outbound, refusal_response, response_of},
-        ingress::{Rejection, check_size, read_body, split_path, strip},
+        ingress::{Rejection, check_size, discard_body, read_body, split_path, strip},
         model::{MAX_DEPTH, Reason, Refusal},
         node::{InFlightCall, Node, Policies},
         retry::{CallKey, RetryPolicy},
     },
-    hyper::{HeaderMap, Request, Response, body::Incoming},
+    hyper::{HeaderMap, Request, Response, body::Incoming, http::request::Parts},
     std::sync::Arc,
 };
 
@@ -21,9 +21,11 @@
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
     let _in_flight = node.begin();
-    match serve(node, request).await {
+    let (mut head, mut body) = request.into_parts();
+    match serve(node, &mut head, &mut body).await {
         Ok(response) => response,
         Err(rejection) => {
+            discard_body(&head.headers, &mut body).await;
             let reason = rejection.refusal.reason;
             event!(Event::RequestRefused, "port=egress reason={reason}");
             refusal_response(rejection.refusal, &rejection.detail)
@@ -33,11 +35,12 @@
 
 async fn serve<P: Policies>(
     node: &Arc<Node<P>>,
-    request: Request<Incoming>,
+    head: &mut Parts,
+    body: &mut Incoming,
 ) -> Result<Response<AnswerBody>, Rejection> {
-    let (handle, parent) = parent_of(node, request.headers())?;
+    let (handle, parent) = parent_of(node, &head.headers)?;
     let over = parent.over.clone();
-    let calling = call(node, handle, &parent, request);
+    let calling = call(node, handle, &parent, head, body);
     tokio::select! {
         result = calling => result,
         // The parent's caller has its answer or is gone: nobody would read
@@ -74,22 +77,22 @@
     node: &Arc<Node<P>>,
     handle: u128,
     parent: &InFlightCall,
-    request: Request<Incoming>,
+    head: &mut Parts,
+    body: &mut Incoming,
 ) -> Result<Response<AnswerBody>, Rejection> {
     if parent.depth >= MAX_DEPTH {
         let detail = format!("chains of calls end at {MAX_DEPTH} hops");
         return Err(Rejection::new(Refusal::not_run(Reason::TooDeep), &detail));
     }
-    check_size(&request, node.settings.max_header_bytes)?;
+    check_size(head, node.settings.max_header_bytes)?;
     let running = node.running();
-    let (service, path) = split_path(&running, request.uri())?;
-    let (mut parts, body) = request.into_parts();
+    let (service, path) = split_path(&running, &head.uri)?;
     let route = running
-        .route(service, parts.method.as_str(), path.path())
+        .route(service, head.method.as_str(), path.path())
         .ok_or_else(|| Rejection::new(Refusal::not_run(Reason::NoRoute), "no route matches"))?;
-    let body = read_body(&node.settings, &parts.headers, body).await?;
-    let deadline_us = own_deadline_us(node, &parts.headers, parent.deadline_us)?;
-    strip(&mut parts.headers);
+    let body = read_body(&node.settings, &head.headers, body).await?;
+    let deadline_us = own_deadline_us(node, &head.headers, parent.deadline_us)?;
+    strip(&mut head.headers);
     let share = Share::new(node, parent.retry);
     let call = Call {
         request_id: parent.request_id,
@@ -102,9 +105,9 @@
         retry: share.own,
     };
     let outbound = Outbound {
-        method: parts.method,
+        method: head.method.clone(),
         path,
-        headers: parts.headers,
+        headers: std::mem::take(&mut head.headers),
         body,
     };
     let result = run_attempts(node, &call, &outbound).await;
--- a/src/exchange/body.rs
+++ b/src/exchange/body.rs
@@ -14,6 +14,10 @@
 
 /// Chunks of a streamed answer that wait for a slow reader.
 const STREAM_CHUNK_COUNT: usize = 8;
+/// What is read at most of a body that nobody wants.
+const DISCARD_BYTES: usize = 4 << 20;
+/// Time that this may take.
+const DISCARD_TIME: Duration = Duration::from_secs(1);
 
 /// A streamed answer ended before its end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
@@ -85,12 +89,12 @@
 pub enum Collected {
     /// It ended within the limit.
     Whole(Bytes),
-    /// It is larger; what was read and what is left.
-    Larger(Bytes, Incoming),
+    /// It is larger; this was read so far.
+    Larger(Bytes),
 }
 
 /// Reads a body until its end or until it exceeds the limit.
-pub async fn collect(mut body: Incoming, limit_bytes: usize) -> Result<Collected, hyper::Error> {
+pub async fn collect(body: &mut Incoming, limit_bytes: usize) -> Result<Collected, hyper::Error> {
     let mut first = Bytes::new();
     let mut more = BytesMut::new();
     while let Some(frame) = body.frame().await {
@@ -106,12 +110,30 @@
             more.extend_from_slice(&data);
         }
         if first.len().max(more.len()) > limit_bytes {
-            return Ok(Collected::Larger(joined(first, more), body));
+            return Ok(Collected::Larger(joined(first, more)));
         }
     }
     Ok(Collected::Whole(joined(first, more)))
 }
 
+/// Reads what is left of the body of a request that is refused.
+///
+/// Closed with unread bytes, a connection is reset by the system, and the
+/// caller may see the reset instead of the refusal while it still sends.
+pub async fn discard(body: &mut Incoming) {
+    let reading = async {
+        let mut left_bytes = DISCARD_BYTES;
+        while let Some(Ok(frame)) = body.frame().await {
+            let read_bytes = frame.data_ref().map_or(0, Bytes::len);
+            match left_bytes.checked_sub(read_bytes) {
+                Some(left) => left_bytes = left,
+                None => return,
+            }
+        }
+    };
+    let _ = tokio::time::timeout(DISCARD_TIME, reading).await;
+}
+
 fn joined(first: Bytes, more: BytesMut) -> Bytes {
     if more.is_empty() {
         first
--- a/src/ingress/checks.rs
+++ b/src/ingress/checks.rs
@@ -6,17 +6,18 @@
         event,
         events::Event,
         exchange::{
-            Collected, IDEMPOTENCY_KEY, collect, is_internal, strip_hop_by_hop, strip_internal,
+            Collected, IDEMPOTENCY_KEY, collect, discard, is_internal, strip_hop_by_hop,
+            strip_internal,
         },
         model::{Reason, Refusal, ServiceKey},
         settings::Settings,
     },
     bytes::Bytes,
     hyper::{
-        HeaderMap, Request, Uri,
+        HeaderMap, Uri,
         body::Incoming,
-        header::{CONTENT_LENGTH, HeaderValue},
-        http::uri::PathAndQuery,
+        header::{CONTENT_LENGTH, EXPECT, HeaderValue},
+        http::{request::Parts, uri::PathAndQuery},
     },
     std::time::Duration,
 };
@@ -59,14 +60,14 @@
 }
 
 /// Checks the size of the request's head.
-pub fn check_size(request: &Request<Incoming>, max_bytes: usize) -> Result<(), Rejection> {
-    let header_bytes: usize = request
-        .headers()
+pub fn check_size(head: &Parts, max_bytes: usize) -> Result<(), Rejection> {
+    let header_bytes: usize = head
+        .headers
         .iter()
         .map(|(name, value)| name.as_str().len() + value.len())
         .sum();
-    let path_bytes = request
-        .uri()
+    let path_bytes = head
+        .uri
         .path_and_query()
         .map_or(0, |path| path.as_str().len());
     if header_bytes + path_bytes > max_bytes {
@@ -159,14 +160,22 @@
     strip_internal(headers);
     strip_hop_by_hop(headers);
     headers.remove(CONTENT_LENGTH);
-    headers.remove("expect");
+    headers.remove(EXPECT);
+}
+
+/// Reads what is left of a refused request's body, unless whoever sent it
+/// waits for a word before sending it.
+pub async fn discard_body(head: &HeaderMap, body: &mut Incoming) {
+    if !head.contains_key(EXPECT) {
+        discard(body).await;
+    }
 }
 
 /// Reads the whole body within size and time.
 pub async fn read_body(
     settings: &Settings,
     headers: &HeaderMap,
-    body: Incoming,
+    body: &mut Incoming,
 ) -> Result<Bytes, Rejection> {
     let limit_bytes = settings.max_body_bytes;
     let too_large = || Rejection::large(&format!("the body may have {limit_bytes} bytes"));
--- a/src/ingress/serve.rs
+++ b/src/ingress/serve.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        Rejection, check_idempotency_key, check_size, parse_deadline_ms, read_body, split_path,
-        strip,
+        Rejection, check_idempotency_key, check_size, discard_body, parse_deadline_ms, read_body,
+        split_path, strip,
     },
     crate::{
         conf::{Running, WorkspaceRules},
@@ -25,6 +25,7 @@
         HeaderMap, Method, Request, Response, Version,
         body::Incoming,
         header::{CONNECTION, HeaderValue},
+        http::request::Parts,
     },
     sha2::{Digest, Sha256},
     std::{sync::Arc, time::Duration},
@@ -56,7 +57,8 @@
     let is_http1 = request.version() <= Version::HTTP_11;
     let started_us = node.timer.now_us();
     let mut class = None;
-    let result = answer(&node, request, &mut class).await;
+    let (mut head, mut body) = request.into_parts();
+    let result = answer(&node, &mut head, &mut body, &mut class).await;
     let ended = match &result {
         Ok(_) => None,
         Err(rejection) => Some(rejection.refusal),
@@ -65,7 +67,10 @@
     count(&node, class, ended, latency_us);
     let mut response = match result {
         Ok(answer) => response_of(Ok(answer)),
-        Err(rejection) => refusal_response(rejection.refusal, &rejection.detail),
+        Err(rejection) => {
+            discard_body(&head.headers, &mut body).await;
+            refusal_response(rejection.refusal, &rejection.detail)
+        }
     };
     if is_http1 && node.is_draining() {
         let close = HeaderValue::from_static("close");
@@ -99,7 +104,8 @@
 
 async fn answer<P: Policies>(
     node: &Arc<Node<P>>,
-    request: Request<Incoming>,
+    head: &mut Parts,
+    body: &mut Incoming,
     class: &mut Option<Class>,
 ) -> Result<Answer, Rejection> {
     let running = node.running();
@@ -110,25 +116,24 @@
             "this node has no configuration yet",
         ));
     }
-    let workspace = workspace_of(node, &running, request.headers())?;
-    check_size(&request, node.settings.max_header_bytes)?;
-    if request.method() == Method::CONNECT {
+    let workspace = workspace_of(node, &running, &head.headers)?;
+    check_size(head, node.settings.max_header_bytes)?;
+    if head.method == Method::CONNECT {
         let refusal = Refusal::not_run(Reason::BadRequest);
         return Err(Rejection::new(refusal, "the method CONNECT is not served"));
     }
-    let (service, path) = split_path(&running, request.uri())?;
-    let (mut parts, body) = request.into_parts();
+    let (service, path) = split_path(&running, &head.uri)?;
     let route = running
-        .route(service, parts.method.as_str(), path.path())
+        .route(service, head.method.as_str(), path.path())
         .ok_or_else(|| Rejection::new(Refusal::not_run(Reason::NoRoute), "no route matches"))?;
     *class = Some(route.class);
-    let deadline_us = deadline_us(node, &parts.headers, route.deadline_ms)?;
-    let _idempotency_key = check_idempotency_key(&parts.headers)?;
-    let body = read_body(&node.settings, &parts.headers, body).await?;
+    let deadline_us = deadline_us(node, &head.headers, route.deadline_ms)?;
+    let _idempotency_key = check_idempotency_key(&head.headers)?;
+    let body = read_body(&node.settings, &head.headers, body).await?;
     let quota = node.quota.admit(workspace.workspace, workspace.rate).await;
     quota.map_err(|refusal| Rejection::new(refusal, "the workspace is over its rate"))?;
-    confirm_key(node, &parts.headers)?;
-    strip(&mut parts.headers);
+    confirm_key(node, &head.headers)?;
+    strip(&mut head.headers);
     let allotment = running
         .services
         .get(&service)
@@ -145,9 +150,9 @@
         retry: budget.call,
     };
     let outbound = Outbound {
-        method: parts.method,
+        method: head.method.clone(),
         path,
-        headers: parts.headers,
+        headers: std::mem::take(&mut head.headers),
         body,
     };
     // Unrepeatable requests with an idempotency key go by their key's home.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -124,8 +124,12 @@
     pub target: Arc<TargetPool>,
     /// Open connections of callers.
     pub caller_connection_count: Arc<AtomicUsize>,
+    /// Open connections of other nodes.
+    pub peer_connection_count: Arc<AtomicUsize>,
     /// Ends the connections of callers.
     pub closing: CancellationToken,
+    /// Ends the connections of other nodes.
+    pub peers_closing: CancellationToken,
     /// Ends everything.
     pub stopped: CancellationToken,
     running: watch::Receiver<Arc<Running>>,
@@ -155,7 +159,9 @@
             quota: inputs.quota,
             metrics: Metrics::new(),
             caller_connection_count: Arc::default(),
+            peer_connection_count: Arc::default(),
             closing: CancellationToken::new(),
+            peers_closing: CancellationToken::new(),
             stopped: CancellationToken::new(),
             running: inputs.running,
             view: inputs.view,
@@ -205,6 +211,14 @@
         self.drain.cancelled().await;
     }
 
+    /// Whether nothing runs, waits or is still being written to a caller.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        let (running, waiting) = self.admission().counts();
+        let connections = self.caller_connection_count.load(Ordering::Acquire);
+        running + waiting + connections + self.in_flight_count() == 0
+    }
+
     /// Requests that this node works on in any role.
     #[must_use]
     pub fn in_flight_count(&self) -> usize {
--- a/src/node/route_table.rs
+++ b/src/node/route_table.rs
@@ -46,6 +46,7 @@
 pub struct RouteTable<R> {
     policy: R,
     rows: BTreeMap<String, Row>,
+    links: HashMap<String, (Identity, Arc<PeerLink>)>,
     nodes: HashMap<TargetKey, String>,
 }
 
@@ -62,6 +63,7 @@
         Self {
             policy: R::new(),
             rows: BTreeMap::new(),
+            links: HashMap::new(),
             nodes: HashMap::new(),
         }
     }
@@ -89,6 +91,12 @@
             .ok_or(Refusal::not_run(crate::model::Reason::NoTarget))
     }
 
+    /// Way to a node, whether or not it has a target.
+    #[must_use]
+    pub fn link(&self, node: &str) -> Option<Arc<PeerLink>> {
+        self.links.get(node).map(|(_, link)| Arc::clone(link))
+    }
+
     /// Name of the node beside a target.
     #[must_use]
     pub fn node_of(&self, target: TargetKey) -> &str {
@@ -116,6 +124,7 @@
         names: &Names,
         now_us: u64,
     ) {
+        self.sync_links(view, settings);
         let mut gone: Vec<String> = self.rows.keys().cloned().collect();
         for member in &view.members {
             if member.node_id == settings.node_id {
@@ -128,12 +137,9 @@
                 draining: target.draining || member.state == MemberState::Draining,
                 ..info_of(target, distance(settings, member), names)
             };
-            let identity = Identity {
-                address: member.peer_address(),
-                started_unix_ms: member.started_unix_ms,
-            };
+            let identity = identity_of(member);
             gone.retain(|node| *node != member.node_id);
-            self.put(&member.node_id, info, identity, settings, now_us);
+            self.put(&member.node_id, info, identity, now_us);
         }
         if let Some(target) = &own.target {
             let info = TargetInfo {
@@ -145,21 +151,32 @@
                 started_unix_ms: 0,
             };
             gone.retain(|node| *node != settings.node_id);
-            self.put(&settings.node_id, info, identity, settings, now_us);
+            self.put(&settings.node_id, info, identity, now_us);
         }
         for node in gone {
             self.remove(&node);
         }
     }
 
-    fn put(
-        &mut self,
-        node: &str,
-        info: TargetInfo,
-        identity: Identity,
-        settings: &Settings,
-        now_us: u64,
-    ) {
+    /// Links to all other members, so that no row of another node lacks one.
+    fn sync_links(&mut self, view: &View, settings: &Settings) {
+        let others = view
+            .members
+            .iter()
+            .filter(|member| member.node_id != settings.node_id && takes_part(member.state));
+        let mut links = HashMap::new();
+        for member in others {
+            let identity = identity_of(member);
+            let link = match self.links.remove(&member.node_id) {
+                Some((known, link)) if known == identity => link,
+                _ => PeerLink::new(settings.ip, identity.address),
+            };
+            links.insert(member.node_id.clone(), (identity, link));
+        }
+        self.links = links;
+    }
+
+    fn put(&mut self, node: &str, info: TargetInfo, identity: Identity, now_us: u64) {
         if let Some(row) = self.rows.get_mut(node) {
             if row.identity == identity && row.info.service == info.service {
                 if row.info != info {
@@ -170,10 +187,9 @@
             }
             self.remove(node);
         }
-        let place = if node == settings.node_id {
-            Place::Own
-        } else {
-            Place::Peer(PeerLink::new(settings.ip, identity.address))
+        let place = match self.links.get(node) {
+            Some((_, link)) => Place::Peer(Arc::clone(link)),
+            None => Place::Own,
         };
         let target = self.policy.add(info, now_us);
         self.nodes.insert(target, node.to_owned());
@@ -194,6 +210,13 @@
     }
 }
 
+const fn identity_of(member: &Member) -> Identity {
+    Identity {
+        address: member.peer_address(),
+        started_unix_ms: member.started_unix_ms,
+    }
+}
+
 const fn takes_part(state: MemberState) -> bool {
     !matches!(state, MemberState::Left | MemberState::Dead)
 }
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -159,10 +159,10 @@
     response: Response<Incoming>,
     attempt: Attempt<'_>,
 ) -> Result<Answer, Refusal> {
-    let (parts, body) = response.into_parts();
-    let body = match collect(body, attempt.buffered_bytes).await {
+    let (parts, mut body) = response.into_parts();
+    let body = match collect(&mut body, attempt.buffered_bytes).await {
         Ok(Collected::Whole(bytes)) => AnswerBody::whole(bytes),
-        Ok(Collected::Larger(head, rest)) => pump(head, rest, attempt.limit, (), |(), _| {}),
+        Ok(Collected::Larger(head)) => pump(head, body, attempt.limit, (), |(), _| {}),
         Err(_) => return Err(Refusal::unknown(Reason::ConnectionLost)),
     };
     Ok(Answer::new(parts.status, parts.headers, body))
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -34,17 +34,10 @@
         header_timeout: HEADER_TIMEOUT,
         stream_count: STREAM_COUNT,
     };
-    let stopped = node.stopped.clone();
+    let (closing, stopped) = (node.peers_closing.clone(), node.stopped.clone());
+    let open_count = Arc::clone(&node.peer_connection_count);
     let handle = move |request| handle(Arc::clone(&node), request);
-    serve(
-        listener,
-        limits,
-        stopped.clone(),
-        stopped,
-        Arc::default(),
-        handle,
-    )
-    .await;
+    serve(listener, limits, closing, stopped, open_count, handle).await;
 }
 
 async fn handle<P: Policies>(
@@ -100,8 +93,8 @@
     node: &Node<P>,
     request: Request<Incoming>,
 ) -> Result<Outbound, Refusal> {
-    let (mut parts, body) = request.into_parts();
-    let body = match collect(body, node.settings.max_body_bytes).await {
+    let (mut parts, mut body) = request.into_parts();
+    let body = match collect(&mut body, node.settings.max_body_bytes).await {
         Ok(Collected::Whole(bytes)) => bytes,
         Ok(Collected::Larger(..)) => return Err(Refusal::not_run(Reason::TooLarge)),
         Err(_) => return Err(Refusal::not_run(Reason::BadRequest)),
--- a/src/shutdown/mod.rs
+++ b/src/shutdown/mod.rs
@@ -7,7 +7,10 @@
         node::{Node, Policies},
         timer::TICK_MS,
     },
-    std::{sync::Arc, time::Duration},
+    std::{
+        sync::{Arc, atomic::Ordering},
+        time::Duration,
+    },
 };
 
 /// How long the node goes on serving while others learn that it leaves.
@@ -18,6 +21,9 @@
 /// How long the news that the node left is given to spread.
 const FAREWELL_TIME: Duration = Duration::from_millis(300);
 
+/// How long other nodes are given to let go of their connections.
+const PEERS_LIMIT: Duration = Duration::from_millis(1000);
+
 /// Waits for a drain, carries it out and stops the node.
 pub async fn run<P: Policies>(node: Arc<Node<P>>) {
     node.drain_begins().await;
@@ -27,26 +33,37 @@
     node.admission().drain(now_us);
     node.closing.cancel();
     let limit = Duration::from_millis(node.settings.drain_limit_ms);
-    let is_done = tokio::time::timeout(limit, work_ends(&node)).await.is_ok();
+    let is_done = until(&node, limit, Node::is_idle).await;
+    let cut_off = if is_done { 0 } else { node.in_flight_count() };
     node.own_state.send_modify(|own| own.left = true);
     tokio::time::sleep(FAREWELL_TIME).await;
+    // Cut without GOAWAY, an attempt that arrives just now would end in an
+    // unknown outcome at its sender instead of one that may be sent again.
+    node.peers_closing.cancel();
+    until(&node, PEERS_LIMIT, |node| {
+        node.peer_connection_count.load(Ordering::Acquire) == 0
+    })
+    .await;
     let took_ms = node.timer.now_ms() - started_ms;
-    let cut_off = if is_done { 0 } else { node.in_flight_count() };
     event!(Event::DrainEnded, "took_ms={took_ms} cut_off={cut_off}");
     node.stopped.cancel();
 }
 
-async fn work_ends<P: Policies>(node: &Node<P>) {
+/// Whether the condition came true within the limit.
+async fn until<P: Policies>(
+    node: &Node<P>,
+    limit: Duration,
+    condition: impl Fn(&Node<P>) -> bool,
+) -> bool {
     let mut ticks = node.timer.subscribe(TICK_MS);
-    loop {
-        let (running, waiting) = node.admission().counts();
-        if running + waiting + node.in_flight_count() == 0 {
-            return;
-        }
-        if ticks.next().await.is_none() {
-            return;
+    let waiting = async {
+        while !condition(node) {
+            if ticks.next().await.is_none() {
+                return;
+            }
         }
-    }
+    };
+    tokio::time::timeout(limit, waiting).await.is_ok()
 }
 
 /// Starts the drain at SIGTERM or SIGINT.
--- a/src/target/serve.rs
+++ b/src/target/serve.rs
@@ -119,13 +119,13 @@
     remaining_us: u64,
 ) -> (Result<Answer, Refusal>, u8) {
     let shed = shed_refusal(&response);
-    let (parts, body) = response.into_parts();
+    let (parts, mut body) = response.into_parts();
     let result = if is_shed(parts.status) {
         TargetResult::Shed
     } else {
         TargetResult::Answered
     };
-    match collect(body, node.settings.buffered_answer_bytes).await {
+    match collect(&mut body, node.settings.buffered_answer_bytes).await {
         Err(_) => running.fail(TargetResult::Failed, Refusal::unknown(Reason::BadAnswer)),
         Ok(Collected::Whole(bytes)) => {
             lease.keep();
@@ -136,9 +136,9 @@
             let body = AnswerBody::whole(bytes);
             (Ok(Answer::new(parts.status, parts.headers, body)), unspent)
         }
-        Ok(Collected::Larger(head, rest)) => {
+        Ok(Collected::Larger(head)) => {
             let limit = Duration::from_micros(remaining_us);
-            let body = pump(head, rest, limit, (running, lease), end_stream);
+            let body = pump(head, body, limit, (running, lease), end_stream);
             // The call still runs and may spend its allotment.
             (Ok(Answer::new(parts.status, parts.headers, body)), 0)
         }
--- a/tests/datapath.rs
+++ b/tests/datapath.rs
@@ -353,6 +353,18 @@
         assert_eq!(seen.summary(), (409, "not-run", "bad-handle"));
     }
     assert!(mesh[0].target.executions().is_empty());
+    // The handle of a call that is over.
+    get(&mesh, 0, "/a/echo").await;
+    let execution = &mesh[0].target.executions()[0];
+    let handle = execution
+        .headers
+        .iter()
+        .find(|(name, _)| name == "dogwood-call");
+    let headers = [("dogwood-call", handle.unwrap().1.as_str())];
+    let request = client::request("GET", "/a/echo", &headers, b"");
+    let seen = client::send(mesh[0].egress_address(), request).await;
+    assert_eq!(seen.summary(), (409, "not-run", "bad-handle"));
+    assert_eq!(mesh[0].target.executions().len(), 1);
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/support/mesh.rs
+++ b/tests/support/mesh.rs
@@ -19,7 +19,7 @@
     std::{
         net::{IpAddr, Ipv4Addr, SocketAddr},
         sync::{
-            Arc,
+            Arc, Mutex,
             atomic::{AtomicU16, Ordering},
         },
         time::Duration,
@@ -65,8 +65,12 @@
 /// Nodes that know each other.
 pub struct Mesh {
     pub instances: Arc<Vec<Instance>>,
+    /// Members that are no real nodes.
+    pub strangers: Strangers,
 }
 
+type Strangers = Arc<Mutex<Vec<Member>>>;
+
 impl Mesh {
     /// One node and target for each of these services.
     pub async fn start(services: &[&str]) -> Self {
@@ -81,20 +85,33 @@
         }
         let mesh = Self {
             instances: Arc::new(instances),
+            strangers: Strangers::default(),
         };
         for instance in mesh.instances.iter() {
             instance.target.announce(false).await;
             tokio::spawn(Arc::clone(&instance.target).keep_announcing());
         }
         mesh.spread();
-        tokio::spawn(spread_regularly(Arc::clone(&mesh.instances)));
+        let strangers = Arc::clone(&mesh.strangers);
+        tokio::spawn(spread_regularly(Arc::clone(&mesh.instances), strangers));
         // The routing tables follow in tasks of their own.
         tokio::time::sleep(Duration::from_millis(50)).await;
         mesh
     }
 
     pub fn spread(&self) {
-        spread(&self.instances);
+        spread(&self.instances, &self.strangers);
+    }
+
+    /// Makes a member known that claims to have a target of this service.
+    pub async fn add_stranger(&self, node_id: &str, service: &str, address: SocketAddr) {
+        let mut member = member_of(&self.instances[0]);
+        member.node_id = node_id.to_owned();
+        member.ip = address.ip();
+        member.ports.peer = address.port();
+        member.target.as_mut().unwrap().service = service.to_owned();
+        self.strangers.lock().unwrap().push(member);
+        tokio::time::sleep(Duration::from_millis(100)).await;
     }
 }
 
@@ -107,15 +124,16 @@
 }
 
 /// Stands for gossip.
-async fn spread_regularly(instances: Arc<Vec<Instance>>) {
+async fn spread_regularly(instances: Arc<Vec<Instance>>, strangers: Strangers) {
     loop {
         tokio::time::sleep(Duration::from_millis(20)).await;
-        spread(&instances);
+        spread(&instances, &strangers);
     }
 }
 
-fn spread(instances: &[Instance]) {
+fn spread(instances: &[Instance], strangers: &Strangers) {
     let mut members: Vec<Member> = instances.iter().map(member_of).collect();
+    members.extend(strangers.lock().unwrap().iter().cloned());
     members.sort_by(|a, b| a.node_id.cmp(&b.node_id));
     let view = Arc::new(View { members });
     for instance in instances {
@@ -218,7 +236,8 @@
         revision: 1,
         ..Running::default()
     };
-    for service in services {
+    // A service that only strangers claim to serve.
+    for service in services.iter().chain(&["x"]) {
         let key = names.service(service);
         running.service_names.insert((*service).to_owned(), key);
         let route = |path: &str, class, repeatable| RouteRules {
--- a/tests/support/target.rs
+++ b/tests/support/target.rs
@@ -66,6 +66,9 @@
     pub async fn keep_announcing(self: Arc<Self>) {
         while !self.stop.is_cancelled() {
             tokio::time::sleep(Duration::from_secs(1)).await;
+            if tokio::net::TcpStream::connect(self.egress).await.is_err() {
+                return;
+            }
             self.announce(self.draining.load(Ordering::Relaxed)).await;
         }
     }
@@ -169,7 +172,9 @@
         handle: Option<&HeaderValue>,
     ) -> Response<Body> {
         let path = match rest {
-            Some(rest) if rest.starts_with("slow/") => format!("/{next}/{rest}"),
+            Some(rest) if rest.starts_with("slow/") || rest.starts_with("cut/") => {
+                format!("/{next}/{rest}")
+            }
             Some(rest) => format!("/{next}/chain/{rest}"),
             None => format!("/{next}/echo"),
         };
