--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,18 +1,23 @@
-//! Operators' calls to nodes.
+//! What operators and monitoring see of a node: calls over tarpc, metrics and
+//! health over HTTP.
 
+mod admin;
 mod client;
 mod errors;
 mod explain;
 mod handshake;
+mod metrics;
 mod operators;
 mod records;
 mod service;
 
 pub use {
+    admin::serve_admin,
     client::connect,
     errors::ControlError,
     explain::{NodeFacts, Resolved, resolve},
     handshake::{prove, verify},
+    metrics::{Metrics, RequestLabels},
     operators::{Operators, OperatorsClient},
     records::{
         ExplainRequest, ExplainStep, Explanation, FreshnessRecord, KeyVerdict, MemberStateRecord,
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -1,6 +1,6 @@
 //! `dogwoodctl` as operators run it: output, exit codes, what it leaves behind.
 
-mod support;
+mod platform_support;
 
 use {
     dogwoodbridge::{
@@ -11,16 +11,16 @@
         keys::{KeyDigest, KeysRecord},
         model::{AdmissionLevel, Class},
     },
+    platform_support::{
+        FakePlatform, Faults,
+        node::{FakeNode, SECRET},
+    },
     std::{
         net::SocketAddr,
         path::{Path, PathBuf},
         process::Output,
         sync::atomic::Ordering,
     },
-    support::{
-        FakePlatform, Faults,
-        node::{FakeNode, SECRET},
-    },
     tokio::process::Command,
     uuid::Uuid,
 };
--- a/tests/cli_control.rs
+++ b/tests/cli_control.rs
@@ -1,14 +1,14 @@
 //! The control port: only who proves the operator secret is served.
 
-mod support;
+mod platform_support;
 
 use {
     dogwoodbridge::{
         control::{ControlError, connect, prove, verify},
         keys::KeyDigest,
     },
+    platform_support::node::{FakeNode, SECRET},
     std::{net::SocketAddr, sync::atomic::Ordering, time::Duration},
-    support::node::{FakeNode, SECRET},
     tarpc::context,
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
--- a/tests/documents.rs
+++ b/tests/documents.rs
@@ -1,6 +1,6 @@
 //! The documents that a node holds and how it follows the platform's.
 
-mod support;
+mod platform_support;
 
 use {
     dogwoodbridge::{
@@ -12,12 +12,12 @@
         platform::Platform,
         timer::Timer,
     },
+    platform_support::{FakePlatform, Faults},
     std::{
         net::{IpAddr, Ipv4Addr},
         sync::{Arc, Mutex},
         time::Duration,
     },
-    support::{FakePlatform, Faults},
     tokio::{
         sync::{broadcast, mpsc, watch},
         time::timeout,
@@ -109,7 +109,7 @@
 fn each_zone_has_its_own_relays() {
     let alive = MemberState::Alive;
     let names: Vec<String> = (0..20).map(|index| format!("n{index}")).collect();
-    let zone = |index: usize| if index % 2 == 0 { "a" } else { "b" };
+    let zone = |index: usize| if index.is_multiple_of(2) { "a" } else { "b" };
     let nodes: Vec<_> = names
         .iter()
         .enumerate()
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -1,14 +1,14 @@
 //! Contract of the platform's object API as the client sees it.
 
-mod support;
+mod platform_support;
 
 use {
     dogwoodbridge::{
         documents::{DocumentKind, DocumentWriter, WriteResult},
         platform::{MAX_OBJECT_BYTES, Platform, PlatformError, Watched, Write},
     },
+    platform_support::{FakePlatform, Faults},
     std::{net::IpAddr, time::Duration},
-    support::{FakePlatform, Faults},
     tokio::time::timeout,
 };
 
