Add stand-ins for the platform's object API and for a target

Cause: tests need the platform and back ends as real processes whose faults can be switched while they run. Change: binaries platform and target in the package standins, on library code that the lab can use. The target has no tests yet.

--- /dev/null
+++ b/standins/src/target/announce.rs
@@ -0,0 +1,99 @@
+//! Announcements and load reports to the instance's node.
+
+use {
+    super::{Target, downstream::HttpClient},
+    bytes::Bytes,
+    http_body_util::Full,
+    hyper::Request,
+    serde::Serialize,
+    std::{collections::VecDeque, net::SocketAddr, time::Duration},
+    tokio::time::{self, Instant, MissedTickBehavior},
+};
+
+const ANNOUNCE_PERIOD: Duration = Duration::from_secs(1);
+const LOAD_PERIOD: Duration = Duration::from_millis(200);
+const POST_LIMIT: Duration = Duration::from_secs(1);
+
+/// What a target tells its node about itself, once a second.
+#[derives::record]
+#[derive(Eq)]
+pub struct Announcement {
+    /// Service that it serves.
+    pub service: String,
+    /// Port on the instance's address.
+    pub port: u16,
+    /// Requests that it works on at a time.
+    pub slots: usize,
+    /// Connections that it accepts.
+    pub connections: usize,
+    /// It wants no new work.
+    pub draining: bool,
+}
+
+/// Load as the target tells it; may lag or lie.
+#[derives::record]
+#[derive(Copy)]
+pub struct LoadReport {
+    /// Share of the slots that is at work.
+    pub busy_ratio: f64,
+}
+
+/// Announces at the start, each second and when draining begins.
+pub(super) async fn announce(target: Target, egress: SocketAddr) {
+    let mut ticks = time::interval(ANNOUNCE_PERIOD);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let draining = target.draining();
+    loop {
+        if draining.is_cancelled() {
+            ticks.tick().await;
+        } else {
+            tokio::select! {
+                _ = ticks.tick() => {}
+                () = draining.cancelled() => {}
+            }
+        }
+        target.wait_unfrozen().await;
+        post(
+            target.client(),
+            egress,
+            "/-/announce",
+            &target.announcement(),
+        )
+        .await;
+    }
+}
+
+/// Reports the load five times a second.
+pub(super) async fn report_load(target: Target, egress: SocketAddr) {
+    let lag = Duration::from_millis(target.conf().load_report_lag_ms);
+    let mut ticks = time::interval(LOAD_PERIOD);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut samples: VecDeque<(Instant, f64)> = VecDeque::new();
+    loop {
+        ticks.tick().await;
+        target.wait_unfrozen().await;
+        let now = Instant::now();
+        samples.push_back((now, target.busy_ratio()));
+        while samples.get(1).is_some_and(|(at, _)| now - *at >= lag) {
+            samples.pop_front();
+        }
+        let measured = samples.front().map_or(0.0, |(_, ratio)| *ratio);
+        let report = LoadReport {
+            busy_ratio: target.conf().lie_busy_ratio.unwrap_or(measured),
+        };
+        post(target.client(), egress, "/-/load", &report).await;
+    }
+}
+
+/// A node that is away is told again at the next tick.
+async fn post<T: Serialize>(client: &HttpClient, egress: SocketAddr, path: &str, message: &T) {
+    let Ok(body) = serde_json::to_vec(message) else {
+        return;
+    };
+    let request = Request::post(format!("http://{egress}{path}"))
+        .header("content-type", "application/json")
+        .body(Full::new(Bytes::from(body)));
+    if let Ok(request) = request {
+        let _ = time::timeout(POST_LIMIT, client.request(request)).await;
+    }
+}
