Add the lab's harness: meshes of real processes on loopback

Cause: proofs and measurements need platform, proxy, nodes and targets as real processes that a test can pause, kill, stop and read. Change: Mesh with a block of loopback addresses of its own, Process with signals and logs, typed access to admin interfaces, a caller that judges each answer, dogwoodctl behind one function. Targets tell when they started.

--- /dev/null
+++ b/lab/src/lib.rs
@@ -0,0 +1,12 @@
+//! Meshes of real processes on loopback, callers, load, faults and reports.
+
+pub mod addresses;
+pub mod admin;
+pub mod binaries;
+pub mod caller;
+pub mod errors;
+pub mod mesh;
+pub mod process;
+pub mod wait;
+
+pub use errors::LabError;
--- a/standins/src/target/announce.rs
+++ b/standins/src/target/announce.rs
@@ -28,6 +28,9 @@
     pub connections: usize,
     /// It wants no new work.
     pub draining: bool,
+    /// Start of the process since the Unix epoch; a new value tells the node
+    /// of a cold target.
+    pub started_unix_ms: u64,
 }
 
 /// Load as the target tells it; may lag or lie.
--- a/standins/src/target/server.rs
+++ b/standins/src/target/server.rs
@@ -50,6 +50,7 @@
 struct Shared {
     conf: TargetConf,
     started_at: Instant,
+    started_unix_ms: u64,
     slots: Slots,
     journal: Journal,
     faults: watch::Sender<Faults>,
@@ -68,6 +69,7 @@
     pub fn new(conf: TargetConf, journal: Journal) -> Self {
         Self(Arc::new(Shared {
             started_at: Instant::now(),
+            started_unix_ms: unix_ms(),
             slots: Slots::new(conf.slots, conf.queue_length),
             conf,
             journal,
@@ -153,6 +155,7 @@
             slots: self.faults().slots.unwrap_or(conf.slots),
             connections: conf.connections,
             draining: self.0.draining.is_cancelled(),
+            started_unix_ms: self.0.started_unix_ms,
         }
     }
 
