Admit by an adaptive limit, class queues and reserved slots

Cause: the target's node had only the baseline that starts everything. A limit that follows latency alone can't tell a slower service from requests that wait inside the target.

Change: Adaptive lowers the limit for one window when latency rises and judges by whether latency falls along, with standard errors; queues by class with deficit round robin over workspaces; a reserve that follows critical demand; refusal of hopeless work; level with hysteresis. StaticLimit is the baseline with a fixed limit and one queue.

--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -1,8 +1,21 @@
 //! Admission at the target's node: what may start, wait or is refused.
 
+mod adaptive;
 mod admit_all;
-
-pub use admit_all::AdmitAll;
+mod limit;
+mod pressure;
+mod queue;
+mod reserve;
+mod service_time;
+mod static_limit;
+mod window;
+
+pub use {
+    adaptive::Adaptive,
+    admit_all::AdmitAll,
+    limit::{ConcurrencyLimit, MIN_LIMIT, REPORT_AGE_LIMIT_US},
+    static_limit::StaticLimit,
+};
 
 use crate::{
     arena_key,
--- /dev/null
+++ b/tests/admission_properties.rs
@@ -0,0 +1,247 @@
+//! What holds for admission whatever arrives, ends or is withdrawn.
+
+#[path = "admission_support/generated.rs"]
+mod generated;
+
+use {
+    dogwoodbridge::{
+        admission::{
+            Adaptive, AdmissionPolicy, Arrival, Decision, LoadReport, MIN_LIMIT, StaticLimit,
+            TargetResult, TargetSize, TicketKey,
+        },
+        model::{Class, Outcome, Reason, WorkspaceKey},
+    },
+    generated::for_each_case,
+    std::collections::HashMap,
+};
+
+const SIZE: TargetSize = TargetSize {
+    slot_count: 8,
+    connection_count: 80,
+};
+/// Operations are bytes: what to do, with what, after how long.
+type Step = (u8, u8, u8);
+
+const STEP_COUNT: usize = 200;
+const CASE_COUNT: usize = 2000;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum State {
+    Waiting(Arrival),
+    Running(Arrival),
+}
+
+/// Carries decisions out and checks each of them.
+struct Harness<P> {
+    policy: P,
+    tickets: HashMap<TicketKey, State>,
+    order: Vec<TicketKey>,
+    decisions: Vec<Decision>,
+    now_us: u64,
+    is_strict: bool,
+    start_count: usize,
+}
+
+impl<P: AdmissionPolicy> Harness<P> {
+    fn new(is_strict: bool) -> Self {
+        Self {
+            policy: P::new(SIZE),
+            tickets: HashMap::new(),
+            order: Vec::new(),
+            decisions: Vec::new(),
+            now_us: 0,
+            is_strict,
+            start_count: 0,
+        }
+    }
+
+    fn step(&mut self, (kind, choice, gap): Step) {
+        self.now_us += u64::from(gap) * 200;
+        match kind % 8 {
+            0..=3 => self.arrive(choice),
+            4 | 5 => self.end(choice),
+            6 => self.withdraw(choice),
+            _ => self.tick(choice),
+        }
+        self.check_counts();
+    }
+
+    fn arrive(&mut self, choice: u8) {
+        let class = Class::ALL[usize::from(choice) % 3];
+        let arrival = Arrival {
+            class,
+            workspace: WorkspaceKey::new(u16::from(choice / 3 % 4)),
+            deadline_us: self.now_us + u64::from(choice) * 2000,
+        };
+        let mut decisions = Vec::new();
+        let ticket = self.policy.arrive(arrival, self.now_us, &mut decisions);
+        assert!(
+            self.tickets
+                .insert(ticket, State::Waiting(arrival))
+                .is_none(),
+            "a key is given out once"
+        );
+        self.order.push(ticket);
+        self.decisions = decisions;
+        self.carry_out();
+    }
+
+    fn end(&mut self, choice: u8) {
+        let running = self.in_state(|state| matches!(state, State::Running(_)));
+        let Some(ticket) = pick(&running, choice) else {
+            return;
+        };
+        let result = [
+            TargetResult::Answered,
+            TargetResult::Shed,
+            TargetResult::Failed,
+            TargetResult::Cancelled,
+        ][usize::from(choice) % 4];
+        self.tickets.remove(&ticket);
+        self.policy
+            .end(ticket, result, self.now_us, &mut self.decisions);
+        self.carry_out();
+        // Ending twice changes nothing.
+        self.policy
+            .end(ticket, result, self.now_us, &mut self.decisions);
+        self.carry_out();
+    }
+
+    fn withdraw(&mut self, choice: u8) {
+        let waiting = self.in_state(|state| matches!(state, State::Waiting(_)));
+        if let Some(ticket) = pick(&waiting, choice) {
+            self.tickets.remove(&ticket);
+            self.policy
+                .withdraw(ticket, self.now_us, &mut self.decisions);
+            self.carry_out();
+        }
+    }
+
+    fn tick(&mut self, choice: u8) {
+        self.policy.report(LoadReport {
+            busy_ratio: f64::from(choice) / 255.0,
+            received_us: self.now_us,
+        });
+        self.policy.tick(self.now_us, &mut self.decisions);
+        self.carry_out();
+    }
+
+    fn in_state(&self, wanted: impl Fn(State) -> bool) -> Vec<TicketKey> {
+        self.order
+            .iter()
+            .copied()
+            .filter(|ticket| self.tickets.get(ticket).is_some_and(|state| wanted(*state)))
+            .collect()
+    }
+
+    /// Each decision must be over a request that waits; browsing must not
+    /// start in front of a critical request that waits.
+    fn carry_out(&mut self) {
+        for decision in std::mem::take(&mut self.decisions) {
+            match decision {
+                Decision::Start(ticket) => {
+                    let Some(State::Waiting(arrival)) = self.tickets.get(&ticket).copied() else {
+                        panic!("{ticket:?} was started but does not wait");
+                    };
+                    self.tickets.insert(ticket, State::Running(arrival));
+                    self.start_count += 1;
+                    self.check_order(arrival);
+                }
+                Decision::Refuse(ticket, refusal) => {
+                    let state = self.tickets.remove(&ticket);
+                    let Some(State::Waiting(arrival)) = state else {
+                        panic!("{ticket:?} was refused in {state:?}");
+                    };
+                    assert_eq!(refusal.outcome, Outcome::NotRun);
+                    assert!(refusal.retry_after_ms > 0 || !self.is_strict);
+                    self.check_refusal(arrival, refusal.reason);
+                }
+            }
+        }
+    }
+
+    fn check_order(&self, started: Arrival) {
+        if !self.is_strict {
+            return;
+        }
+        let overtaken = self.tickets.values().find(
+            |state| matches!(state, State::Waiting(arrival) if arrival.class > started.class),
+        );
+        assert_eq!(overtaken, None, "{started:?} started first");
+    }
+
+    /// Critical work is never refused for want of room while a slot is free;
+    /// the limit never lies below this one.
+    fn check_refusal(&self, refused: Arrival, reason: Reason) {
+        if !self.is_strict || refused.class != Class::Critical || reason != Reason::Overloaded {
+            return;
+        }
+        let has_free_slot = self.policy.running_count() < MIN_LIMIT as usize;
+        assert!(!has_free_slot, "critical refused with a free slot");
+    }
+
+    fn check_counts(&self) {
+        let running = self.in_state(|state| matches!(state, State::Running(_)));
+        let waiting = self.in_state(|state| matches!(state, State::Waiting(_)));
+        assert_eq!(
+            self.policy.running_count(),
+            running.len(),
+            "slots conserved"
+        );
+        assert_eq!(self.policy.waiting_count(), waiting.len(), "none forgotten");
+        assert!(running.len() <= SIZE.slot_count as usize);
+        if self.is_strict {
+            let lower = running
+                .iter()
+                .filter(|ticket| {
+                    !matches!(self.tickets[ticket], State::Running(arrival) if arrival.class == Class::Critical)
+                })
+                .count();
+            assert!(lower < SIZE.slot_count as usize, "the reserve stays free");
+        }
+    }
+
+    /// Everything that waits is decided in the end and all slots come back.
+    fn finish(&mut self) {
+        self.policy.drain(self.now_us, &mut self.decisions);
+        self.carry_out();
+        while !self.tickets.is_empty() {
+            self.end(0);
+        }
+        assert_eq!(self.policy.running_count(), 0);
+        assert_eq!(self.policy.waiting_count(), 0);
+        assert!(self.policy.level(self.now_us).draining);
+        self.arrive(255);
+        assert!(self.tickets.is_empty(), "a draining target takes nothing");
+    }
+}
+
+fn pick(tickets: &[TicketKey], choice: u8) -> Option<TicketKey> {
+    tickets
+        .get(usize::from(choice) % tickets.len().max(1))
+        .copied()
+}
+
+fn check<P: AdmissionPolicy>(is_strict: bool) {
+    let mut start_count = 0;
+    for_each_case(CASE_COUNT, |steps: [Step; STEP_COUNT]| {
+        let mut harness = Harness::<P>::new(is_strict);
+        for step in steps {
+            harness.step(step);
+        }
+        harness.finish();
+        start_count += harness.start_count;
+    });
+    println!("{CASE_COUNT} cases, {start_count} starts");
+    assert!(start_count > CASE_COUNT, "the cases hardly start anything");
+}
+
+#[test]
+fn adaptive_decides_each_request_once_and_in_order_of_importance() {
+    check::<Adaptive>(true);
+}
+
+#[test]
+fn static_limit_decides_each_request_once() {
+    check::<StaticLimit>(false);
+}
