Keep one retry budget along the chain and a share per destination

Cause: only the trait was there. give_back by call alone can't tell an answer that comes twice, or one that claims too much, from a true one.

Ruled out: lending all that a call holds.

Change: lend returns a Loan with a key and give_back takes that key, so a loan ends once and gives back at most what it lent.

Share and floor are chosen, not measured.

--- a/src/retry/mod.rs
+++ b/src/retry/mod.rs
@@ -1,5 +1,15 @@
 //! Retry budget of original requests and retry share of destinations.
 
+mod chain_budget;
+mod naive;
+mod share;
+
+pub use {
+    chain_budget::ChainBudget,
+    naive::{NAIVE_RETRY_COUNT, NaiveRetry},
+    share::{RETRY_FLOOR_COUNT, RETRY_SHARE_PERCENT, SHARE_WINDOW_US},
+};
+
 use crate::{arena_key, model::ServiceKey};
 
 arena_key! {
@@ -7,6 +17,21 @@
     CallKey
 }
 
+arena_key! {
+    /// Allotment that a call lent to one child call.
+    LoanKey
+}
+
+/// Allotment that a child call carries.
+#[derives::value]
+#[derive(Copy, Eq)]
+pub struct Loan {
+    /// Names the loan when the child's answer comes.
+    pub key: LoanKey,
+    /// Retries that the child and its descendants may spend.
+    pub allotment: u8,
+}
+
 /// Decides whether a failed attempt may be repeated.
 ///
 /// The allotment of a call is moved to a child call and comes back with the
@@ -20,11 +45,13 @@
     fn open(&mut self, allotment: u8) -> CallKey;
 
     /// Takes allotment out of a call for a child; the child carries it.
-    fn lend(&mut self, call: CallKey) -> u8;
+    /// A call that is over lends nothing.
+    fn lend(&mut self, call: CallKey) -> Loan;
 
-    /// Puts back what a child did not spend. A child whose answer was lost
-    /// gives back nothing: it may still be spending it.
-    fn give_back(&mut self, call: CallKey, unspent: u8);
+    /// Puts back what a child did not spend, at most what it was lent and
+    /// only once. A child whose answer was lost gives back nothing, since it
+    /// may still be spending it: end its loan with 0.
+    fn give_back(&mut self, loan: LoanKey, unspent: u8);
 
     /// Counts a first attempt at a destination.
     fn first_attempt(&mut self, service: ServiceKey, now_us: u64);
@@ -32,6 +59,7 @@
     /// Asks for one more attempt; spends allotment when granted.
     fn try_retry(&mut self, call: CallKey, service: ServiceKey, now_us: u64) -> bool;
 
-    /// A call ends; what it did not spend goes back to its parent.
+    /// A call ends; what it did not spend goes back to its parent. Loans that
+    /// are still out are lost.
     fn close(&mut self, call: CallKey) -> u8;
 }
--- /dev/null
+++ b/src/retry/naive.rs
@@ -0,0 +1,58 @@
+//! Baseline: the same number of retries at every hop.
+
+use {
+    super::{CallKey, Loan, LoanKey, RetryPolicy},
+    crate::{arena::Arena, model::ServiceKey},
+};
+
+/// Retries of each call at each hop.
+pub const NAIVE_RETRY_COUNT: u8 = 3;
+
+/// Every call may be retried three times at its hop, whatever hops above and
+/// below do. Kept as the comparison: a chain of depth d may attempt its
+/// deepest call 4^d times.
+#[derive(Debug)]
+pub struct NaiveRetry {
+    calls: Arena<CallKey, u8>,
+    loans: Arena<LoanKey, CallKey>,
+}
+
+impl RetryPolicy for NaiveRetry {
+    fn new() -> Self {
+        Self {
+            calls: Arena::new(),
+            loans: Arena::new(),
+        }
+    }
+
+    fn open(&mut self, _allotment: u8) -> CallKey {
+        self.calls.insert(NAIVE_RETRY_COUNT)
+    }
+
+    fn lend(&mut self, call: CallKey) -> Loan {
+        Loan {
+            key: self.loans.insert(call),
+            allotment: NAIVE_RETRY_COUNT,
+        }
+    }
+
+    fn give_back(&mut self, loan: LoanKey, _unspent: u8) {
+        self.loans.remove(loan);
+    }
+
+    fn first_attempt(&mut self, _service: ServiceKey, _now_us: u64) {}
+
+    fn try_retry(&mut self, call: CallKey, _service: ServiceKey, _now_us: u64) -> bool {
+        match self.calls.get_mut(call) {
+            Some(left) if *left > 0 => {
+                *left -= 1;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    fn close(&mut self, call: CallKey) -> u8 {
+        self.calls.remove(call).unwrap_or(0)
+    }
+}
