Route to the nearest zone with room and eject unfit targets

Cause: only the trait was there.

Change: ZoneRouter with tiers by distance, the better of two by own outstanding, own latency and piggybacked load, refusal of a class that all targets shed but for probes, ejection of at most half of a service, trials with growing share and slow start of new targets.

Thresholds are chosen, not tuned.

--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -1,5 +1,15 @@
 //! Choice of the target's node for each attempt.
 
+mod ejection;
+mod latency;
+mod target;
+mod zone_router;
+
+pub use {
+    target::{DRAIN_AGE_LIMIT_US, LEVEL_AGE_LIMIT_US},
+    zone_router::{PROBE_PERIOD_US, ZoneRouter},
+};
+
 use crate::{
     arena_key,
     model::{AdmissionLevel, Class, Refusal, ServiceKey},
--- /dev/null
+++ b/tests/routing_properties.rs
@@ -0,0 +1,163 @@
+//! What holds for routing whatever is added, picked, answered or removed.
+
+#[path = "admission_support/generated.rs"]
+mod generated;
+
+use {
+    dogwoodbridge::{
+        model::{AdmissionLevel, Class, Outcome, ServiceKey},
+        routing::{AttemptResult, Distance, RoutePolicy, TargetInfo, TargetKey, ZoneRouter},
+    },
+    generated::for_each_case,
+    rand::{SeedableRng, rngs::StdRng},
+    std::collections::BTreeMap,
+};
+
+const STEP_COUNT: usize = 200;
+const CASE_COUNT: usize = 2000;
+const RESULTS: [AttemptResult; 4] = [
+    AttemptResult::Answered,
+    AttemptResult::Refused,
+    AttemptResult::Failed,
+    AttemptResult::Cancelled,
+];
+
+/// What the router should know, kept in the plainest way.
+struct Model {
+    router: ZoneRouter,
+    infos: BTreeMap<TargetKey, TargetInfo>,
+    outstanding: Vec<TargetKey>,
+    rng: StdRng,
+    now_us: u64,
+    pick_count: usize,
+}
+
+impl Model {
+    fn new() -> Self {
+        Self {
+            router: ZoneRouter::new(),
+            infos: BTreeMap::new(),
+            outstanding: Vec::new(),
+            rng: StdRng::seed_from_u64(9),
+            now_us: 0,
+            pick_count: 0,
+        }
+    }
+
+    fn step(&mut self, (kind, choice, gap): (u8, u8, u8)) {
+        self.now_us += u64::from(gap) * 5000;
+        match kind % 16 {
+            0 => self.add(choice),
+            1 => self.remove(choice),
+            2 => self.drain(choice),
+            3 => drop(self.router.tick(self.now_us)),
+            4..=9 => self.pick(choice),
+            _ => self.end(choice),
+        }
+        for key in self.infos.keys() {
+            let count = self
+                .outstanding
+                .iter()
+                .filter(|other| *other == key)
+                .count();
+            let known = self.router.outstanding_count(*key);
+            assert_eq!(known, u32::try_from(count).ok(), "outstanding of {key:?}");
+        }
+    }
+
+    fn add(&mut self, choice: u8) {
+        let distances = [
+            Distance::SameZone,
+            Distance::SameRegion,
+            Distance::OtherRegion,
+        ];
+        let info = TargetInfo {
+            service: ServiceKey::new(u16::from(choice % 2)),
+            distance: distances[usize::from(choice / 2) % 3],
+            slot_count: u32::from(choice % 8),
+            draining: choice > 240,
+        };
+        let key = self.router.add(info, self.now_us);
+        assert!(self.infos.insert(key, info).is_none());
+    }
+
+    fn chosen(&self, choice: u8) -> Option<TargetKey> {
+        let place = usize::from(choice) % self.infos.len().max(1);
+        self.infos.keys().nth(place).copied()
+    }
+
+    fn remove(&mut self, choice: u8) {
+        if let Some(key) = self.chosen(choice) {
+            self.router.remove(key);
+            self.infos.remove(&key);
+        }
+    }
+
+    fn drain(&mut self, choice: u8) {
+        let Some(key) = self.chosen(choice) else {
+            return;
+        };
+        if let Some(info) = self.infos.get_mut(&key) {
+            info.draining = true;
+            self.router.update(key, *info);
+        }
+    }
+
+    fn pick(&mut self, choice: u8) {
+        let service = ServiceKey::new(u16::from(choice % 2));
+        let class = Class::ALL[usize::from(choice) % 3];
+        let tried: Vec<TargetKey> = self.outstanding.iter().rev().take(2).copied().collect();
+        let picked = self
+            .router
+            .pick(service, class, &tried, self.now_us, &mut self.rng);
+        match picked {
+            Ok(key) => {
+                let info = self
+                    .infos
+                    .get(&key)
+                    .expect("removed targets are not picked");
+                assert!(!info.draining, "a draining target was picked");
+                assert_eq!(info.service, service);
+                self.outstanding.push(key);
+                self.pick_count += 1;
+            }
+            Err(refusal) => {
+                assert_eq!(refusal.outcome, Outcome::NotRun);
+                assert!(refusal.retry_after_ms > 0);
+            }
+        }
+    }
+
+    fn end(&mut self, choice: u8) {
+        if self.outstanding.is_empty() {
+            return;
+        }
+        let place = usize::from(choice) % self.outstanding.len();
+        let key = self.outstanding.swap_remove(place);
+        let level = AdmissionLevel {
+            lowest_class: Class::ALL[usize::from(choice / 4) % 3],
+            load_percent: u16::from(choice),
+            draining: choice > 250,
+        };
+        let result = RESULTS[usize::from(choice) % 4];
+        let latency_us = u64::from(choice) * 1000;
+        self.router
+            .end(key, result, latency_us, Some(level), self.now_us);
+    }
+}
+
+#[test]
+fn outstanding_counts_are_conserved_and_drained_targets_never_picked() {
+    let mut pick_count = 0;
+    for_each_case(CASE_COUNT, |steps: [(u8, u8, u8); STEP_COUNT]| {
+        let mut model = Model::new();
+        model.add(0);
+        model.add(1);
+        for step in steps {
+            model.step(step);
+        }
+        pick_count += model.pick_count;
+    });
+    println!("{CASE_COUNT} cases, {pick_count} picks");
+    assert!(pick_count > CASE_COUNT, "the cases hardly pick anything");
+}
