Publish and grant also while all answers to writes are lost

A platform that loses every answer to a write loses those to looks as well, so that dogwoodctl gave up before it began. It now builds on a plain read then and finds its publish id by reading. Ruled out: longer retries of the look, which can't help. Revocations get a bridge to gossip.

--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -26,6 +26,14 @@
     /// Address of the platform's object API
     #[arg(long, env = "DOGWOOD_PLATFORM", global = true)]
     pub platform: Option<SocketAddr>,
+    /// Longest time that one call of the platform may take, in milliseconds
+    #[arg(
+        long,
+        env = "DOGWOOD_PLATFORM_LIMIT_MS",
+        default_value_t = 5_000,
+        global = true
+    )]
+    pub platform_limit_ms: u64,
     /// Form of the output
     #[arg(long, value_enum, default_value = "text", global = true)]
     pub output: OutputFormat,
@@ -170,7 +178,7 @@
         let address = self.platform.ok_or(CliError::MissingFlag {
             flag: "--platform".to_owned(),
         })?;
-        Ok(Platform::new(address))
+        Ok(Platform::new(address).with_call_limit_ms(self.platform_limit_ms))
     }
 
     /// The nodes, if any are named.
--- a/src/cli/keys.rs
+++ b/src/cli/keys.rs
@@ -81,10 +81,12 @@
 // granted and refused everywhere; its holder would be the first to notice.
 async fn check_workspace(platform: &Platform, workspace: &str) -> Result<(), CliError> {
     let kind = DocumentKind::Configuration;
-    let version = platform.current_version(kind.name()).await?;
-    let object = read_at_least(platform, kind, version)
-        .await
-        .ok_or(CliError::StaleReads { version })?;
+    let object = match platform.current_version(kind.name()).await {
+        Ok(version) => read_at_least(platform, kind, version)
+            .await
+            .ok_or(CliError::StaleReads { version })?,
+        Err(_) => platform.read(kind.name()).await?,
+    };
     let mut known = Vec::new();
     if object.version > 0 {
         let record = read_configuration(&Document {
--- a/src/cli/keys_change.rs
+++ b/src/cli/keys_change.rs
@@ -77,11 +77,16 @@
     change: &mut impl FnMut(&mut KeysRecord) -> Result<bool, KeysError>,
 ) -> Result<Attempt, KeysError> {
     let name = DocumentKind::Keys.name();
-    let version = match platform.current_version(name).await {
-        Ok(version) => version,
-        Err(error) => return Ok(Attempt::Failed(error)),
+    let object = match platform.current_version(name).await {
+        Ok(version) => read_at_least(platform, DocumentKind::Keys, version).await,
+        // The answers to looks may be lost as those to writes are. A plain
+        // read has to do then: were it stale, the write would meet a conflict.
+        Err(_) => match platform.read(name).await {
+            Ok(object) => Some(object),
+            Err(error) => return Ok(Attempt::Failed(error)),
+        },
     };
-    let Some(object) = read_at_least(platform, DocumentKind::Keys, version).await else {
+    let Some(object) = object else {
         return Ok(Attempt::Stale);
     };
     let mut record = KeysRecord::read(&object.content)?;
--- a/src/cli/publication.rs
+++ b/src/cli/publication.rs
@@ -12,6 +12,7 @@
 };
 
 const WRITE_ATTEMPTS: usize = 5;
+const LOOK_ATTEMPTS: usize = 3;
 const READ_ATTEMPTS: usize = 8;
 const FIRST_BACKOFF_MS: u64 = 100;
 const LONGEST_BACKOFF_MS: u64 = 1_000;
@@ -102,6 +103,11 @@
             Write::Unknown(error) => lost_answer = Some(error),
         }
         backoff.wait().await;
+        if lost_answer.is_some()
+            && let Some(version) = find_published(platform, publish_id).await
+        {
+            return PublishOutcome::Published { version };
+        }
     }
     match (lost_answer, last_error) {
         (Some(error), _) => PublishOutcome::Unknown {
@@ -133,16 +139,30 @@
     }
 }
 
+/// Version to build on. While the platform loses the answers to writes, and
+/// so to looks, a plain read has to do: were it stale, the write would meet a
+/// conflict and change nothing.
 async fn current_version(platform: &Platform) -> Result<u64, PlatformError> {
     let mut backoff = Backoff::new(FIRST_BACKOFF_MS, LONGEST_BACKOFF_MS);
     let name = DocumentKind::Configuration.name();
-    for _ in 1..WRITE_ATTEMPTS {
+    for _ in 0..LOOK_ATTEMPTS {
         if let Ok(version) = platform.current_version(name).await {
             return Ok(version);
         }
         backoff.wait().await;
     }
-    platform.current_version(name).await
+    platform.read(name).await.map(|object| object.version)
+}
+
+/// Version under which a publication stands in the platform. A read that does
+/// not show it proves nothing, since it may be stale; one that does is proof.
+async fn find_published(platform: &Platform, publish_id: Uuid) -> Option<u64> {
+    let object = platform
+        .read(DocumentKind::Configuration.name())
+        .await
+        .ok()?;
+    let record: ConfigurationRecord = serde_json::from_slice(&object.content).ok()?;
+    (record.publication.publish_id == publish_id).then_some(object.version)
 }
 
 async fn read_winner(platform: &Platform, version: u64) -> Winner {
--- /dev/null
+++ b/src/keys/exchange.rs
@@ -0,0 +1,50 @@
+//! Carries revocations between this node's set and gossip.
+
+use {
+    super::{KeyDigest, Revocations},
+    tokio::sync::{
+        broadcast::{self, error::RecvError},
+        mpsc,
+    },
+    tokio_util::sync::CancellationToken,
+};
+
+/// Starts passing revocations on until `shutdown`: those learnt here to
+/// gossip, which knows its own news and spreads nothing twice, and those that
+/// gossip brings into the set.
+pub fn spawn_revocation_exchange(
+    revocations: Revocations,
+    to_gossip: mpsc::Sender<Vec<KeyDigest>>,
+    mut from_gossip: broadcast::Receiver<Vec<KeyDigest>>,
+    shutdown: CancellationToken,
+) {
+    let mut learnt = revocations.subscribe_learnt();
+    tokio::spawn(async move {
+        loop {
+            tokio::select! {
+                () = shutdown.cancelled() => break,
+                digest = learnt.recv() => {
+                    let digests = match digest {
+                        Ok(digest) => vec![digest],
+                        // Some were missed; a missed one would stay on this
+                        // node alone, so that all are told again.
+                        Err(RecvError::Lagged(_)) => revocations.pending().iter().copied().collect(),
+                        Err(RecvError::Closed) => break,
+                    };
+                    if to_gossip.send(digests).await.is_err() {
+                        break;
+                    }
+                }
+                digests = from_gossip.recv() => match digests {
+                    Ok(digests) => {
+                        for digest in digests {
+                            revocations.apply(digest);
+                        }
+                    }
+                    Err(RecvError::Lagged(_)) => {}
+                    Err(RecvError::Closed) => break,
+                },
+            }
+        }
+    });
+}
--- a/src/keys/mod.rs
+++ b/src/keys/mod.rs
@@ -1,11 +1,13 @@
 //! Tenant keys: digests, their states, the document that holds them.
 
 mod digest;
+mod exchange;
 mod record;
 mod revocations;
 
 pub use {
     digest::{DigestError, KEY_PREFIX, KeyDigest, new_key},
+    exchange::spawn_revocation_exchange,
     record::{GrantRecord, KeysError, KeysRecord, RevocationRecord},
     revocations::Revocations,
 };
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -29,8 +29,9 @@
 
 /// Time limit of a call that does not wait for a change.
 const CALL_LIMIT_MS: u64 = 2_000;
-/// How much longer than its wait a watch may take.
-const WATCH_GRACE_MS: u64 = 2_000;
+/// How much longer than its wait a watch may take. Generous, since a platform
+/// that is slow for long still tells changes through its watches.
+const WATCH_GRACE_MS: u64 = 10_000;
 /// Condition that no object ever meets. It fits a signed 64-bit number, so
 /// that every server can read it.
 const IMPOSSIBLE_VERSION: u64 = i64::MAX as u64;
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -159,6 +159,16 @@
             says: "published as version 2",
             holds: Some("ann"),
         },
+        PublishCase {
+            name: "all answers to writes are lost",
+            faults: Faults {
+                all_answers_lost: true,
+                ..fault()
+            },
+            code: 0,
+            says: "published as version 2",
+            holds: Some("ann"),
+        },
         PublishCase {
             name: "write lost before it took effect",
             faults: Faults {
@@ -348,6 +358,35 @@
     assert_eq!(record.granted.len(), 3);
 }
 
+// The platform executes writes and loses all answers to them. A new key must
+// not be granted several times, and its holder must get it.
+#[tokio::test]
+async fn a_key_is_granted_once_though_all_answers_are_lost() {
+    let fake = FakePlatform::new().await;
+    let platform = fake.address.to_string();
+    assert_eq!(publish(&fake, &[]).await.code, 0);
+    fake.set_faults(Faults {
+        all_answers_lost: true,
+        ..Faults::default()
+    });
+    let key = KeyDigest::of_key(KEY).to_string();
+    let grant = [
+        "key",
+        "grant",
+        "--workspace",
+        "summit-cards",
+        "--digest",
+        &key,
+        "--platform",
+        &platform,
+    ];
+    let ran = ctl(&grant).await;
+    assert_eq!(ran.code, 0, "{}{}", ran.output, ran.errors);
+    let (version, content) = fake.get("keys");
+    let record = KeysRecord::read(&content).expect("a keys document");
+    assert_eq!((version, record.granted.len()), (1, 1));
+}
+
 /// Two zones with a node each that know of each other, a published
 /// configuration and one key.
 struct Mesh {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -35,6 +35,8 @@
     pub stale: bool,
     /// Writes that take effect and whose answers are lost. Looks don't count.
     pub lost_after_count: usize,
+    /// Every write takes effect and loses its answer, looks too.
+    pub all_answers_lost: bool,
     /// Writes that are lost before they take effect. Looks don't count.
     pub lost_before_count: usize,
     /// Versions are not told.
@@ -217,10 +219,16 @@
             self.race(name, &mut faults);
         }
         let current = self.get(name).0;
+        if current != if_version && faults.all_answers_lost {
+            return None;
+        }
         if current != if_version {
             return Some(response(409, self.told(current), Vec::new()));
         }
         let version = self.put(name, &content);
+        if faults.all_answers_lost {
+            return None;
+        }
         if is_lost {
             self.state().faults.lost_after_count -= 1;
             self.race(name, &mut faults);
