--- a/benches/gossip.rs
+++ b/benches/gossip.rs
@@ -98,12 +98,7 @@
             let datagram = self.codec.encode(&outgoing.packet);
             self.cost.datagram_count += 1;
             self.cost.byte_count += datagram.len() as u64;
-            let from = *self
-                .addresses
-                .iter()
-                .find(|(_, i)| **i == from)
-                .expect("known")
-                .0;
+            let from = self.sources[from];
             let to = self.addresses[&outgoing.to];
             let packet = self.codec.decode(&datagram).expect("own packets are valid");
             let mut replies = Vec::new();
--- a/src/bin/dogwoodd.rs
+++ b/src/bin/dogwoodd.rs
@@ -4,7 +4,7 @@
     anyhow::Context,
     clap::Parser,
     dogwoodbridge::{
-        admission::{AdmissionPolicy, AdmitAll},
+        admission::{Adaptive, AdmissionPolicy, AdmitAll, StaticLimit},
         conf::Running,
         event,
         events::Event,
@@ -12,8 +12,9 @@
         logging,
         membership::{OwnState, View},
         model::Names,
-        node::{LeastOutstanding, LocalQuota, Node, NodeInputs, PolicySet, SimpleBudget, start},
-        retry::RetryPolicy,
+        node::{LocalQuota, Node, NodeInputs, PolicySet, start},
+        retry::{ChainBudget, NaiveRetry, RetryPolicy},
+        routing::ZoneRouter,
         settings::{AdmissionChoice, RetryChoice, Settings},
         shutdown,
         timer::Timer,
@@ -41,15 +42,16 @@
 /// The policies are chosen here, once, so that no request pays for a choice.
 async fn choose_admission(settings: Arc<Settings>) -> anyhow::Result<()> {
     match settings.admission {
-        AdmissionChoice::Adaptive | AdmissionChoice::Static | AdmissionChoice::AdmitAll => {
-            choose_retry::<AdmitAll>(settings).await
-        }
+        AdmissionChoice::Adaptive => choose_retry::<Adaptive>(settings).await,
+        AdmissionChoice::Static => choose_retry::<StaticLimit>(settings).await,
+        AdmissionChoice::AdmitAll => choose_retry::<AdmitAll>(settings).await,
     }
 }
 
 async fn choose_retry<A: AdmissionPolicy>(settings: Arc<Settings>) -> anyhow::Result<()> {
     match settings.retry {
-        RetryChoice::Budget | RetryChoice::Naive => run::<A, SimpleBudget>(settings).await,
+        RetryChoice::Budget => run::<A, ChainBudget>(settings).await,
+        RetryChoice::Naive => run::<A, NaiveRetry>(settings).await,
     }
 }
 
@@ -60,7 +62,7 @@
     let (_view, view) = watch::channel(Arc::new(View::default()));
     let (_freshness, freshness) = watch::channel(Freshness::Fresh);
     let (own_state, _) = watch::channel(OwnState::default());
-    let node = Node::<PolicySet<A, LeastOutstanding, T, LocalQuota>>::new(NodeInputs {
+    let node = Node::<PolicySet<A, ZoneRouter, T, LocalQuota>>::new(NodeInputs {
         settings,
         names: Names::new(),
         quota: LocalQuota::new(timer.clone()),
--- a/src/egress/attempts.rs
+++ b/src/egress/attempts.rs
@@ -123,8 +123,8 @@
     }
     tried.push(target);
     node.metrics.attempts.inc();
-    let lent = node.retries().lend(call.retry);
-    let context = context_of(call, remaining_us, lent);
+    let loan = node.retries().lend(call.retry);
+    let context = context_of(call, remaining_us, loan.allotment);
     let end = match place {
         Place::Own => {
             let (result, unspent) = serve_local(node, &context, outbound).await;
@@ -137,7 +137,7 @@
         }
         Place::Peer(link) => send(node, &link, &context, outbound, remaining_us).await,
     };
-    node.retries().give_back(call.retry, end.unspent);
+    node.retries().give_back(loan.key, end.unspent);
     outstanding.end(result_of(&end.result), end.level);
     end.result
 }
--- a/src/membership/probing.rs
+++ b/src/membership/probing.rs
@@ -22,9 +22,13 @@
 /// Members that are asked to probe on this node's behalf.
 const INDIRECT_COUNT: usize = 3;
 
-/// Every so many probes in the own availability zone go to a relay, so that
-/// the stamp of a look at the platform takes one hop and not several.
-const RELAY_PROBE_PERIOD: u64 = 4;
+/// A relay is probed every round in zones of up to so many members, in larger
+/// ones less often, so that its replies stay within its share of traffic. A
+/// stamp of a look at the platform then takes one hop and not several.
+const MEMBERS_PER_RELAY_ROUND: usize = 24;
+
+/// Most rounds between two probes of a relay.
+const MAX_RELAY_PROBE_PERIOD: usize = 4;
 
 /// Every so many probe periods a gone member is probed: after a partition
 /// nobody else would tell it that it was taken for dead.
@@ -96,7 +100,7 @@
         out: &mut Vec<Outgoing>,
     ) {
         let zone = self.own.zone.clone();
-        let probes_relay = self.round.is_multiple_of(RELAY_PROBE_PERIOD);
+        let probes_relay = self.round.is_multiple_of(self.relay_probe_period());
         let own_zone = self.pick(rng, |record| record.zone == zone, probes_relay);
         let other_zone = self.pick_other_zone(rng);
         let gone = if self.round.is_multiple_of(GONE_PROBE_PERIOD) {
@@ -163,6 +167,16 @@
         self.random_keys(1, rng, matches).pop()
     }
 
+    pub(super) fn relay_probe_period(&self) -> u64 {
+        let zone = self.own.zone.as_str();
+        let members = self
+            .table
+            .iter()
+            .filter(|(_, entry)| entry.record.zone == zone);
+        let rounds = members.count().div_ceil(MEMBERS_PER_RELAY_ROUND);
+        u64::try_from(rounds.clamp(1, MAX_RELAY_PROBE_PERIOD)).unwrap_or(1)
+    }
+
     pub(super) fn pick_relay<R: Rng>(&self, rng: &mut R) -> Option<MemberKey> {
         let zone = self.own.zone.as_str();
         let members: Vec<_> = self
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -13,7 +13,7 @@
     route_table::{Place, RouteTable},
     start::{StartError, start},
     systems::{follow_members, run_ticks},
-    thin::{LeastOutstanding, LocalQuota, SimpleBudget},
+    thin::LocalQuota,
 };
 
 use {
--- a/tests/support/mesh.rs
+++ b/tests/support/mesh.rs
@@ -10,8 +10,10 @@
         keys::KeyDigest,
         membership::{Member, MemberPorts, MemberState, OwnState, View},
         model::{Class, Names},
-        node::{LeastOutstanding, LocalQuota, Node, NodeInputs, PolicySet, SimpleBudget, start},
+        node::{LocalQuota, Node, NodeInputs, PolicySet, start},
         quota::Rate,
+        retry::ChainBudget,
+        routing::ZoneRouter,
         settings::{Settings, ports},
         timer::Timer,
     },
@@ -32,7 +34,7 @@
 pub const REVOKED_KEY: &str = "tally-key-0";
 pub const SECRET: &str = "fleet-secret-of-the-tests";
 
-pub type TestNode = Node<PolicySet<AdmitAll, LeastOutstanding, SimpleBudget, LocalQuota>>;
+pub type TestNode = Node<PolicySet<AdmitAll, ZoneRouter, ChainBudget, LocalQuota>>;
 
 /// A node with its target.
 pub struct Instance {
