Measure nanoseconds per decision

Cause: decisions run up to 10,000 times a second on a node; nothing showed what they cost.

Change: benches/decisions.rs, a bench without harness.

--- /dev/null
+++ b/benches/decisions.rs
@@ -0,0 +1,160 @@
+//! Nanoseconds per decision; run with `cargo bench --bench decisions`.
+
+use {
+    dogwoodbridge::{
+        admission::{
+            Adaptive, AdmissionPolicy, AdmitAll, Arrival, Decision, StaticLimit, TargetResult,
+            TargetSize,
+        },
+        model::{AdmissionLevel, Class, ServiceKey, WorkspaceKey},
+        retry::{ChainBudget, RetryPolicy},
+        routing::{AttemptResult, Distance, RoutePolicy, TargetInfo, ZoneRouter},
+    },
+    rand::{SeedableRng, rngs::StdRng},
+    std::{collections::VecDeque, hint::black_box, time::Instant},
+};
+
+const ROUND_COUNT: u32 = 200_000;
+const REPEAT_COUNT: usize = 5;
+const SIZE: TargetSize = TargetSize {
+    slot_count: 150,
+    connection_count: 1000,
+};
+
+fn main() {
+    report("admission, admit all", admission::<AdmitAll>);
+    report("admission, static limit", admission::<StaticLimit>);
+    report("admission, adaptive", admission::<Adaptive>);
+    report("admission, adaptive, overloaded 3x", overloaded);
+    report("admission, adaptive, tick with a full queue", full_tick);
+    report("retry, open lend give back close", retry);
+    report("routing, pick and end, 4 targets", || routing(4));
+    report("routing, pick and end, 48 targets", || routing(48));
+}
+
+/// Prints the median of the runs.
+fn report(name: &str, mut run: impl FnMut() -> f64) {
+    let mut nanos: Vec<f64> = (0..REPEAT_COUNT).map(|_| run()).collect();
+    nanos.sort_by(f64::total_cmp);
+    println!("{name}: {:.0} ns", nanos[REPEAT_COUNT / 2]);
+}
+
+fn per_round(started: Instant, count: u32) -> f64 {
+    started.elapsed().as_nanos() as f64 / f64::from(count)
+}
+
+fn arrival(index: u32, now_us: u64) -> Arrival {
+    Arrival {
+        class: Class::ALL[index as usize % 3],
+        workspace: WorkspaceKey::new((index % 8) as u16),
+        deadline_us: now_us + 1_000_000,
+    }
+}
+
+/// One arrival, start and end with 50 running.
+fn admission<P: AdmissionPolicy>() -> f64 {
+    let mut policy = P::new(SIZE);
+    let mut decisions = Vec::new();
+    let mut running = VecDeque::new();
+    let started = Instant::now();
+    for index in 0..ROUND_COUNT {
+        let now_us = u64::from(index) * 100;
+        policy.arrive(arrival(index, now_us), now_us, &mut decisions);
+        step(&mut policy, &mut decisions, &mut running, 10, now_us);
+    }
+    per_round(started, ROUND_COUNT)
+}
+
+/// Three arrivals for each end, so that two of three are shed.
+fn overloaded() -> f64 {
+    let mut policy = Adaptive::new(SIZE);
+    let mut decisions = Vec::new();
+    let mut running = VecDeque::new();
+    let started = Instant::now();
+    for index in 0..ROUND_COUNT {
+        let now_us = u64::from(index) * 100;
+        policy.arrive(arrival(index, now_us), now_us, &mut decisions);
+        let kept = if index.is_multiple_of(3) {
+            15
+        } else {
+            usize::MAX
+        };
+        step(&mut policy, &mut decisions, &mut running, kept, now_us);
+    }
+    per_round(started, ROUND_COUNT)
+}
+
+fn step<P: AdmissionPolicy>(
+    policy: &mut P,
+    decisions: &mut Vec<Decision>,
+    running: &mut VecDeque<dogwoodbridge::admission::TicketKey>,
+    kept: usize,
+    now_us: u64,
+) {
+    for decision in decisions.drain(..) {
+        if let Decision::Start(ticket) = black_box(decision) {
+            running.push_back(ticket);
+        }
+    }
+    if running.len() > kept
+        && let Some(ticket) = running.pop_front()
+    {
+        policy.end(ticket, TargetResult::Answered, now_us, decisions);
+    }
+}
+
+fn full_tick() -> f64 {
+    let mut policy = Adaptive::new(SIZE);
+    let mut decisions = Vec::new();
+    for index in 0..10_000 {
+        policy.arrive(arrival(index, 0), 0, &mut decisions);
+    }
+    let tick_count = 1000;
+    let started = Instant::now();
+    for index in 0..tick_count {
+        policy.tick(u64::from(index), &mut decisions);
+    }
+    per_round(started, tick_count)
+}
+
+fn retry() -> f64 {
+    let mut budget = ChainBudget::new();
+    let service = ServiceKey::new(0);
+    let started = Instant::now();
+    for index in 0..ROUND_COUNT {
+        let call = budget.open(3);
+        budget.first_attempt(service, u64::from(index) * 100);
+        let loan = budget.lend(call);
+        budget.give_back(loan.key, loan.allotment);
+        black_box(budget.close(call));
+    }
+    per_round(started, ROUND_COUNT)
+}
+
+fn routing(target_count: u32) -> f64 {
+    let mut router = ZoneRouter::new();
+    let mut rng = StdRng::seed_from_u64(1);
+    let service = ServiceKey::new(0);
+    for index in 0..target_count {
+        let info = TargetInfo {
+            service,
+            distance: if index.is_multiple_of(4) {
+                Distance::SameZone
+            } else {
+                Distance::SameRegion
+            },
+            slot_count: 150,
+            draining: false,
+        };
+        router.add(info, 0);
+    }
+    let started = Instant::now();
+    for index in 0..ROUND_COUNT {
+        let now_us = u64::from(index) * 100;
+        if let Ok(target) = router.pick(service, Class::Standard, &[], now_us, &mut rng) {
+            let level = Some(AdmissionLevel::idle());
+            router.end(target, AttemptResult::Answered, 10_000, level, now_us);
+        }
+    }
+    per_round(started, ROUND_COUNT)
+}
