Compare laws for the limit and test admission case by case

Cause: the choice of the limit's law rested on one scenario and the queue rules on generated cases only.

The detection of sustained delay moved to a file of its own.

Conclusion: trials kept.

--- a/src/admission/adaptive.rs
+++ b/src/admission/adaptive.rs
@@ -3,8 +3,8 @@
 use {
     super::{
         AdmissionPolicy, Arrival, Decision, LoadReport, TargetResult, TargetSize, TicketKey,
-        limit::ConcurrencyLimit, pressure::Pressure, queue::ClassQueue, reserve::Reserve,
-        service_time::ServiceTime,
+        delay::SustainedDelay, limit::ConcurrencyLimit, pressure::Pressure, queue::ClassQueue,
+        reserve::Reserve, service_time::ServiceTime,
     },
     crate::{
         arena::{Arena, ArenaKey},
@@ -22,10 +22,6 @@
 const MAX_WAIT_US: [u64; CLASS_COUNT] = [1_000_000, 1_000_000, 5_000_000];
 /// Remaining time over the mean service time below which work is hopeless.
 const HOPELESS_RATIO: f64 = 0.5;
-/// Wait of the oldest browsing request that counts as delay.
-const DELAY_TARGET_US: u64 = 50_000;
-/// Time for which delay must last before the newest are served first.
-const DELAY_INTERVAL_US: u64 = 100_000;
 /// Bounds of the time after which refused callers are told to come back.
 const RETRY_AFTER_MS: (u32, u32) = (50, 10_000);
 /// Steps over which that time is spread, up to twice its base.
@@ -49,8 +45,7 @@
     reserve: Reserve,
     pressure: Pressure,
     service_time: ServiceTime,
-    delayed_since_us: Option<u64>,
-    newest_first: bool,
+    browse_delay: SustainedDelay,
     draining: bool,
 }
 
@@ -64,8 +59,7 @@
             reserve: Reserve::new(),
             pressure: Pressure::new(),
             service_time: ServiceTime::new(),
-            delayed_since_us: None,
-            newest_first: false,
+            browse_delay: SustainedDelay::new(),
             draining: false,
         }
     }
@@ -216,7 +210,7 @@
     /// by what is ahead of it: all higher classes, and in its own class as
     /// many of each workspace as its own workspace has.
     fn wait_is_too_long(&self, arrival: Arrival, now_us: u64) -> bool {
-        if self.newest_first && arrival.class == Class::Browse {
+        if self.is_newest_first(arrival.class) {
             return false;
         }
         let queue = &self.queues[arrival.class.index()];
@@ -253,7 +247,7 @@
 
     fn start_waiting(&mut self, now_us: u64, decisions: &mut Vec<Decision>) {
         while let Some(class) = self.next_class(now_us) {
-            let newest_first = self.newest_first && class == Class::Browse;
+            let newest_first = self.is_newest_first(class);
             let Self {
                 queues,
                 tickets,
@@ -318,7 +312,7 @@
             else {
                 return;
             };
-            let newest_first = self.newest_first && class == Class::Browse;
+            let newest_first = self.is_newest_first(class);
             let Self {
                 queues, tickets, ..
             } = self;
@@ -350,21 +344,11 @@
             let refusal = self.refusal(ticket, reason, now_us);
             decisions.push(Decision::Refuse(ticket, refusal));
         }
-        self.note_delay(oldest_browse_us, now_us);
+        self.browse_delay.note(oldest_browse_us, now_us);
     }
 
-    /// Serves the newest browsing request first while the oldest has waited
-    /// long for a sustained time: first in, first out would then answer only
-    /// requests whose callers are about to give up.
-    fn note_delay(&mut self, oldest_browse_us: u64, now_us: u64) {
-        if oldest_browse_us <= DELAY_TARGET_US {
-            self.delayed_since_us = None;
-        } else {
-            self.delayed_since_us.get_or_insert(now_us);
-        }
-        self.newest_first = self
-            .delayed_since_us
-            .is_some_and(|since_us| now_us - since_us >= DELAY_INTERVAL_US);
+    fn is_newest_first(&self, class: Class) -> bool {
+        class == Class::Browse && self.browse_delay.is_sustained()
     }
 
     fn waiting_tickets(&self) -> Vec<(TicketKey, Ticket)> {
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -2,6 +2,7 @@
 
 mod adaptive;
 mod admit_all;
+mod delay;
 mod limit;
 mod pressure;
 mod queue;
--- /dev/null
+++ b/tests/admission_limit.rs
@@ -0,0 +1,291 @@
+//! Laws for the concurrency limit compared on the same model of a target.
+
+mod admission_support;
+
+use {
+    admission_support::{Journal, Report, Scenario, Stream, run},
+    dogwoodbridge::{
+        admission::{
+            AdmissionPolicy, Arrival, ConcurrencyLimit, Decision, LoadReport, MIN_LIMIT,
+            TargetResult, TargetSize, TicketKey,
+        },
+        arena::Arena,
+        model::{AdmissionLevel, Class, Reason, Refusal},
+    },
+};
+
+/// A rule by which the limit moves.
+trait Law: Send + 'static {
+    fn new(size: TargetSize) -> Self;
+    fn count(&self) -> u32;
+    fn started(&mut self, running_count: u32);
+    fn ended(&mut self, started_us: u64, cut_short: bool, now_us: u64);
+    fn tick(&mut self, now_us: u64);
+}
+
+/// The law in use.
+impl Law for ConcurrencyLimit {
+    fn new(size: TargetSize) -> Self {
+        Self::new(size)
+    }
+
+    fn count(&self) -> u32 {
+        self.count()
+    }
+
+    fn started(&mut self, running_count: u32) {
+        self.started(running_count);
+    }
+
+    fn ended(&mut self, started_us: u64, cut_short: bool, now_us: u64) {
+        self.ended(started_us, cut_short, now_us);
+    }
+
+    fn tick(&mut self, now_us: u64) {
+        self.tick(now_us);
+    }
+}
+
+/// The announced slots, whatever happens.
+struct Fixed(u32);
+
+impl Law for Fixed {
+    fn new(size: TargetSize) -> Self {
+        Self(size.slot_count)
+    }
+
+    fn count(&self) -> u32 {
+        self.0
+    }
+
+    fn started(&mut self, _running_count: u32) {}
+
+    fn ended(&mut self, _started_us: u64, _cut_short: bool, _now_us: u64) {}
+
+    fn tick(&mut self, _now_us: u64) {}
+}
+
+/// Limit times floor over latency, plus room to grow; the floor follows the
+/// latency slowly when `FLOOR_WEIGHT_PER_MILLION` is not 0.
+struct Gradient<const FLOOR_WEIGHT_PER_MILLION: u32> {
+    slots: f64,
+    limit: f64,
+    floor_us: f64,
+    latency_us: f64,
+}
+
+impl<const WEIGHT: u32> Law for Gradient<WEIGHT> {
+    fn new(size: TargetSize) -> Self {
+        Self {
+            slots: f64::from(size.slot_count),
+            limit: MIN_LIMIT,
+            floor_us: f64::MAX,
+            latency_us: 0.0,
+        }
+    }
+
+    fn count(&self) -> u32 {
+        self.limit as u32
+    }
+
+    fn started(&mut self, _running_count: u32) {}
+
+    fn ended(&mut self, started_us: u64, _cut_short: bool, now_us: u64) {
+        let sample_us = (now_us - started_us) as f64;
+        if self.latency_us == 0.0 {
+            self.latency_us = sample_us;
+        }
+        self.latency_us += (sample_us - self.latency_us) / 40.0;
+        let weight = f64::from(WEIGHT) / 1_000_000.0;
+        self.floor_us = if self.latency_us < self.floor_us {
+            self.latency_us
+        } else {
+            self.floor_us + (self.latency_us - self.floor_us) * weight
+        };
+        let gradient = (1.5 * self.floor_us / self.latency_us).clamp(0.5, 1.0);
+        let wanted = self.limit * gradient + self.limit.sqrt();
+        self.limit = (self.limit + (wanted - self.limit) * 0.05).clamp(MIN_LIMIT, self.slots);
+    }
+
+    fn tick(&mut self, _now_us: u64) {}
+}
+
+/// Starts up to the law's limit and refuses the rest; saturated throughout.
+struct Limited<L> {
+    law: L,
+    running: Arena<TicketKey, u64>,
+}
+
+impl<L: Law> AdmissionPolicy for Limited<L> {
+    fn new(size: TargetSize) -> Self {
+        Self {
+            law: L::new(size),
+            running: Arena::new(),
+        }
+    }
+
+    fn set_size(&mut self, _size: TargetSize, _restarted: bool, _now_us: u64) {}
+
+    fn arrive(&mut self, _arrival: Arrival, now_us: u64, out: &mut Vec<Decision>) -> TicketKey {
+        let ticket = self.running.insert(now_us);
+        let running_count = u32::try_from(self.running.len()).expect("fits");
+        if running_count > self.law.count() {
+            self.running.remove(ticket);
+            out.push(Decision::Refuse(
+                ticket,
+                Refusal::not_run(Reason::Overloaded),
+            ));
+        } else {
+            self.law.started(running_count);
+            out.push(Decision::Start(ticket));
+        }
+        ticket
+    }
+
+    fn withdraw(&mut self, _ticket: TicketKey, _now_us: u64, _out: &mut Vec<Decision>) {}
+
+    fn end(
+        &mut self,
+        ticket: TicketKey,
+        result: TargetResult,
+        now_us: u64,
+        _out: &mut Vec<Decision>,
+    ) {
+        if let Some(started_us) = self.running.remove(ticket) {
+            let cut_short = result == TargetResult::Cancelled;
+            self.law.ended(started_us, cut_short, now_us);
+        }
+    }
+
+    fn tick(&mut self, now_us: u64, _out: &mut Vec<Decision>) {
+        self.law.tick(now_us);
+    }
+
+    fn report(&mut self, _report: LoadReport) {}
+
+    fn drain(&mut self, _now_us: u64, _out: &mut Vec<Decision>) {}
+
+    fn level(&self, _now_us: u64) -> AdmissionLevel {
+        AdmissionLevel::idle()
+    }
+
+    fn running_count(&self) -> usize {
+        self.running.len()
+    }
+
+    fn waiting_count(&self) -> usize {
+        0
+    }
+}
+
+struct Case {
+    name: &'static str,
+    real_slots: usize,
+    announced_slots: u32,
+    service_ms: f64,
+}
+
+const CASES: &[Case] = &[
+    Case {
+        name: "20 slots",
+        real_slots: 20,
+        announced_slots: 20,
+        service_ms: 50.0,
+    },
+    Case {
+        name: "20 slots, 80 announced",
+        real_slots: 20,
+        announced_slots: 80,
+        service_ms: 50.0,
+    },
+    Case {
+        name: "150 slots",
+        real_slots: 150,
+        announced_slots: 150,
+        service_ms: 50.0,
+    },
+    Case {
+        name: "150 slots, 300 announced",
+        real_slots: 150,
+        announced_slots: 300,
+        service_ms: 50.0,
+    },
+    Case {
+        name: "40 slots of 5 ms",
+        real_slots: 40,
+        announced_slots: 40,
+        service_ms: 5.0,
+    },
+];
+const SLOWDOWN: f64 = 5.0;
+
+impl Case {
+    fn capacity_per_s(&self) -> f64 {
+        self.real_slots as f64 * 1000.0 / self.service_ms
+    }
+
+    fn scenario(&self, seed: u64) -> Scenario {
+        Scenario {
+            real_slots: self.real_slots,
+            announced_slots: self.announced_slots,
+            service_ms: self.service_ms,
+            slowdown: SLOWDOWN,
+            slow_from_s: 10,
+            slow_until_s: 40,
+            until_s: 50,
+            streams: vec![Stream {
+                class: Class::Standard,
+                workspace: 0,
+                rate_per_s: self.capacity_per_s() * 2.0,
+                surge: 1.0,
+                deadline_ms: 5000,
+            }],
+            report: Report::None,
+            seed,
+        }
+    }
+}
+
+/// Goodput over capacity before, in and after the slow spell, and requests
+/// that waited inside the target in it.
+fn measure<L: Law>(name: &str, case: &Case, seed: u64) -> [f64; 4] {
+    let (journal, _) = run::<Limited<L>>(case.scenario(seed));
+    let share = |journal: &Journal, from_s: u64, until_s: u64, capacity: f64| {
+        let whole = journal.whole_in(from_s, until_s, |_, _| true);
+        f64::from(whole) / (until_s - from_s) as f64 / capacity
+    };
+    let capacity = case.capacity_per_s();
+    let figures = [
+        share(&journal, 5, 10, capacity),
+        share(&journal, 10, 40, capacity / SLOWDOWN),
+        share(&journal, 45, 50, capacity),
+        journal.mean_target_waiting(25, 40),
+    ];
+    println!(
+        "{}; {name}; seed {seed}; normal {:.2}, slow {:.2}, after {:.2}, waiting in target {:.1}",
+        case.name, figures[0], figures[1], figures[2], figures[3]
+    );
+    figures
+}
+
+/// A saturated target becomes five times slower. A limit that takes this for
+/// waiting leaves most slots idle; one that believes in the announced slots
+/// lets requests wait in the target, out of reach of priorities.
+#[test]
+fn the_limit_keeps_slots_busy_and_the_targets_queue_short() {
+    for case in CASES {
+        for seed in 1..=3 {
+            if seed == 1 {
+                measure::<Fixed>("fixed", case, seed);
+                measure::<Gradient<0>>("gradient, fixed floor", case, seed);
+                measure::<Gradient<2000>>("gradient, rising floor", case, seed);
+            }
+            let [normal, slow, after, waiting] = measure::<ConcurrencyLimit>("trials", case, seed);
+            assert!(normal >= 0.85, "{}: normal {normal}", case.name);
+            assert!(slow >= 0.85, "{}: slow {slow}", case.name);
+            assert!(after >= 0.85, "{}: after {after}", case.name);
+            let most = case.real_slots as f64 * 0.5;
+            assert!(waiting <= most, "{}: {waiting}", case.name);
+        }
+    }
+}
