--- a/tests/quota_property.rs
+++ b/tests/quota_property.rs
@@ -455,6 +455,21 @@
     }
 }
 
+/// A node's demand grows, so that it borrows ahead; it falls silent while the
+/// shares fill up; then every node wants all it can get.
+fn hostile_load(random: &mut StdRng, now_us: u64, rate: Rate) -> Vec<usize> {
+    let period = now_us / 2_500_000;
+    let phase_ms = now_us / 1000 % 2500;
+    let silence_ms = 100 + period * 397 % 900;
+    let busy = usize::try_from(period % 8).expect("small");
+    if phase_ms < 900 {
+        let is_due = random.random_range(0..1000) < rate.rate_per_s;
+        return if is_due { vec![busy] } else { vec![] };
+    }
+    let is_flood = (900 + silence_ms..1300 + silence_ms).contains(&phase_ms);
+    if is_flood { (0..8).collect() } else { vec![] }
+}
+
 #[test]
 fn no_window_exceeds_rate_and_burst() {
     let cases = [
@@ -468,6 +483,16 @@
             },
             rate: rate(200, 100),
         },
+        Case {
+            name: "slow and lossy network",
+            faults: Faults {
+                loss_percent: 40,
+                double_percent: 20,
+                slow_percent: 50,
+                ..KIND
+            },
+            rate: rate(400, 200),
+        },
         Case {
             name: "pauses",
             faults: Faults {
@@ -521,13 +546,7 @@
         for seed in 0..6 {
             let mut world = World::new(seed, 8, case.rate, case.faults);
             world.run(20_000, |random, now_us| {
-                let busy = usize::try_from(now_us / 700_000 % 8).expect("small");
-                let other = random.random_range(0..8);
-                if random.random_range(0..8) == 0 {
-                    vec![busy; 12]
-                } else {
-                    vec![busy, other]
-                }
+                hostile_load(random, now_us, case.rate)
             });
             let violations = window_violations(&world.admissions, case.rate);
             assert_eq!(violations.first(), None, "{} seed {seed}", case.name);
