--- a/src/freshness/mod.rs
+++ b/src/freshness/mod.rs
@@ -1,8 +1,12 @@
 //! How much a node may rely on what it knows of the platform.
 
+mod task;
 mod tracker;
 
-pub use tracker::{FreshnessTracker, Snapshot};
+pub use {
+    task::{FreshnessInputs, Heard, spawn},
+    tracker::{FreshnessTracker, Snapshot},
+};
 
 /// Greatest age of a confirmed look at the platform that still counts.
 pub const FRESH_LIMIT_MS: u64 = 3000;
--- /dev/null
+++ b/src/freshness/task.rs
@@ -0,0 +1,108 @@
+//! Keeps the freshness state up to date.
+
+use {
+    super::{Freshness, FreshnessTracker, Snapshot},
+    crate::{
+        documents::Versions,
+        event,
+        events::Event,
+        membership::{PeerStamp, View},
+        slices::SliceTable,
+        timer::Timer,
+    },
+    std::sync::Arc,
+    tokio::sync::{mpsc, watch},
+};
+
+/// Time between two looks at what was heard.
+const PERIOD_MS: u64 = 50;
+
+/// What the state follows from, as it comes in.
+#[derives::value]
+pub enum Heard {
+    /// A member's reply to a probe of this node.
+    Reply(PeerStamp),
+    /// This node looked at the platform and holds what it saw; begun at this
+    /// monotonic time.
+    Platform {
+        /// When the look was begun.
+        asked_ms: u64,
+    },
+}
+
+/// What the task reads.
+pub struct FreshnessInputs {
+    /// Ticks.
+    pub timer: Timer,
+    /// Replies and own looks.
+    pub heard: mpsc::Receiver<Heard>,
+    /// Members.
+    pub view: watch::Receiver<Arc<View>>,
+    /// Versions of the documents held.
+    pub versions: watch::Receiver<Versions>,
+    /// The slice table held.
+    pub table: watch::Receiver<Option<Arc<SliceTable>>>,
+}
+
+/// Starts the task; it ends with the timer.
+///
+/// Gives the state, and the last confirmed look for replies to probes.
+#[must_use]
+pub fn spawn(
+    mut tracker: FreshnessTracker,
+    mut inputs: FreshnessInputs,
+) -> (watch::Receiver<Snapshot>, watch::Receiver<Option<u64>>) {
+    let (snapshots, snapshot) = watch::channel(Snapshot::cut_off());
+    let (looks, look) = watch::channel(None);
+    tokio::spawn(async move {
+        let mut ticks = inputs.timer.subscribe(PERIOD_MS);
+        let mut state = Freshness::CutOff;
+        loop {
+            tokio::select! {
+                tick = ticks.next() => if tick.is_none() { return },
+                Some(heard) = inputs.heard.recv() => take_in(&mut tracker, heard),
+            }
+            while let Ok(heard) = inputs.heard.try_recv() {
+                take_in(&mut tracker, heard);
+            }
+            tracker.hold_versions(*inputs.versions.borrow_and_update());
+            observe_zones(&mut tracker, &mut inputs);
+            let next = tracker.snapshot(inputs.timer.now_ms());
+            if next.freshness != state {
+                event!(
+                    Event::FreshnessChanged,
+                    "from={state:?} to={:?}",
+                    next.freshness
+                );
+                state = next.freshness;
+            }
+            snapshots.send_if_modified(|held| replace(held, next));
+            looks.send_if_modified(|held| replace(held, tracker.confirmed_ms()));
+        }
+    });
+    (snapshot, look)
+}
+
+fn take_in(tracker: &mut FreshnessTracker, heard: Heard) {
+    match heard {
+        Heard::Reply(stamp) => tracker.reply(&stamp),
+        Heard::Platform { asked_ms } => tracker.platform_seen(asked_ms),
+    }
+}
+
+fn observe_zones(tracker: &mut FreshnessTracker, inputs: &mut FreshnessInputs) {
+    let is_old = |changed: Result<bool, _>| !changed.unwrap_or(false);
+    if is_old(inputs.view.has_changed()) && is_old(inputs.table.has_changed()) {
+        return;
+    }
+    let view = inputs.view.borrow_and_update();
+    let table = inputs.table.borrow_and_update();
+    let slots = table.iter().flat_map(|table| table.slots());
+    tracker.observe_zones(&view, slots.map(|slot| slot.zone.as_str()));
+}
+
+fn replace<T: PartialEq>(held: &mut T, next: T) -> bool {
+    let is_changed = *held != next;
+    *held = next;
+    is_changed
+}
--- a/src/freshness/tracker.rs
+++ b/src/freshness/tracker.rs
@@ -20,6 +20,10 @@
     pub freshness: Freshness,
     /// Monotonic time from which it must be taken for [`Freshness::CutOff`].
     pub valid_until_ms: u64,
+    /// Monotonic time until which quota slices may be used: these are taken
+    /// over from inside the own zone only, so a zone that is cut off as a
+    /// whole goes on.
+    pub quota_until_ms: u64,
 }
 
 impl Snapshot {
@@ -29,9 +33,16 @@
         Self {
             freshness: Freshness::CutOff,
             valid_until_ms: 0,
+            quota_until_ms: 0,
         }
     }
 
+    /// Whether quota slices may be used at `now_ms`.
+    #[must_use]
+    pub const fn allows_quota(self, now_ms: u64) -> bool {
+        now_ms < self.quota_until_ms
+    }
+
     /// The state at `now_ms`.
     #[must_use]
     pub const fn at(self, now_ms: u64) -> Freshness {
@@ -151,19 +162,40 @@
             return Snapshot {
                 freshness: Freshness::Fresh,
                 valid_until_ms: confirmed_ms + FRESH_LIMIT_MS,
+                quota_until_ms: confirmed_ms + FRESH_LIMIT_MS,
             };
         }
+        let quota_until_ms = self.own_zone_until_ms(now_ms).unwrap_or(0);
         match self.store_down_until_ms(now_ms) {
             Some(valid_until_ms) if now_ms < valid_until_ms => Snapshot {
                 freshness: Freshness::StoreDown,
                 valid_until_ms,
+                quota_until_ms,
+            },
+            _ => Snapshot {
+                quota_until_ms,
+                ..Snapshot::cut_off()
             },
-            _ => Snapshot::cut_off(),
         }
     }
 
+    /// Until when the own zone's silence about the platform counts.
+    fn own_zone_until_ms(&self, now_ms: u64) -> Option<u64> {
+        let is_own = |stamp: &&PeerStamp| stamp.zone == self.zone;
+        let stamps = self.stamps.values().filter(is_own);
+        let holds_table = self.versions.of(DocumentKind::Slices) > 0;
+        if !holds_table || any_fresh(stamps, now_ms) {
+            return None;
+        }
+        if !self.own_zone_has_others {
+            return Some(now_ms + REPLY_LIMIT_MS);
+        }
+        let reply = self.replies.get(&self.zone)?;
+        Some(reply.probe_sent_ms + REPLY_LIMIT_MS)
+    }
+
     fn store_down_until_ms(&self, now_ms: u64) -> Option<u64> {
-        if self.versions.of(DocumentKind::Slices) == 0 || self.others_are_fresh(now_ms) {
+        if self.versions.of(DocumentKind::Slices) == 0 || any_fresh(self.stamps.values(), now_ms) {
             return None;
         }
         let own_zone = self.own_zone_has_others.then_some(&self.zone);
@@ -173,13 +205,14 @@
             .try_fold(now_ms, |oldest, sent_ms| Some(oldest.min(sent_ms?)))?;
         Some(oldest + REPLY_LIMIT_MS)
     }
+}
 
-    /// Someone reached the platform and knows more than this node does.
-    fn others_are_fresh(&self, now_ms: u64) -> bool {
-        let seen = self.stamps.values().filter_map(|s| s.platform_seen_ms);
-        seen.max()
-            .is_some_and(|seen_ms| now_ms < seen_ms + FRESH_LIMIT_MS)
-    }
+/// Someone reached the platform and knows more than this node does.
+fn any_fresh<'a>(mut stamps: impl Iterator<Item = &'a PeerStamp>, now_ms: u64) -> bool {
+    stamps.any(|stamp| {
+        let seen_ms = stamp.platform_seen_ms;
+        seen_ms.is_some_and(|seen_ms| now_ms < seen_ms + FRESH_LIMIT_MS)
+    })
 }
 
 fn covers(versions: &Versions, stamp: &PeerStamp) -> bool {
--- a/src/guard/mod.rs
+++ b/src/guard/mod.rs
@@ -1,10 +1,14 @@
 //! At most one execution for each idempotency key.
 
+mod home;
 mod table;
 
-pub use table::{
-    CLOCK_MARGIN_MS, GuardTable, GuardTime, History, KeyedRequest, MAX_ANSWER_BYTES,
-    MAX_RECORD_COUNT, RETENTION_MS,
+pub use {
+    home::GuardHome,
+    table::{
+        CLOCK_MARGIN_MS, GuardTable, GuardTime, History, KeyedRequest, MAX_ANSWER_BYTES,
+        MAX_RECORD_COUNT, RETENTION_MS,
+    },
 };
 
 use crate::{
