Run quota and the slice table in a node

LeasedQuota admits from local tokens and asks the bank once on a shortage. The slice task releases before it writes, repeats a write whose answer was lost until its fate is known, and hands keys over afterwards.

--- a/src/quota/mod.rs
+++ b/src/quota/mod.rs
@@ -2,16 +2,19 @@
 
 mod bank;
 mod bucket;
+mod gate;
 mod ledger;
 pub mod limits;
 mod messages;
 mod owner;
 mod purse;
+mod route;
 mod violations;
 
 pub use {
     bank::Bank,
     bucket::{Bucket, capacity},
+    gate::{LeasedQuota, QuotaInputs, Rates, spawn},
     messages::{BorrowAnswer, BorrowAsk, LeaseAnswer, LeaseAsk, Process},
     owner::QuotaOwner,
     purse::Purse,
--- a/src/slices/mod.rs
+++ b/src/slices/mod.rs
@@ -5,6 +5,8 @@
 mod share;
 mod steps;
 mod table;
+mod task;
+mod writer;
 
 pub use {
     codec::SlicesError,
@@ -12,6 +14,8 @@
     share::{KEY_OWNERS_PER_ZONE, QUOTA_OWNERS_PER_ZONE},
     steps::{Moved, Step},
     table::{Owner, Section, SliceTable, Slot, SlotKey},
+    task::{SliceInputs, spawn},
+    writer::{DocumentWriter, WriteResult},
 };
 
 /// Slices of each section; never changes while a fleet lives.
