--- a/src/rpc/mod.rs
+++ b/src/rpc/mod.rs
@@ -9,12 +9,14 @@
 mod codec;
 mod connection;
 mod counters;
+mod handlers;
 mod server;
 mod thread;
 
 pub use {
     client::{RpcClient, RpcError, channel},
     counters::{CallCount, CallKind, RpcCounters},
+    handlers::{DocumentSource, NodeHandlers},
     thread::{RpcConfig, spawn},
 };
 
--- a/src/rpc/thread.rs
+++ b/src/rpc/thread.rs
@@ -118,7 +118,7 @@
         tokio::task::spawn_local(async move { connections.serve(call).await });
     }
     // Nobody calls any more; the node may still be asked.
-    std::future::pending().await
+    std::future::pending::<()>().await;
 }
 
 async fn accept<H: Handlers>(listener: TcpListener, shared: Rc<Shared<H>>) {
@@ -166,7 +166,7 @@
 async fn stays_outside(entered: Rc<Cell<bool>>) {
     tokio::time::sleep(Duration::from_millis(ENTER_LIMIT_MS)).await;
     if entered.get() {
-        std::future::pending().await
+        std::future::pending::<()>().await;
     }
 }
 
--- a/src/slices/task.rs
+++ b/src/slices/task.rs
@@ -29,7 +29,7 @@
 const REWRITE_PAUSE_MS: u64 = 200;
 
 /// Tries to hand a slice's keys over; the next home answers `unknown` without.
-const HANDOVER_TRIES: u32 = 5;
+const HANDOVER_TRIES: u32 = 20;
 
 /// Pause between these tries; the next home must see the table first.
 const HANDOVER_PAUSE_MS: u64 = 300;
@@ -145,8 +145,9 @@
         }
         let table = SliceTable::new(self.inputs.own.clone());
         let result = self.write(0, &table).await;
-        // A lost answer is resolved by the next look: a table of the first
-        // epoch that names this slot was written by it.
+        // After a lost answer the next look may show this table. Whether this
+        // process wrote it or an earlier one of the slot, which may have run
+        // keys since, cannot be told then; its past counts as unknown.
         if let WriteResult::Written(version) = result {
             self.inputs.guard.created_fleet();
             self.follow(version, table);
@@ -285,21 +286,36 @@
 
 async fn send(client: RpcClient, address: SocketAddr, mut handovers: Vec<Handover>) {
     for _ in 0..HANDOVER_TRIES {
-        let mut left = Vec::new();
-        for handover in handovers {
-            let taken = client.hand_over(address, handover.clone()).await;
-            if !taken.unwrap_or(false) {
-                left.push(handover);
-            }
-        }
-        if left.is_empty() {
+        handovers = send_once(&client, address, handovers).await;
+        if handovers.is_empty() {
             return;
         }
-        handovers = left;
         tokio::time::sleep(Duration::from_millis(HANDOVER_PAUSE_MS)).await;
     }
 }
 
+/// Returns what was not taken; stops at the first call without an answer.
+async fn send_once(
+    client: &RpcClient,
+    address: SocketAddr,
+    handovers: Vec<Handover>,
+) -> Vec<Handover> {
+    let mut left = Vec::new();
+    let mut handovers = handovers.into_iter();
+    while let Some(handover) = handovers.next() {
+        match client.hand_over(address, handover.clone()).await {
+            Ok(true) => {}
+            Ok(false) => left.push(handover),
+            Err(_) => {
+                left.push(handover);
+                left.extend(handovers);
+                return left;
+            }
+        }
+    }
+    left
+}
+
 fn log_steps(steps: &[Step]) {
     for step in steps {
         match step {
--- a/tests/guard_property.rs
+++ b/tests/guard_property.rs
@@ -170,7 +170,7 @@
             }
             Step::Take { node } => self.take(usize::from(node) % NODE_COUNT),
             Step::Give { to, takes_effect } => {
-                self.give(usize::from(to) % NODE_COUNT, takes_effect)
+                self.give(usize::from(to) % NODE_COUNT, takes_effect);
             }
             Step::Deliver { handover } => self.deliver(handover),
             Step::Restart { node } => self.restart(usize::from(node) % NODE_COUNT),
--- a/tests/quota_property.rs
+++ b/tests/quota_property.rs
@@ -180,7 +180,7 @@
         members.next().expect("the node itself is in it")
     }
 
-    fn send(&mut self, from: usize, to: usize, message: Message) {
+    fn send(&mut self, from: usize, to: usize, message: &Message) {
         self.message_count += 1;
         let copies = if self.chance_percent(self.faults.double_percent) {
             2
@@ -247,7 +247,7 @@
                 let answer = node.owner.lease(&ask, rate, now_us);
                 let sent_us = envelope.sent_us;
                 if self.nodes[from].process == envelope.process {
-                    self.send(to, from, Message::LeaseAnswer { sent_us, answer });
+                    self.send(to, from, &Message::LeaseAnswer { sent_us, answer });
                 }
             }
             Message::LeaseAnswer { sent_us, answer } => {
@@ -274,7 +274,7 @@
                 }
                 let node = &mut self.nodes[to];
                 let answer = node.bank.borrow(&ask, rate, now_us);
-                self.send(to, from, Message::BorrowAnswer { call, answer });
+                self.send(to, from, &Message::BorrowAnswer { call, answer });
             }
             Message::BorrowAnswer { call, answer } => {
                 let place = node.calls.iter().position(|held| held.number == call);
@@ -349,7 +349,7 @@
                 given_up: false,
             });
             let bank = self.bank_of(node);
-            self.send(node, bank, Message::BorrowAsk { ask, call: number });
+            self.send(node, bank, &Message::BorrowAsk { ask, call: number });
         }
         self.renew(node);
         let (rate, state) = (self.rate, &mut self.nodes[node]);
@@ -376,7 +376,7 @@
                 workspace: WORKSPACE,
                 bank: bank.clone(),
             };
-            self.send(node, owner, Message::LeaseAsk(ask));
+            self.send(node, owner, &Message::LeaseAsk(ask));
         }
     }
 
