--- a/src/slices/plan.rs
+++ b/src/slices/plan.rs
@@ -213,9 +213,15 @@
     let table = observed.table;
     let shares = shares(table, observed.view, section);
     let counts = table.counts(section);
-    let count_of = |node_id: &str| table.find(node_id).map_or(0, |slot| counts[slot.index()]);
+    let slots = table.slots().iter().zip(&counts);
+    let have: HashMap<&str, usize> = slots
+        .map(|(s, count)| (s.node_id.as_str(), *count))
+        .collect();
     let needs = shares.iter().filter_map(|share| {
-        let have_count = count_of(&share.member.node_id);
+        let have_count = have
+            .get(share.member.node_id.as_str())
+            .copied()
+            .unwrap_or(0);
         let slice_count = share.slice_count.checked_sub(have_count)?;
         (slice_count > tolerance(share.slice_count, have_count)).then_some(Need {
             member: share.member,
--- a/src/slices/share.rs
+++ b/src/slices/share.rs
@@ -6,7 +6,7 @@
         table::{Section, SliceTable},
     },
     crate::membership::{Member, View},
-    std::collections::BTreeMap,
+    std::collections::{BTreeMap, HashSet},
     xxhash_rust::xxh3::xxh3_64,
 };
 
@@ -55,13 +55,13 @@
         Section::Quota => QUOTA_OWNERS_PER_ZONE,
         Section::Keys => KEY_OWNERS_PER_ZONE,
     };
-    let counts = table.counts(section);
-    let owns = |member: &Member| {
-        table
-            .find(&member.node_id)
-            .is_some_and(|s| counts[s.index()] > 0)
-    };
-    members.sort_by_cached_key(|member| (!owns(member), xxh3_64(member.node_id.as_bytes())));
+    let counts = table.slots().iter().zip(table.counts(section));
+    let owning = counts.filter(|(_, count)| *count > 0);
+    let owning: HashSet<&str> = owning.map(|(slot, _)| slot.node_id.as_str()).collect();
+    members.sort_by_cached_key(|member| {
+        let is_new = !owning.contains(member.node_id.as_str());
+        (is_new, xxh3_64(member.node_id.as_bytes()))
+    });
     members.truncate(limit);
 }
 
--- a/tests/freshness.rs
+++ b/tests/freshness.rs
@@ -54,6 +54,7 @@
     c_state: MemberState,
     replies: Vec<Reply>,
     expected: Freshness,
+    allows_quota: bool,
 }
 
 #[test]
@@ -65,6 +66,7 @@
         c_state: MemberState::Alive,
         replies: vec![],
         expected: Freshness::CutOff,
+        allows_quota: false,
     };
     let all_without_look = || {
         vec![
@@ -79,6 +81,7 @@
             name: "own look",
             own_look_age_ms: Some(FRESH_LIMIT_MS - 1),
             expected: Freshness::Fresh,
+            allows_quota: true,
             ..base()
         },
         Case {
@@ -90,6 +93,7 @@
             name: "look of another",
             replies: vec![reply("b1", "b", Some(500))],
             expected: Freshness::Fresh,
+            allows_quota: true,
             ..base()
         },
         Case {
@@ -104,17 +108,20 @@
             name: "all zones answer and none reaches the platform",
             replies: all_without_look(),
             expected: Freshness::StoreDown,
+            allows_quota: true,
             ..base()
         },
         Case {
             name: "a zone does not answer",
             replies: vec![reply("a2", "a", None), reply("b1", "b", None)],
+            allows_quota: true,
             ..base()
         },
         Case {
             name: "a zone that does not answer and is taken for dead",
             c_state: MemberState::Dead,
             replies: vec![reply("a2", "a", None), reply("b1", "b", None)],
+            allows_quota: true,
             ..base()
         },
         Case {
@@ -122,6 +129,21 @@
             c_state: MemberState::Left,
             replies: vec![reply("a2", "a", None), reply("b1", "b", None)],
             expected: Freshness::StoreDown,
+            allows_quota: true,
+            ..base()
+        },
+        Case {
+            name: "only the own zone answers",
+            replies: vec![reply("a2", "a", None)],
+            allows_quota: true,
+            ..base()
+        },
+        Case {
+            name: "a zone mate knows a newer table",
+            replies: vec![Reply {
+                slices_version: 7,
+                ..reply("a2", "a", Some(500))
+            }],
             ..base()
         },
         Case {
@@ -139,6 +161,7 @@
                     ..reply("c1", "c", None)
                 },
             ],
+            allows_quota: true,
             ..base()
         },
         Case {
@@ -170,6 +193,7 @@
                 });
                 replies
             },
+            allows_quota: true,
             ..base()
         },
     ];
@@ -196,12 +220,10 @@
                 probe_sent_ms: NOW_MS - reply.probe_age_ms,
             });
         }
-        assert_eq!(
-            tracker.snapshot(NOW_MS).freshness,
-            case.expected,
-            "{}",
-            case.name
-        );
+        let snapshot = tracker.snapshot(NOW_MS);
+        assert_eq!(snapshot.freshness, case.expected, "{}", case.name);
+        let allows_quota = snapshot.allows_quota(NOW_MS);
+        assert_eq!(allows_quota, case.allows_quota, "{}", case.name);
     }
 }
 
--- a/tests/quota_property.rs
+++ b/tests/quota_property.rs
@@ -604,6 +604,28 @@
     }
 }
 
+/// A workspace sends six times its rate at all nodes. It gets its rate and
+/// burst, no more and hardly less, and its refusals cost few messages.
+#[test]
+fn an_offender_gets_its_rate_at_little_cost() {
+    for node_count in [16, 48] {
+        let rate = rate(500, 500);
+        let mut world = World::new(3, node_count, rate, KIND);
+        world.run(WARM_UP_MS, |_, _| vec![]);
+        world.message_count = 0;
+        world.run(10_000, move |random, _| {
+            (0..3).map(|_| random.random_range(0..node_count)).collect()
+        });
+        assert_eq!(window_violations(&world.admissions, rate), []);
+        let admitted_count = world.admissions.len();
+        let per_node_s = world.message_count as f64 / 10.0 / node_count as f64;
+        println!(
+            "{node_count} nodes: {admitted_count} of 5500 admitted, {per_node_s:.2} messages/s a node"
+        );
+        assert!(admitted_count > 5500 * 95 / 100);
+    }
+}
+
 #[test]
 fn the_check_finds_a_window_that_is_exceeded() {
     let cases = [
