--- a/src/documents/follower.rs
+++ b/src/documents/follower.rs
@@ -20,6 +20,7 @@
         timer::Timer,
     },
     futures::{StreamExt, stream},
+    rand::Rng,
     std::{sync::Arc, time::Duration},
     tokio::{
         sync::{broadcast, mpsc, watch},
@@ -32,7 +33,8 @@
 const FETCH_ATTEMPTS: usize = 4;
 const HINT_LIMIT: Duration = Duration::from_millis(500);
 const HINTS_AT_ONCE: usize = 16;
-const NOT_READY_REPORT_MS: u64 = 10_000;
+const NOT_READY_REPORT_MS: u64 = 3_000;
+const START_DELAY_MS: u64 = 300;
 
 /// Calls to other members.
 pub trait Neighbours: Clone + Send + Sync + 'static {
@@ -151,18 +153,29 @@
     let shutdown = parts.shutdown;
     let wanted = std::array::from_fn(|_| watch::channel(None).0);
     for kind in DocumentKind::ALL {
-        spawn_until(&shutdown, WatchTask::new(shared.clone(), kind).run());
+        let watching = WatchTask::new(shared.clone(), kind).run();
+        spawn_until(&shutdown, after_start_delay(watching));
         let wanted = wanted[kind.index()].subscribe();
         let fetching = fetch_wanted(shared.clone(), parts.neighbours.clone(), kind, wanted);
         spawn_until(&shutdown, fetching);
     }
-    spawn_until(&shutdown, LookTask::new(shared.clone()).run());
+    let looking = LookTask::new(shared.clone()).run();
+    spawn_until(&shutdown, after_start_delay(looking));
     spawn_until(&shutdown, push_hints(shared.clone(), parts.neighbours));
     spawn_until(&shutdown, report_not_ready(shared.clone()));
     spawn_until(&shutdown, listen(shared, parts.stamps, parts.hints, wanted));
     receiver
 }
 
+// A node that knows no other member yet takes itself for its zone's relay. A
+// fleet that starts as a whole would meet the platform with calls from every
+// node at the same time; by the end of the delay most have met.
+async fn after_start_delay(task: impl Future<Output = ()>) {
+    let jitter_ms = rand::rng().random_range(0..START_DELAY_MS);
+    tokio::time::sleep(Duration::from_millis(START_DELAY_MS + jitter_ms)).await;
+    task.await;
+}
+
 fn spawn_until(shutdown: &CancellationToken, task: impl Future<Output = ()> + Send + 'static) {
     let shutdown = shutdown.clone();
     tokio::spawn(async move {
@@ -304,31 +317,15 @@
 async fn report_not_ready(shared: Shared) {
     let mut configuration = shared.store.subscribe(DocumentKind::Configuration);
     let mut ticks = shared.timer.subscribe(NOT_READY_REPORT_MS);
-    let mut first = shared
-        .timer
-        .subscribe(2 * crate::documents::look::LOOK_PERIOD_MS);
-    let mut is_first = true;
     loop {
-        let next = async {
-            if is_first {
-                first.next().await
-            } else {
-                ticks.next().await
-            }
-        };
         tokio::select! {
-            has_one = configuration.wait_for(Option::is_some) => {
-                let _ = has_one;
-                return;
-            }
-            tick = next => if tick.is_none() { return },
+            _ = configuration.wait_for(Option::is_some) => break,
+            tick = ticks.next() => if tick.is_none() { break },
         }
-        is_first = false;
-        let known_count = shared.view.borrow().members.len();
+        let member_count = shared.view.borrow().members.len();
         event!(
             Event::NodeNotReady,
-            "waits for a configuration: the platform gave none and none of {} known members has one",
-            known_count
+            "waits for a configuration: neither the platform nor a member gave one, members={member_count}"
         );
     }
 }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -4,10 +4,11 @@
 
 use {
     dogwoodbridge::{
+        backoff::Backoff,
         documents::{DocumentKind, DocumentWriter, WriteResult},
         platform::{MAX_OBJECT_BYTES, Platform, PlatformError, Watched, Write},
     },
-    std::{net::IpAddr, time::Duration},
+    std::{collections::HashSet, net::IpAddr, time::Duration},
     support::{FakePlatform, Faults},
     tokio::time::timeout,
 };
@@ -270,3 +271,23 @@
     platform.read(NAME).await.expect("answers");
     assert_eq!(fake.peers()[0].ip(), own);
 }
+
+// All nodes lose the platform at the same time. Were their delays equal, they
+// would come back at the same time as well and keep it down.
+#[test]
+fn delays_grow_up_to_a_limit_and_differ() {
+    let mut backoff = Backoff::new(100, 1_000);
+    for step_ms in [100, 200, 400, 800, 1_000, 1_000] {
+        let delay_ms = backoff.next_delay().as_millis();
+        assert!(
+            (step_ms / 2..=step_ms).contains(&delay_ms),
+            "{delay_ms} of {step_ms}"
+        );
+    }
+    backoff.reset();
+    assert!(backoff.next_delay().as_millis() <= 100);
+    let delays: HashSet<u128> = (0..100)
+        .map(|_| Backoff::new(10_000, 10_000).next_delay().as_millis())
+        .collect();
+    assert!(delays.len() > 10);
+}
