Run scenarios without nodes, as the lowest baseline and to test the runner

Cause: the runner had only been tested in parts, and what unprotected targets do under the same load is a baseline of its own. Change: without_nodes = true sends the load straight to the targets.

--- a/lab/src/mesh/instance.rs
+++ b/lab/src/mesh/instance.rs
@@ -36,6 +36,16 @@
         SocketAddr::new(self.ip, dogwoodbridge::settings::ports::CALLER)
     }
 
+    /// Where load goes: to the node, or to the target if there is no node.
+    #[must_use]
+    pub fn entry_address(&self) -> SocketAddr {
+        if self.node.is_some() {
+            self.caller_address()
+        } else {
+            self.target_address()
+        }
+    }
+
     /// Where operators reach the node.
     #[must_use]
     pub fn control_address(&self) -> SocketAddr {
--- a/lab/src/scenario/conf.rs
+++ b/lab/src/scenario/conf.rs
@@ -25,6 +25,10 @@
     /// Whether nodes reach each other through the fault proxy.
     #[serde(default)]
     pub behind_proxy: bool,
+    /// Whether callers call targets directly, to see what the same load does
+    /// without nodes. Targets then make no downstream calls.
+    #[serde(default)]
+    pub without_nodes: bool,
     /// Flags of all nodes.
     #[serde(default)]
     pub node_flags: Vec<String>,
--- a/lab/src/scenario/read.rs
+++ b/lab/src/scenario/read.rs
@@ -71,17 +71,24 @@
             };
             std::iter::repeat_n(instance, group.count)
         });
+        MeshConf {
+            instances: instances.collect(),
+            files: self.published_files(),
+            behind_proxy: self.behind_proxy,
+            without_nodes: self.without_nodes,
+        }
+    }
+
+    fn published_files(&self) -> Vec<ConfFile> {
+        if self.without_nodes {
+            return Vec::new();
+        }
         let mut files = self.files.clone();
         files.push(ConfFile {
             name: "workspaces.toml".to_owned(),
             text: self.workspaces_file(),
         });
-        MeshConf {
-            instances: instances.collect(),
-            files,
-            behind_proxy: self.behind_proxy,
-            without_nodes: false,
-        }
+        files
     }
 
     /// When the last cause of trouble ends, since the start of the load:
--- a/lab/src/scenario/run.rs
+++ b/lab/src/scenario/run.rs
@@ -6,13 +6,14 @@
         LabError,
         load::{Generator, Original, Stream},
         measure::{Evidence, ScenarioResult, read_journals},
-        mesh::Mesh,
+        mesh::{Instance, Mesh},
     },
     std::{collections::BTreeMap, net::SocketAddr, time::Duration},
     tokio::{
         task::JoinSet,
         time::{Instant, sleep},
     },
+    uuid::Uuid,
 };
 
 /// Time in which work that is still under way ends before journals are read.
@@ -23,7 +24,11 @@
     let mut mesh = Mesh::start(scenario.mesh()).await?;
     let mut keys = BTreeMap::new();
     for workspace in &scenario.workspaces {
-        let key = mesh.create_key(&workspace.name).await?;
+        let key = if scenario.without_nodes {
+            Uuid::new_v4().to_string()
+        } else {
+            mesh.create_key(&workspace.name).await?
+        };
         keys.insert(workspace.name.clone(), key);
     }
     let originals = offer_load(scenario, &mut mesh, &keys).await?;
@@ -63,7 +68,7 @@
         let services = &load.at_services;
         zone_matches && (services.is_empty() || services.contains(&instance.service))
     });
-    let addresses: Vec<SocketAddr> = chosen.map(|i| i.caller_address()).collect();
+    let addresses: Vec<SocketAddr> = chosen.map(Instance::entry_address).collect();
     if addresses.is_empty() {
         return Err(LabError::Scenario {
             message: format!("load {:?}: no node matches", load.name),
