Measure memory and processor time, name common cuts, claim test addresses

Cause: two runs of the fault proxy's tests at a time used the same loopback addresses and would have failed each other; proofs repeat the same rules. Change: the proxy's tests claim random addresses; lab::usage reads /proc; lab::rules cuts zones from each other and from the platform.

--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -11,7 +11,9 @@
 pub mod mesh;
 pub mod process;
 pub mod report;
+pub mod rules;
 pub mod scenario;
+pub mod usage;
 pub mod wait;
 
 pub use errors::LabError;
--- a/lab/src/mesh/mod.rs
+++ b/lab/src/mesh/mod.rs
@@ -9,5 +9,5 @@
     conf::{ConfFile, InstanceConf, MeshConf},
     ctl::CtlOutput,
     instance::Instance,
-    start::Mesh,
+    start::{Mesh, PLATFORM_ZONE},
 };
--- a/lab/src/process.rs
+++ b/lab/src/process.rs
@@ -1,7 +1,7 @@
 //! Processes that the lab starts.
 
 use {
-    crate::{LabError, wait::wait_until},
+    crate::{LabError, usage::Usage, wait::wait_until},
     rustix::process::{Pid, Signal, kill_process},
     std::{
         fs::{self, OpenOptions},
@@ -102,6 +102,11 @@
         .await
     }
 
+    /// Memory and processor time up to now.
+    pub fn usage(&self) -> Result<Usage, LabError> {
+        Usage::of(self.pid())
+    }
+
     /// All that it has printed.
     #[must_use]
     pub fn log(&self) -> String {
--- /dev/null
+++ b/lab/src/usage.rs
@@ -0,0 +1,45 @@
+//! What a process costs.
+
+use {
+    crate::LabError,
+    std::{fs, io},
+};
+
+/// Fields of `/proc/PID/stat` after the program's name, from 0.
+const USER_TICKS_FIELD: usize = 11;
+const SYSTEM_TICKS_FIELD: usize = 12;
+const RESIDENT_PAGES_FIELD: usize = 21;
+
+/// Memory and processor time of a process.
+#[derives::record]
+#[derive(Copy, Eq)]
+pub struct Usage {
+    /// Resident memory, shared pages included.
+    pub resident_bytes: u64,
+    /// Processor time since its start, of all threads, in user and system mode.
+    pub cpu_ms: u64,
+}
+
+impl Usage {
+    /// Usage up to now, from `/proc`.
+    pub fn of(pid: u32) -> Result<Self, LabError> {
+        let path = format!("/proc/{pid}/stat");
+        let text = fs::read_to_string(&path).map_err(LabError::io(path.clone()))?;
+        Self::parse(&text).ok_or_else(|| LabError::io(path)(io::ErrorKind::InvalidData.into()))
+    }
+
+    /// Reads the text of `/proc/PID/stat`.
+    #[must_use]
+    pub fn parse(stat: &str) -> Option<Self> {
+        // The name may hold blanks and brackets; the last bracket ends it.
+        let (_, fields) = stat.rsplit_once(") ")?;
+        let fields: Vec<&str> = fields.split_whitespace().collect();
+        let field = |index: usize| fields.get(index)?.parse::<u64>().ok();
+        let ticks = field(USER_TICKS_FIELD)? + field(SYSTEM_TICKS_FIELD)?;
+        let page_bytes = rustix::param::page_size() as u64;
+        Some(Self {
+            resident_bytes: field(RESIDENT_PAGES_FIELD)? * page_bytes,
+            cpu_ms: ticks * 1000 / rustix::param::clock_ticks_per_second().max(1),
+        })
+    }
+}
--- a/standins/tests/faultproxy.rs
+++ b/standins/tests/faultproxy.rs
@@ -28,9 +28,17 @@
 }
 
 impl Pair {
-    /// A proxy between a host in zone a and one in zone b. `block` sets tests
-    /// apart that run at the same time.
-    async fn new(block: u8) -> Self {
+    /// A proxy between a host in zone a and one in zone b, on addresses that no
+    /// other test on this machine uses: the proxy's own listeners claim them.
+    async fn new() -> Self {
+        loop {
+            if let Some(pair) = Self::on_block(rand::random()).await {
+                return pair;
+            }
+        }
+    }
+
+    async fn on_block(block: u8) -> Option<Self> {
         let host = |text: String| text.parse::<Host>().expect("a host");
         let hosts = [
             host(format!("127.131.{block}.1=127.31.{block}.1@a")),
@@ -41,11 +49,11 @@
             tcp_ports: vec![TCP_PORT],
             udp_ports: vec![UDP_PORT],
         };
-        let proxy = FaultProxy::new(&conf).await.expect("free addresses");
+        let proxy = FaultProxy::new(&conf).await.ok()?;
         let admin_listener = listener().await;
         let admin = admin_listener.local_addr().expect("bound");
         tokio::spawn(proxy.serve(admin_listener, CancellationToken::new()));
-        Self { admin, hosts }
+        Some(Self { admin, hosts })
     }
 
     async fn set_rules(&self, rules: Vec<Rule>) {
@@ -89,7 +97,7 @@
 
 #[tokio::test]
 async fn passes_bytes_both_ways_and_ends() {
-    let pair = Pair::new(1).await;
+    let pair = Pair::new().await;
     let (mut client, mut server) = pair.connect().await;
     client.write_all(b"ask").await.expect("sent");
     assert_eq!(read_text(&mut server, 3).await.as_deref(), Some("ask"));
@@ -103,7 +111,7 @@
 /// ends of a connection see a reset, and new ones fail.
 #[tokio::test]
 async fn cut_resets_open_and_new_connections() {
-    let pair = Pair::new(2).await;
+    let pair = Pair::new().await;
     let (mut client, mut server) = pair.connect().await;
     let cut = Rule {
         cut: Some(CutMode::Reset),
@@ -123,7 +131,7 @@
 /// way still works, and the connection is dead once the network is back.
 #[tokio::test]
 async fn black_hole_one_way() {
-    let pair = Pair::new(3).await;
+    let pair = Pair::new().await;
     let (mut client, mut server) = pair.connect().await;
     let cut = Rule {
         cut: Some(CutMode::BlackHole),
@@ -141,7 +149,7 @@
 /// A network device hangs and goes on later. Bytes arrive late, but whole.
 #[tokio::test]
 async fn freeze_holds_bytes_until_lifted() {
-    let pair = Pair::new(4).await;
+    let pair = Pair::new().await;
     let (mut client, mut server) = pair.connect().await;
     let freeze = Rule {
         freeze: true,
@@ -156,7 +164,7 @@
 
 #[tokio::test]
 async fn delay_applies_to_open_connections() {
-    let pair = Pair::new(5).await;
+    let pair = Pair::new().await;
     let (mut client, mut server) = pair.connect().await;
     let delay = Rule {
         delay_ms: 100,
@@ -234,7 +242,7 @@
             copy_count: 0,
         },
     ];
-    let pair = Pair::new(6).await;
+    let pair = Pair::new().await;
     let [from, to] = &pair.hosts;
     let bind = async |ip| UdpSocket::bind(SocketAddr::new(ip, UDP_PORT)).await;
     let sender = bind(from.real_ip).await.expect("free");
@@ -272,7 +280,7 @@
 
 #[tokio::test]
 async fn malformed_rules_are_refused() {
-    let pair = Pair::new(7).await;
+    let pair = Pair::new().await;
     for body in ["", "{}", "[{\"cut\":\"yes\"}]", "[{\"form_zone\":\"a\"}]"] {
         let answer = send(pair.admin, "PUT", "/-/rules", &[], body.as_bytes()).await;
         assert_eq!(answer.expect("answered").status, 400, "{body:?}");
