Report what nodes cost: idle in the demo, per send in scenarios

Cause: resident memory, idle CPU and CPU per call have to be stated with the run that gave them. Change: NodeCost from /proc over the nodes that ran through; shown by the demo for idle nodes and by each scenario for its load.

--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -104,8 +104,14 @@
 
 async fn run_demo() -> anyhow::Result<()> {
     println!("Starting a platform, 2 availability zones, 2 services, 4 nodes …");
-    let (summary, overhead) = demo::run().await?;
+    let demo = demo::run().await?;
+    let (summary, overhead) = (&demo.summary, &demo.overhead);
     println!("{summary}\n{overhead}");
+    println!(
+        "idle node: {:.1} MiB resident, {:.2} % of a core",
+        demo.idle_resident_mib(),
+        demo.idle_cpu_percent()
+    );
     ensure!(summary.wrong_count == 0, "answers were cut or crossed");
     ensure!(summary.whole_count > 0, "no request was answered");
     ensure!(!overhead.direct_us.is_empty(), "no latency was measured");
--- a/lab/src/measure/evidence.rs
+++ b/lab/src/measure/evidence.rs
@@ -1,7 +1,7 @@
 //! Records of callers and journals of targets.
 
 use {
-    crate::{LabError, load::Original, mesh::Mesh},
+    crate::{LabError, load::Original, mesh::Mesh, usage::NodeCost},
     standins::target::Entry,
     std::{collections::BTreeMap, fs},
 };
@@ -28,6 +28,8 @@
     pub executions: Vec<Execution>,
     /// Tenant keys, which no target may have seen.
     pub keys: Vec<String>,
+    /// What the nodes cost during the load.
+    pub node_cost: NodeCost,
 }
 
 /// Entries of a journal file in their last state. A sequence number that
--- a/lab/src/measure/result.rs
+++ b/lab/src/measure/result.rs
@@ -7,7 +7,7 @@
         series::seconds,
         workspaces::{Refusals, workspaces},
     },
-    crate::{caller::Judgement, load::Original, scenario::Scenario},
+    crate::{caller::Judgement, load::Original, scenario::Scenario, usage::NodeCost},
     hdrhistogram::Histogram,
     std::collections::BTreeMap,
 };
@@ -58,6 +58,11 @@
     pub worst_served_ratio: f64,
     /// Refusals for quota inside the rate, over all sends inside the rate.
     pub wrongful_ratio: f64,
+    /// What the nodes cost during the load.
+    pub node_cost: NodeCost,
+    /// Processor time of all nodes for one send, in microseconds. A chain
+    /// passes several nodes, so this is more than the cost of one hop.
+    pub node_cpu_us_per_attempt: f64,
     /// Loads in their order.
     pub loads: Vec<LoadResult>,
     /// Workspaces in their order.
@@ -102,6 +107,8 @@
             worst_served: worst.map(|workspace| workspace.name.clone()),
             worst_served_ratio: worst.map_or(1.0, |workspace| workspace.served_ratio),
             wrongful_ratio: wrongful_count as f64 / inside_count.max(1) as f64,
+            node_cost: evidence.node_cost,
+            node_cpu_us_per_attempt: cpu_us_per_attempt(evidence),
             loads: loads(scenario, originals),
             checks: Checks::new(scenario, evidence),
             workspaces,
@@ -110,6 +117,12 @@
     }
 }
 
+fn cpu_us_per_attempt(evidence: &Evidence) -> f64 {
+    let originals = evidence.originals.iter();
+    let attempt_count: usize = originals.map(|original| original.attempts.len()).sum();
+    evidence.node_cost.cpu_ms as f64 * 1000.0 / attempt_count.max(1) as f64
+}
+
 /// Mean of the whole seconds from `start_s` to `end_s`.
 fn mean(values: &[f64], start_s: f64, end_s: f64) -> f64 {
     let first = (start_s.ceil() as usize).min(values.len());
--- a/lab/src/mesh/start.rs
+++ b/lab/src/mesh/start.rs
@@ -8,6 +8,7 @@
         admin::AdminAddress,
         binaries::{binary, build_dir},
         process::Process,
+        usage::Usage,
         wait::{GENEROUS_LIMIT, wait_until},
     },
     dogwoodbridge::settings::ports,
@@ -248,6 +249,13 @@
         self.run_dir.join(format!("journal-{node_id}.jsonl"))
     }
 
+    /// Usage of all nodes that run, in the order of the instances.
+    #[must_use]
+    pub fn node_usage(&self) -> Vec<Option<Usage>> {
+        let nodes = self.instances.iter().map(|instance| instance.node.as_ref());
+        nodes.map(|node| node?.usage().ok()).collect()
+    }
+
     /// A new directory for files of a test.
     pub fn new_dir(&self, name: &str) -> Result<PathBuf, LabError> {
         let number = self.dir_count.fetch_add(1, Ordering::Relaxed);
--- a/lab/src/report/text.rs
+++ b/lab/src/report/text.rs
@@ -40,10 +40,11 @@
     let ratio = result.worst_served_ratio;
     writeln!(text, "worst-served workspace   {ratio:>10.3} ({worst})")?;
     let wrongful_percent = result.wrongful_ratio * 100.0;
-    writeln!(
-        text,
-        "wrongful refusals        {wrongful_percent:>10.3} %\n"
-    )
+    writeln!(text, "wrongful refusals        {wrongful_percent:>10.3} %")?;
+    let cpu_us = result.node_cpu_us_per_attempt;
+    writeln!(text, "CPU of nodes per send    {cpu_us:>10.1} us")?;
+    let resident_mib = result.node_cost.max_resident_bytes as f64 / f64::from(1 << 20);
+    writeln!(text, "memory of largest node   {resident_mib:>10.1} MiB\n")
 }
 
 fn write_loads(text: &mut String, result: &ScenarioResult) -> std::fmt::Result {
--- a/lab/src/scenario/run.rs
+++ b/lab/src/scenario/run.rs
@@ -7,6 +7,7 @@
         load::{Generator, Original, Stream},
         measure::{Evidence, ScenarioResult, read_journals},
         mesh::{Instance, Mesh},
+        usage::NodeCost,
     },
     std::{collections::BTreeMap, net::SocketAddr, time::Duration},
     tokio::{
@@ -31,11 +32,13 @@
         };
         keys.insert(workspace.name.clone(), key);
     }
+    let usage_before = mesh.node_usage();
     let originals = offer_load(scenario, &mut mesh, &keys).await?;
     sleep(SETTLE).await;
     let evidence = Evidence {
         originals,
         executions: read_journals(&mesh)?,
+        node_cost: NodeCost::between(&usage_before, &mesh.node_usage()),
         keys: keys.into_values().collect(),
     };
     Ok(ScenarioResult::new(scenario, &evidence))
--- a/lab/src/usage.rs
+++ b/lab/src/usage.rs
@@ -43,3 +43,31 @@
         })
     }
 }
+
+/// What nodes cost over a time.
+#[derives::record]
+#[derive(Copy, Default, Eq)]
+pub struct NodeCost {
+    /// Nodes that ran through the whole time.
+    pub node_count: u64,
+    /// Processor time of all of them.
+    pub cpu_ms: u64,
+    /// Resident memory of the largest at the end.
+    pub max_resident_bytes: u64,
+}
+
+impl NodeCost {
+    /// The cost between two looks. Nodes that were away at either, or were
+    /// replaced in between, are left out.
+    #[must_use]
+    pub fn between(before: &[Option<Usage>], after: &[Option<Usage>]) -> Self {
+        let pairs = before.iter().zip(after);
+        let pairs = pairs.filter_map(|(before, after)| before.as_ref().zip(after.as_ref()));
+        let same = pairs.filter(|(before, after)| after.cpu_ms >= before.cpu_ms);
+        same.fold(Self::default(), |cost, (before, after)| Self {
+            node_count: cost.node_count + 1,
+            cpu_ms: cost.cpu_ms + after.cpu_ms - before.cpu_ms,
+            max_resident_bytes: cost.max_resident_bytes.max(after.resident_bytes),
+        })
+    }
+}
--- a/lab/tests/measure.rs
+++ b/lab/tests/measure.rs
@@ -198,6 +198,7 @@
         originals,
         executions: executions.collect(),
         keys: vec!["secret-key".to_owned()],
+        ..Evidence::default()
     };
     let scenario = Scenario::parse(SCENARIO).expect("a scenario");
     ScenarioResult::new(&scenario, &evidence)
--- a/lab/tests/usage.rs
+++ b/lab/tests/usage.rs
@@ -3,7 +3,7 @@
 use {
     lab::{
         rules::{cut_from_platform, isolate},
-        usage::Usage,
+        usage::{NodeCost, Usage},
     },
     standins::faultproxy::{CutMode, Host, Rules},
 };
@@ -26,6 +26,24 @@
     }
 }
 
+#[test]
+fn cost_leaves_out_nodes_that_were_replaced() {
+    let usage = |cpu_ms, resident_bytes| {
+        Some(Usage {
+            cpu_ms,
+            resident_bytes,
+        })
+    };
+    let before = [usage(100, 10), usage(500, 10), None, usage(7, 10)];
+    let after = [usage(130, 50), usage(20, 90), usage(40, 70), None];
+    let expected = NodeCost {
+        node_count: 1,
+        cpu_ms: 30,
+        max_resident_bytes: 50,
+    };
+    assert_eq!(NodeCost::between(&before, &after), expected);
+}
+
 #[test]
 fn rules_cut_what_they_name() {
     struct Case {
