--- a/lab/src/mesh/start.rs
+++ b/lab/src/mesh/start.rs
@@ -35,7 +35,8 @@
 const OPERATOR_SECRET: &str = "operator-secret-of-the-lab";
 
 /// Real processes on a block of addresses of their own; all are killed when
-/// the mesh is dropped. Logs stay only if a test panics.
+/// the mesh is dropped. Logs stay if the start fails or a
+/// test panics.
 #[derive(Debug)]
 pub struct Mesh {
     /// Targets with their nodes, in the order of the configuration.
@@ -48,6 +49,7 @@
     block: AddressBlock,
     run_dir: PathBuf,
     dir_count: AtomicUsize,
+    keeps_logs: bool,
 }
 
 impl Mesh {
@@ -55,22 +57,27 @@
     /// nodes are ready.
     pub async fn start(conf: MeshConf) -> Result<Self, LabError> {
         let mut mesh = Self::new(conf)?;
-        let platform = mesh.platform_admin();
-        mesh.wait_for("the platform", platform, "/-/calls").await?;
-        if mesh.proxy.is_some() {
-            let proxy = mesh.proxy_admin();
-            mesh.wait_for("the fault proxy", proxy, "/-/rules").await?;
+        let result = mesh.bring_up().await;
+        mesh.keeps_logs = result.is_err();
+        result.map(|()| mesh)
+    }
+
+    async fn bring_up(&mut self) -> Result<(), LabError> {
+        let platform = self.platform_admin();
+        self.wait_for("the platform", platform, "/-/calls").await?;
+        if self.proxy.is_some() {
+            let proxy = self.proxy_admin();
+            self.wait_for("the fault proxy", proxy, "/-/rules").await?;
         }
-        let files = mesh.conf.files.clone();
+        let files = self.conf.files.clone();
         if !files.is_empty() {
-            mesh.publish_files(&files).await?;
+            self.publish_files(&files).await?;
         }
-        for index in 0..mesh.conf.instances.len() {
-            let instance = mesh.start_instance(index)?;
-            mesh.instances.push(instance);
+        for index in 0..self.conf.instances.len() {
+            let instance = self.start_instance(index)?;
+            self.instances.push(instance);
         }
-        mesh.wait_ready().await?;
-        Ok(mesh)
+        self.wait_ready().await
     }
 
     fn new(conf: MeshConf) -> Result<Self, LabError> {
@@ -98,6 +105,7 @@
             block,
             run_dir,
             dir_count: AtomicUsize::new(0),
+            keeps_logs: false,
         })
     }
 
@@ -313,7 +321,7 @@
 
 impl Drop for Mesh {
     fn drop(&mut self) {
-        if std::thread::panicking() {
+        if self.keeps_logs || std::thread::panicking() {
             eprintln!("logs of the mesh are in {}", self.run_dir.display());
         } else {
             let _ = fs::remove_dir_all(&self.run_dir);
--- a/standins/src/target/answer.rs
+++ b/standins/src/target/answer.rs
@@ -127,7 +127,7 @@
 pub struct CutAnswer;
 
 /// A body that is sent whole, or cut after its first half.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct AnswerBody {
     remaining: Bytes,
     cut: Option<Pin<Box<Sleep>>>,
--- a/standins/src/target/mod.rs
+++ b/standins/src/target/mod.rs
@@ -5,6 +5,7 @@
 mod announce;
 mod answer;
 mod conf;
+mod crossing;
 mod downstream;
 mod faults;
 mod journal;
--- a/standins/src/target/server.rs
+++ b/standins/src/target/server.rs
@@ -6,6 +6,7 @@
         TARGET_REFUSAL, TEST_ID, TargetConf, WholeAnswer, admin,
         announce::{announce, report_load},
         answer::{AnswerBody, digest},
+        crossing::Crossing,
         downstream::{self, HttpClient, Parent},
         journal::unix_ms,
         slots::Slots,
@@ -18,13 +19,10 @@
         header::{self, HeaderValue},
     },
     rand::Rng,
-    std::{
-        sync::{Arc, Mutex},
-        time::Duration,
-    },
+    std::{sync::Arc, time::Duration},
     tokio::{
         net::TcpListener,
-        sync::{oneshot, watch},
+        sync::watch,
         time::{self, Instant},
     },
     tokio_util::sync::{CancellationToken, DropGuard},
@@ -34,17 +32,7 @@
 const MAX_BODY_BYTES: usize = 4 << 20;
 /// How much of a body the journal keeps.
 const JOURNAL_BODY_BYTES: usize = 256;
-/// How long an answer waits for another one to be swapped with.
-const CROSS_LIMIT: Duration = Duration::from_secs(1);
-
-type TargetAnswer = Response<AnswerBody>;
-
-/// An answer that waits to be swapped, and where the other one goes.
-#[derive(Debug)]
-struct Swap {
-    answer: TargetAnswer,
-    partner: oneshot::Sender<TargetAnswer>,
-}
+pub(super) type TargetAnswer = Response<AnswerBody>;
 
 #[derive(Debug)]
 struct Shared {
@@ -56,7 +44,7 @@
     faults: watch::Sender<Faults>,
     client: HttpClient,
     draining: CancellationToken,
-    swap: Mutex<Option<Swap>>,
+    crossing: Crossing,
 }
 
 /// A target; clones share their state.
@@ -76,7 +64,7 @@
             faults: watch::Sender::new(Faults::default()),
             client: downstream::http_client(),
             draining: CancellationToken::new(),
-            swap: Mutex::new(None),
+            crossing: Crossing::default(),
         }))
     }
 
@@ -287,43 +275,13 @@
             time::sleep(Duration::from_millis(faults.late_ms)).await;
         }
         if faults.cross_answers {
-            answer = self.cross(answer).await;
+            answer = self.0.crossing.swap(answer).await;
         }
         if faults.cut_answers {
             answer = answer.map(AnswerBody::with_cut);
         }
         answer
     }
-
-    /// Swaps the answer with the next one that is ready; gives it back after a
-    /// while in which there was none.
-    async fn cross(&self, answer: TargetAnswer) -> TargetAnswer {
-        let mut partner_answer = {
-            let mut waiting = self.0.swap.lock().expect("no panic while swapping");
-            match waiting.take() {
-                Some(swap) if !swap.partner.is_closed() => {
-                    let _ = swap.partner.send(answer);
-                    return swap.answer;
-                }
-                _ => {
-                    let (partner, partner_answer) = oneshot::channel();
-                    *waiting = Some(Swap { answer, partner });
-                    partner_answer
-                }
-            }
-        };
-        if let Ok(Ok(swapped)) = time::timeout(CROSS_LIMIT, &mut partner_answer).await {
-            return swapped;
-        }
-        let mut waiting = self.0.swap.lock().expect("no panic while swapping");
-        if let Ok(swapped) = partner_answer.try_recv() {
-            return swapped;
-        }
-        match waiting.take() {
-            Some(swap) => swap.answer,
-            None => plain(StatusCode::INTERNAL_SERVER_ERROR),
-        }
-    }
 }
 
 /// Work under way; cancelled when dropped, which happens when the caller
