Return from a pause only when the process stands still

Cause: four runs of all tests at a time, once, showed that a target answered after SIGSTOP: threads that run at the signal go on for a moment. Ruled out: SIGSTOP to the wrong process; the target stood still afterwards. Change: Process::pause waits until all threads are stopped. Tests of the report no longer share a directory between runs at the same time, which the same trial showed.

--- a/lab/src/process.rs
+++ b/lab/src/process.rs
@@ -1,7 +1,11 @@
 //! Processes that the lab starts.
 
 use {
-    crate::{LabError, usage::Usage, wait::wait_until},
+    crate::{
+        LabError,
+        usage::Usage,
+        wait::{GENEROUS_LIMIT, wait_until},
+    },
     rustix::process::{Pid, Signal, kill_process},
     std::{
         fs::{self, OpenOptions},
@@ -11,6 +15,9 @@
     },
 };
 
+/// State of a thread in `/proc` after SIGSTOP.
+const STOPPED_STATE: char = 'T';
+
 const LOG_TAIL_BYTES: usize = 2000;
 
 /// A process of the mesh; killed when dropped.
@@ -74,8 +81,18 @@
     }
 
     /// SIGSTOP: the process stands still and notices nothing.
-    pub fn pause(&mut self) -> Result<(), LabError> {
-        self.signal(Signal::STOP)
+    ///
+    /// Threads that run at the signal go on for a moment, in which a request
+    /// could still be answered and a test would see no pause. This returns
+    /// only when all of them stand still.
+    pub async fn pause(&mut self) -> Result<(), LabError> {
+        self.signal(Signal::STOP)?;
+        let pid = self.pid();
+        let what = format!("{} stands still", self.name);
+        wait_until(&what, GENEROUS_LIMIT, || async move {
+            is_stopped(pid).then_some(())
+        })
+        .await
     }
 
     /// SIGCONT after a pause.
@@ -144,6 +161,18 @@
     }
 }
 
+/// Whether all threads are stopped by a signal.
+fn is_stopped(pid: u32) -> bool {
+    let Ok(threads) = fs::read_dir(format!("/proc/{pid}/task")) else {
+        return false;
+    };
+    threads.flatten().all(|thread| {
+        let stat = fs::read_to_string(thread.path().join("stat")).unwrap_or_default();
+        let fields = stat.rsplit_once(") ").map(|(_, fields)| fields);
+        fields.is_some_and(|fields| fields.starts_with(STOPPED_STATE))
+    })
+}
+
 fn spawn(program: &PathBuf, arguments: &[String], log_path: &PathBuf) -> Result<Child, LabError> {
     let open = || OpenOptions::new().create(true).append(true).open(log_path);
     let log = open().map_err(LabError::io(log_path.display().to_string()))?;
--- a/lab/src/scenario/faults.rs
+++ b/lab/src/scenario/faults.rs
@@ -86,7 +86,7 @@
                 if is_lifted {
                     process.resume()?;
                 } else {
-                    process.pause()?;
+                    process.pause().await?;
                 }
             }
         }
--- a/lab/tests/harness.rs
+++ b/lab/tests/harness.rs
@@ -143,7 +143,7 @@
 #[tokio::test]
 async fn pause_and_resume() {
     let mut mesh = start(&["--latency", "fixed:0"]).await;
-    mesh.instances[0].target.pause().expect("paused");
+    mesh.instances[0].target.pause().await.expect("paused");
     let request = CallRequest::new("GET", "/a").with_timeout_ms(200);
     assert_eq!(send(&mesh, &request).await, Judgement::NoAnswer);
     mesh.instances[0].target.resume().expect("resumed");
--- a/lab/tests/scenarios.rs
+++ b/lab/tests/scenarios.rs
@@ -157,7 +157,9 @@
     let result = ScenarioResult::new(&small(), &evidence);
     assert!((result.normal_per_s - 100.0).abs() < 1.0);
     assert!(report::compare_text(&result, &result).contains("1.000"));
-    let dir = env::current_exe().expect("a path").with_extension("report");
+    // Another run of this test at the same time must not write there too.
+    let name = format!("report-{}", std::process::id());
+    let dir = env::current_exe().expect("a path").with_extension(name);
     report::write(&result, &dir).expect("written");
     let json = fs::read_to_string(dir.join("result.json")).expect("a file");
     let read: ScenarioResult = serde_json::from_str(&json).expect("a result");
