Assemble the whole node and wake parts only for their own ticks

Cause: the parts ran alone; dogwoodd had neither members nor configuration. And every tick of 10 ms woke every subscriber, whatever its period. One clock per period in the timer service. The first slice table of a fleet is used without quarantine.

--- a/src/bin/dogwoodd.rs
+++ b/src/bin/dogwoodd.rs
@@ -5,23 +5,13 @@
     clap::Parser,
     dogwoodbridge::{
         admission::{Adaptive, AdmissionPolicy, AdmitAll, StaticLimit},
-        conf::Running,
-        event,
+        daemon, event,
         events::Event,
-        freshness::Freshness,
         logging,
-        membership::{OwnState, View},
-        model::Names,
-        node::{LocalQuota, Node, NodeInputs, PolicySet, start},
-        retry::{ChainBudget, NaiveRetry, RetryPolicy},
-        routing::ZoneRouter,
+        retry::{ChainBudget, NaiveRetry},
         settings::{AdmissionChoice, RetryChoice, Settings},
-        shutdown,
-        timer::Timer,
     },
     std::sync::Arc,
-    tokio::sync::watch,
-    tokio_util::sync::CancellationToken,
 };
 
 fn main() -> anyhow::Result<()> {
@@ -50,31 +40,7 @@
 
 async fn choose_retry<A: AdmissionPolicy>(settings: Arc<Settings>) -> anyhow::Result<()> {
     match settings.retry {
-        RetryChoice::Budget => run::<A, ChainBudget>(settings).await,
-        RetryChoice::Naive => run::<A, NaiveRetry>(settings).await,
+        RetryChoice::Budget => Ok(daemon::run::<A, ChainBudget>(settings).await?),
+        RetryChoice::Naive => Ok(daemon::run::<A, NaiveRetry>(settings).await?),
     }
 }
-
-async fn run<A: AdmissionPolicy, T: RetryPolicy>(settings: Arc<Settings>) -> anyhow::Result<()> {
-    let timer_stop = CancellationToken::new();
-    let timer = Timer::new(timer_stop.clone());
-    let (_running, running) = watch::channel(Arc::new(Running::default()));
-    let (_view, view) = watch::channel(Arc::new(View::default()));
-    let (_freshness, freshness) = watch::channel(Freshness::Fresh);
-    let (own_state, _) = watch::channel(OwnState::default());
-    let node = Node::<PolicySet<A, ZoneRouter, T, LocalQuota>>::new(NodeInputs {
-        settings,
-        names: Names::new(),
-        quota: LocalQuota::new(timer.clone()),
-        timer,
-        running,
-        view,
-        own_state,
-        freshness,
-    });
-    let tasks = start(&node)?;
-    tokio::spawn(shutdown::drain_at_signal(Arc::clone(&node)));
-    tasks.wait().await;
-    timer_stop.cancel();
-    Ok(())
-}
--- a/src/documents/mod.rs
+++ b/src/documents/mod.rs
@@ -71,6 +71,15 @@
     pub const fn of(&self, kind: DocumentKind) -> u64 {
         self.0[kind.index()]
     }
+
+    /// Whether any version is higher than the other's one.
+    #[must_use]
+    pub fn exceed(&self, other: &Self) -> bool {
+        self.0
+            .iter()
+            .zip(other.0)
+            .any(|(version, other)| *version > other)
+    }
 }
 
 /// How a conditional write ended.
--- a/src/freshness/mod.rs
+++ b/src/freshness/mod.rs
@@ -9,10 +9,10 @@
 };
 
 /// Greatest age of a confirmed look at the platform that still counts.
-pub const FRESH_LIMIT_MS: u64 = 3000;
+pub const FRESH_LIMIT_MS: u64 = 5000;
 
 /// Greatest age of a probe whose reply still speaks for a zone.
-pub const REPLY_LIMIT_MS: u64 = 4000;
+pub const REPLY_LIMIT_MS: u64 = 6000;
 
 /// Allowance for monotonic clocks that run at different speeds, and for the
 /// time that a stamp needs to spread inside a zone.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod cli;
 pub mod conf;
 pub mod control;
+pub mod daemon;
 pub mod documents;
 pub mod egress;
 pub mod events;
--- a/src/membership/gossip.rs
+++ b/src/membership/gossip.rs
@@ -6,11 +6,7 @@
         codec::MAX_DATAGRAM_BYTES, packet::Liveness, swim::Outgoing,
     },
     crate::{
-        event,
-        events::Event,
-        keys::KeyDigest,
-        settings::Settings,
-        timer::{Timer, unix_ms},
+        documents::Hint, event, events::Event, keys::KeyDigest, settings::Settings, timer::Timer,
     },
     rand::{SeedableRng, rngs::StdRng},
     std::{
@@ -54,6 +50,10 @@
     pub revocations: mpsc::Receiver<Vec<KeyDigest>>,
     /// Further addresses for the first contact.
     pub seeds: mpsc::Receiver<Vec<SocketAddr>>,
+    /// Takes hints that members hold newer documents.
+    pub hints: mpsc::Sender<Hint>,
+    /// Start of this process, in milliseconds since the Unix epoch.
+    pub started_unix_ms: u64,
 }
 
 /// Traffic of the gossip socket since the start.
@@ -92,7 +92,10 @@
         let socket = UdpSocket::bind(address)
             .await
             .map_err(|source| GossipError::Bind { address, source })?;
-        let mut swim = Swim::new(own_record(settings), settings.seeds.clone());
+        let mut swim = Swim::new(
+            own_record(settings, inputs.started_unix_ms),
+            settings.seeds.clone(),
+        );
         let view = swim.take_view().expect("a new table gives a view");
         let (view_sender, view) = watch::channel(Arc::new(view));
         let gossip = Self {
@@ -109,13 +112,14 @@
             rng: StdRng::from_os_rng(),
             view: view_sender,
             gossip: gossip.clone(),
+            hints: inputs.hints.clone(),
         };
         tokio::spawn(shell.run(inputs, shutdown));
         Ok(gossip)
     }
 }
 
-fn own_record(settings: &Settings) -> Record {
+fn own_record(settings: &Settings, started_unix_ms: u64) -> Record {
     Record {
         node_id: settings.node_id.clone(),
         ip: settings.reachable_ip(),
@@ -127,7 +131,7 @@
         },
         region: settings.region.clone(),
         zone: settings.zone.clone(),
-        started_unix_ms: unix_ms(),
+        started_unix_ms,
         incarnation: 0,
         liveness: Liveness::Alive,
         draining: false,
@@ -143,6 +147,7 @@
     rng: StdRng,
     view: watch::Sender<Arc<View>>,
     gossip: Gossip,
+    hints: mpsc::Sender<Hint>,
 }
 
 impl Shell {
@@ -216,6 +221,10 @@
                 // Without subscribers there is nobody to tell.
                 SwimEvent::Stamp(stamp) => drop(self.gossip.stamps.send(stamp)),
                 SwimEvent::Revoked(digests) => drop(self.gossip.revoked.send(digests)),
+                // A hint that finds no room comes again with the next packet.
+                SwimEvent::Newer { node_id, versions } => {
+                    let _ = self.hints.try_send(Hint { node_id, versions });
+                }
             }
         }
         if let Some(view) = self.swim.take_view() {
--- a/src/membership/member.rs
+++ b/src/membership/member.rs
@@ -87,6 +87,12 @@
         SocketAddr::new(self.ip, self.ports.peer)
     }
 
+    /// Address of the gossip socket.
+    #[must_use]
+    pub const fn gossip_address(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, self.ports.gossip)
+    }
+
     /// Address for bank and relay calls.
     #[must_use]
     pub const fn rpc_address(&self) -> SocketAddr {
--- a/src/membership/swim.rs
+++ b/src/membership/swim.rs
@@ -6,7 +6,7 @@
         probing::PROBE_PERIOD_MS,
         table::{MemberKey, Merge},
     },
-    crate::keys::KeyDigest,
+    crate::{documents::Versions, keys::KeyDigest},
     rand::Rng,
     std::{collections::HashMap, net::SocketAddr},
 };
@@ -36,6 +36,13 @@
     Stamp(PeerStamp),
     /// Keys that another node revoked.
     Revoked(Vec<KeyDigest>),
+    /// A member holds documents of higher versions than this node.
+    Newer {
+        /// The member.
+        node_id: String,
+        /// Versions that it holds.
+        versions: Versions,
+    },
 }
 
 #[derive(Debug, Clone)]
@@ -186,6 +193,13 @@
             events.push(SwimEvent::Revoked(new_revocations));
             self.tell_some(now_ms, rng, out);
         }
+        if packet.versions.exceed(&self.state.versions) {
+            let node_id = packet.sender.node_id.clone();
+            events.push(SwimEvent::Newer {
+                node_id,
+                versions: packet.versions,
+            });
+        }
         self.answer(packet, from, now_ms, out, events);
     }
 
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -23,7 +23,7 @@
         control::Metrics,
         event,
         events::Event,
-        freshness::Freshness,
+        freshness::{Freshness, Snapshot},
         membership::{OwnState, View},
         model::Names,
         peer::FleetAuth,
@@ -96,7 +96,7 @@
     /// What gossip tells others about this node.
     pub own_state: watch::Sender<OwnState>,
     /// State of the knowledge of the platform.
-    pub freshness: watch::Receiver<Freshness>,
+    pub freshness: watch::Receiver<Snapshot>,
     /// Quota of workspaces.
     pub quota: Q,
 }
@@ -134,7 +134,7 @@
     pub stopped: CancellationToken,
     running: watch::Receiver<Arc<Running>>,
     view: watch::Receiver<Arc<View>>,
-    freshness: watch::Receiver<Freshness>,
+    freshness: watch::Receiver<Snapshot>,
     admission: Mutex<AdmissionTable<P::Admission>>,
     routes: Mutex<RouteTable<P::Routing>>,
     retries: Mutex<P::Retry>,
@@ -182,10 +182,22 @@
         Arc::clone(&self.running.borrow())
     }
 
-    /// Whether there is a configuration to serve by.
+    /// Whether there is a configuration to serve by and quota to admit with.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.running.borrow().revision > 0
+        self.running.borrow().revision > 0 && self.quota.is_ready()
+    }
+
+    /// How far this node may rely on what it knows of the platform.
+    #[must_use]
+    pub fn freshness(&self) -> Freshness {
+        self.freshness.borrow().at(self.timer.now_ms())
+    }
+
+    /// All members as gossip knows them.
+    #[must_use]
+    pub fn view(&self) -> Arc<View> {
+        Arc::clone(&self.view.borrow())
     }
 
     /// Takes no new work from now on and tells everyone; running work ends.
--- a/src/node/route_table.rs
+++ b/src/node/route_table.rs
@@ -97,6 +97,15 @@
         self.links.get(node).map(|(_, link)| Arc::clone(link))
     }
 
+    /// Targets of a service that may get work.
+    #[must_use]
+    pub fn target_count(&self, service: ServiceKey) -> usize {
+        self.rows
+            .values()
+            .filter(|row| row.info.service == service && !row.info.draining)
+            .count()
+    }
+
     /// Name of the node beside a target.
     #[must_use]
     pub fn node_of(&self, target: TargetKey) -> &str {
--- a/src/node/systems.rs
+++ b/src/node/systems.rs
@@ -60,7 +60,7 @@
 }
 
 fn watch_freshness<P: Policies>(node: &Node<P>, now_ms: u64) {
-    let is_cut_off = *node.freshness.borrow() == Freshness::CutOff;
+    let is_cut_off = node.freshness.borrow().at(now_ms) == Freshness::CutOff;
     let was_cut_off = node.cut_off_since_ms() != NOT_CUT_OFF;
     if is_cut_off != was_cut_off {
         let since_ms = if is_cut_off { now_ms } else { NOT_CUT_OFF };
--- a/src/quota/gate.rs
+++ b/src/quota/gate.rs
@@ -102,6 +102,12 @@
         }
     }
 
+    /// This process made the fleet's first slice table, which is in use now.
+    pub fn created_fleet(&self) {
+        let now_us = self.inner.inputs.timer.now_us();
+        self.lock().owner.skip_quarantine(now_us);
+    }
+
     /// Follows a version of the slice table.
     pub fn observe_table(&self, table: &SliceTable) {
         let own = &self.inner.inputs.own;
@@ -365,6 +371,10 @@
 }
 
 impl QuotaGate for LeasedQuota {
+    fn is_ready(&self) -> bool {
+        !self.lock().owner_ids.is_empty()
+    }
+
     async fn admit(&self, workspace: WorkspaceKey, rate: Rate) -> Result<(), Refusal> {
         let is_admitted = match self.begin(workspace) {
             Local::Admitted => true,
--- a/src/quota/mod.rs
+++ b/src/quota/mod.rs
@@ -39,6 +39,12 @@
 
 /// Admits a workspace's requests within its rate and burst.
 pub trait QuotaGate: Send + Sync + 'static {
+    /// Whether requests can be admitted at all; a node that cannot is not
+    /// ready, so that nobody is refused by a node that has just started.
+    fn is_ready(&self) -> bool {
+        true
+    }
+
     /// Admits one request or says when to come back. May ask a neighbour once,
     /// within a small time limit.
     fn admit(
--- a/src/quota/owner.rs
+++ b/src/quota/owner.rs
@@ -86,6 +86,14 @@
         }
     }
 
+    /// Uses all slices at once: nobody owned any before, so that no lease of
+    /// an earlier owner can be out.
+    pub fn skip_quarantine(&mut self, now_us: u64) {
+        for (_, ready_us) in self.slices.values_mut() {
+            *ready_us = now_us;
+        }
+    }
+
     /// Stops using slices that are about to be given up.
     pub fn release(
         &mut self,
--- a/src/slices/mod.rs
+++ b/src/slices/mod.rs
@@ -6,7 +6,6 @@
 mod steps;
 mod table;
 mod task;
-mod writer;
 
 pub use {
     codec::SlicesError,
@@ -15,7 +14,6 @@
     steps::{Moved, Step},
     table::{Owner, Section, SliceTable, Slot, SlotKey},
     task::{SliceInputs, spawn},
-    writer::{DocumentWriter, WriteResult},
 };
 
 /// Slices of each section; never changes while a fleet lives.
--- a/src/slices/task.rs
+++ b/src/slices/task.rs
@@ -1,11 +1,9 @@
 //! Keeps the slice table in order and tells its users.
 
 use {
-    super::{
-        DocumentWriter, Moved, Observed, Planner, Section, SliceTable, Slot, Step, WriteResult,
-    },
+    super::{Moved, Observed, Planner, Section, SliceTable, Slot, Step},
     crate::{
-        documents::{Document, DocumentKind},
+        documents::{Document, DocumentKind, DocumentWriter, WriteResult},
         event,
         events::Event,
         freshness::{Freshness, Snapshot},
@@ -151,6 +149,7 @@
         if let WriteResult::Written(version) = result {
             self.inputs.guard.created_fleet();
             self.follow(version, table);
+            self.inputs.quota.created_fleet();
         }
     }
 
--- a/src/timer.rs
+++ b/src/timer.rs
@@ -1,10 +1,16 @@
 //! Timer service: parts subscribe to ticks instead of reading clocks.
 
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-use tokio::sync::watch;
-use tokio_util::sync::CancellationToken;
+use {
+    std::{
+        collections::HashMap,
+        sync::{Arc, Mutex},
+        time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    },
+    tokio::sync::watch,
+    tokio_util::sync::CancellationToken,
+};
 
-/// Length of a tick.
+/// Period of the systems that run over the tables.
 pub const TICK_MS: u64 = 10;
 
 /// Monotonic time of this process, in microseconds since its timer started.
@@ -23,37 +29,25 @@
 }
 
 /// Gives out ticks and the time.
+///
+/// Subscriptions of the same period share one clock, and a part is woken only
+/// for its own ticks: an idle node spends most of its time on being woken.
 #[derive(Debug, Clone)]
 pub struct Timer {
     started: Instant,
-    ticks: watch::Receiver<Tick>,
+    shutdown: CancellationToken,
+    clocks: Arc<Mutex<HashMap<u64, watch::Receiver<Tick>>>>,
 }
 
 impl Timer {
     /// Starts the timer; it stops with `shutdown`.
     #[must_use]
     pub fn new(shutdown: CancellationToken) -> Self {
-        let started = Instant::now();
-        let (sender, ticks) = watch::channel(Tick { now_us: 0 });
-        tokio::spawn(async move {
-            let mut interval = tokio::time::interval(Duration::from_millis(TICK_MS));
-            interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-            loop {
-                tokio::select! {
-                    () = shutdown.cancelled() => break,
-                    _ = interval.tick() => {}
-                }
-                if sender
-                    .send(Tick {
-                        now_us: elapsed_us(started),
-                    })
-                    .is_err()
-                {
-                    break;
-                }
-            }
-        });
-        Self { started, ticks }
+        Self {
+            started: Instant::now(),
+            shutdown,
+            clocks: Arc::default(),
+        }
     }
 
     /// Time now, more precise than the last tick.
@@ -68,23 +62,42 @@
         self.now_us() / 1000
     }
 
-    /// Subscribes to ticks that are at least `period_ms` apart.
+    /// Subscribes to ticks that are `period_ms` apart.
     #[must_use]
     pub fn subscribe(&self, period_ms: u64) -> Subscription {
+        let mut clocks = self.clocks.lock().expect("lock is not poisoned");
+        let clock = clocks
+            .entry(period_ms)
+            .or_insert_with(|| self.start_clock(period_ms));
         Subscription {
-            ticks: self.ticks.clone(),
-            period_us: period_ms * 1000,
-            last_us: 0,
+            ticks: clock.clone(),
         }
     }
+
+    fn start_clock(&self, period_ms: u64) -> watch::Receiver<Tick> {
+        let (sender, receiver) = watch::channel(Tick { now_us: 0 });
+        let (started, shutdown) = (self.started, self.shutdown.clone());
+        tokio::spawn(async move {
+            let mut interval = tokio::time::interval(Duration::from_millis(period_ms));
+            interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+            loop {
+                tokio::select! {
+                    () = shutdown.cancelled() => break,
+                    _ = interval.tick() => {}
+                }
+                sender.send_replace(Tick {
+                    now_us: elapsed_us(started),
+                });
+            }
+        });
+        receiver
+    }
 }
 
 /// A part's own sequence of ticks.
 #[derive(Debug)]
 pub struct Subscription {
     ticks: watch::Receiver<Tick>,
-    period_us: u64,
-    last_us: u64,
 }
 
 impl Subscription {
@@ -92,14 +105,8 @@
     ///
     /// A part that was busy gets one tick, not all that it missed.
     pub async fn next(&mut self) -> Option<Tick> {
-        loop {
-            self.ticks.changed().await.ok()?;
-            let tick = *self.ticks.borrow_and_update();
-            if tick.now_us >= self.last_us + self.period_us {
-                self.last_us = tick.now_us;
-                return Some(tick);
-            }
-        }
+        self.ticks.changed().await.ok()?;
+        Some(*self.ticks.borrow_and_update())
     }
 }
 
