Tell borrowers when a token for each of them is due

Told the time to the next token, all borrowers of an empty bank asked again for that one. Out of a low bucket each also gets a part ahead of its demand, and a borrower backs off while its asks stay unserved.

--- a/src/quota/bank.rs
+++ b/src/quota/bank.rs
@@ -12,6 +12,9 @@
     std::collections::HashMap,
 };
 
+/// Part of the usual tokens ahead that a borrower gets out of a low bucket.
+const SCARCE_PART: u64 = 8;
+
 #[derives::key]
 #[derive(Default)]
 struct Lease {
@@ -133,6 +136,8 @@
     pub fn borrow(&mut self, ask: &BorrowAsk, rate: Rate, now_us: u64) -> BorrowAnswer {
         self.advance(rate, now_us);
         self.settle(ask, rate, now_us);
+        let ledger = self.ledgers.entry(ask.borrower.clone()).or_default();
+        ledger.ask(now_us);
         let mut granted_count = self.bucket.take(ask.need_count);
         let is_short = granted_count < ask.need_count;
         if !is_short {
@@ -178,7 +183,7 @@
         for ledger in self.ledgers.values_mut() {
             ledger.expire(now_us);
         }
-        self.ledgers.retain(|_, ledger| !ledger.is_empty());
+        self.ledgers.retain(|_, ledger| !ledger.is_over(now_us));
         self.clamp(rate, now_us);
     }
 
@@ -202,23 +207,29 @@
         self.clamp(rate, now_us);
     }
 
-    /// Tokens ahead of demand, only out of the upper half of the bucket: what
-    /// one node holds unspent is missing to the others.
+    /// Tokens ahead of demand. What one node holds unspent is missing to the
+    /// others: out of the lower half of the bucket each gets its part at most.
     fn extra_count(&self, ask: &BorrowAsk, rate: Rate, now_us: u64) -> u32 {
         let reserve = capacity(rate, self.slice_count(now_us)) / 2;
         let spare_count = self.bucket.level.saturating_sub(reserve) / UNITS_PER_TOKEN;
-        u32::try_from(spare_count)
-            .unwrap_or(u32::MAX)
-            .min(ask.extra_count)
+        let part_count = self.bucket.level / UNITS_PER_TOKEN / self.borrower_count();
+        let ahead = u64::from(ask.extra_count);
+        let scarce = part_count.min(ahead / SCARCE_PART);
+        u32::try_from(spare_count.min(ahead).max(scarce)).unwrap_or(u32::MAX)
     }
 
+    /// Time in which a token for each borrower accrues. Told the time to the
+    /// next token, all of them would ask again for that one.
     fn empty_for_ms(&self, rate: Rate, now_us: u64) -> u32 {
         let per_us = u64::from(rate.rate_per_s) * self.slice_count(now_us);
-        let wait_us = UNITS_PER_TOKEN
-            .saturating_sub(self.bucket.level)
-            .checked_div(per_us);
+        let wanted = UNITS_PER_TOKEN * self.borrower_count();
+        let wait_us = wanted.saturating_sub(self.bucket.level).checked_div(per_us);
         let wait_ms = wait_us.map_or(u64::from(MAX_EMPTY_MS), |wait_us| wait_us.div_ceil(1000));
         let wait_ms = u32::try_from(wait_ms).unwrap_or(u32::MAX);
         wait_ms.clamp(MIN_EMPTY_MS, MAX_EMPTY_MS)
     }
+
+    fn borrower_count(&self) -> u64 {
+        self.ledgers.len().max(1) as u64
+    }
 }
--- a/src/quota/ledger.rs
+++ b/src/quota/ledger.rs
@@ -21,8 +21,12 @@
     settled_count: u32,
     settled_expires_us: u64,
     open: Vec<OpenLoan>,
+    asked_us: u64,
 }
 
+/// A borrower that asked no longer ago counts as one that wants tokens.
+const ACTIVE_US: u64 = 1_000_000;
+
 impl Ledger {
     /// Drops what nobody can spend any more.
     pub fn expire(&mut self, now_us: u64) {
@@ -39,8 +43,14 @@
     }
 
     /// Whether there is nothing to remember.
-    pub const fn is_empty(&self) -> bool {
-        self.settled_count == 0 && self.open.is_empty()
+    pub fn is_over(&self, now_us: u64) -> bool {
+        let is_settled = self.settled_count == 0 && self.open.is_empty();
+        is_settled && now_us >= self.asked_us + ACTIVE_US
+    }
+
+    /// The borrower asks now.
+    pub const fn ask(&mut self, now_us: u64) {
+        self.asked_us = now_us;
     }
 
     /// Remembers a new loan.
--- a/src/quota/purse.rs
+++ b/src/quota/purse.rs
@@ -12,6 +12,12 @@
 /// Length of the time over which demand is counted.
 const DEMAND_WINDOW_US: u64 = 1_000_000;
 
+/// Doublings of the time for which an empty bank is not asked again.
+const MAX_DOUBLINGS: u32 = 4;
+
+/// Longest time for which an empty bank is not asked again.
+const MAX_BACK_OFF_MS: u32 = 200;
+
 #[derives::value]
 struct Loan {
     /// Process of the bank that lent it.
@@ -43,6 +49,8 @@
     earlier_banks: Vec<EarlierBank>,
     returned_count: u32,
     empty_until_us: u64,
+    /// Asks in a row that the bank could not serve in full.
+    short_count: u32,
     window_us: u64,
     window_count: u32,
     last_window_count: u32,
@@ -61,6 +69,7 @@
             earlier_banks: Vec::new(),
             returned_count: 0,
             empty_until_us: 0,
+            short_count: 0,
             window_us: 0,
             window_count: 0,
             last_window_count: 0,
@@ -131,9 +140,7 @@
         if answer.bank_id != self.bank_id {
             self.change_bank(answer.bank_id, now_us);
         }
-        if answer.empty_for_ms > 0 {
-            self.empty_until_us = now_us + us(answer.empty_for_ms);
-        }
+        self.back_off(answer.empty_for_ms, now_us);
         // A late or doubled answer: the bank has been told already that this
         // loan is spent, and may have lent its tokens to others.
         if answer.granted_count == 0 || answer.loan <= self.last_loan {
@@ -156,6 +163,18 @@
         self.returned_count > 0
     }
 
+    /// A workspace far above its rate would ask on and on for tokens that go
+    /// to others; the longer it lasts, the rarer the asks.
+    fn back_off(&mut self, empty_for_ms: u32, now_us: u64) {
+        if empty_for_ms == 0 {
+            self.short_count = 0;
+            return;
+        }
+        let wait_ms = empty_for_ms << self.short_count.min(MAX_DOUBLINGS);
+        self.empty_until_us = now_us + us(wait_ms.min(MAX_BACK_OFF_MS));
+        self.short_count += 1;
+    }
+
     fn change_bank(&mut self, bank_id: u64, now_us: u64) {
         self.earlier_banks.retain(|bank| bank.forget_us > now_us);
         self.earlier_banks.push(EarlierBank {
