Let borrowers of a low bucket ask rarely and get more at a time

Served just what waited, a node asked again for nearly each request of an offender. A bank now says it is short already when it cannot lend a little ahead, so that its bucket recovers between asks.

--- a/src/quota/bank.rs
+++ b/src/quota/bank.rs
@@ -13,7 +13,7 @@
 };
 
 /// Part of the usual tokens ahead that a borrower gets out of a low bucket.
-const SCARCE_PART: u64 = 8;
+const SCARCE_PART: u32 = 8;
 
 #[derives::key]
 #[derive(Default)]
@@ -138,11 +138,12 @@
         self.settle(ask, rate, now_us);
         let ledger = self.ledgers.entry(ask.borrower.clone()).or_default();
         ledger.ask(now_us);
-        let mut granted_count = self.bucket.take(ask.need_count);
-        let is_short = granted_count < ask.need_count;
-        if !is_short {
-            granted_count += self.bucket.take(self.extra_count(ask, rate, now_us));
-        }
+        let extra_count = self.extra_count(ask, rate, now_us);
+        let granted_count = self.bucket.take(ask.need_count.saturating_add(extra_count));
+        // Nodes that get what waits and little more would ask for each single
+        // request while the bucket is low.
+        let wanted_count = ask.need_count.saturating_add(ask.extra_count / SCARCE_PART);
+        let is_short = granted_count < wanted_count;
         let mut answer = BorrowAnswer {
             bank_id: self.bank_id,
             loan: 0,
@@ -210,12 +211,14 @@
     /// Tokens ahead of demand. What one node holds unspent is missing to the
     /// others: out of the lower half of the bucket each gets its part at most.
     fn extra_count(&self, ask: &BorrowAsk, rate: Rate, now_us: u64) -> u32 {
+        let need = u64::from(ask.need_count) * UNITS_PER_TOKEN;
+        let left = self.bucket.level.saturating_sub(need);
         let reserve = capacity(rate, self.slice_count(now_us)) / 2;
-        let spare_count = self.bucket.level.saturating_sub(reserve) / UNITS_PER_TOKEN;
-        let part_count = self.bucket.level / UNITS_PER_TOKEN / self.borrower_count();
-        let ahead = u64::from(ask.extra_count);
-        let scarce = part_count.min(ahead / SCARCE_PART);
-        u32::try_from(spare_count.min(ahead).max(scarce)).unwrap_or(u32::MAX)
+        let spare_count = left.saturating_sub(reserve) / UNITS_PER_TOKEN;
+        let part_count = left / UNITS_PER_TOKEN / self.borrower_count();
+        let scarce = part_count.min(u64::from(ask.extra_count / SCARCE_PART));
+        let extra_count = spare_count.min(u64::from(ask.extra_count)).max(scarce);
+        u32::try_from(extra_count).unwrap_or(u32::MAX)
     }
 
     /// Time in which a token for each borrower accrues. Told the time to the
