Count a look at the platform once its slice table is followed

A node that had received a newer slice table, but whose guard did not follow it yet, took itself for fresh and would have gone on with slices that the table gave to others. The version that counts is now the one that is followed, for own looks too; a new test found that such a look passed for 'store down'.

--- a/src/freshness/task.rs
+++ b/src/freshness/task.rs
@@ -3,11 +3,11 @@
 use {
     super::{Freshness, FreshnessTracker, Snapshot},
     crate::{
-        documents::Versions,
+        documents::{DocumentKind, Versions},
         event,
         events::Event,
         membership::{PeerStamp, View},
-        slices::SliceTable,
+        slices::HeldTable,
         timer::Timer,
     },
     std::sync::Arc,
@@ -22,11 +22,12 @@
 pub enum Heard {
     /// A member's reply to a probe of this node.
     Reply(PeerStamp),
-    /// This node looked at the platform and holds what it saw; begun at this
-    /// monotonic time.
+    /// This node looked at the platform.
     Platform {
-        /// When the look was begun.
+        /// Monotonic time at which the look was begun.
         asked_ms: u64,
+        /// Versions that it showed.
+        versions: Versions,
     },
 }
 
@@ -41,7 +42,7 @@
     /// Versions of the documents held.
     pub versions: watch::Receiver<Versions>,
     /// The slice table held.
-    pub table: watch::Receiver<Option<Arc<SliceTable>>>,
+    pub table: watch::Receiver<Option<Arc<HeldTable>>>,
 }
 
 /// Starts the task; it ends with the timer.
@@ -65,8 +66,8 @@
             while let Ok(heard) = inputs.heard.try_recv() {
                 take_in(&mut tracker, heard);
             }
-            tracker.hold_versions(*inputs.versions.borrow_and_update());
             observe_zones(&mut tracker, &mut inputs);
+            tracker.hold_versions(followed_versions(&inputs));
             let next = tracker.snapshot(inputs.timer.now_ms());
             if next.freshness != state {
                 event!(
@@ -86,7 +87,7 @@
 fn take_in(tracker: &mut FreshnessTracker, heard: Heard) {
     match heard {
         Heard::Reply(stamp) => tracker.reply(&stamp),
-        Heard::Platform { asked_ms } => tracker.platform_seen(asked_ms),
+        Heard::Platform { asked_ms, versions } => tracker.platform_seen(asked_ms, versions),
     }
 }
 
@@ -97,10 +98,25 @@
     }
     let view = inputs.view.borrow_and_update();
     let table = inputs.table.borrow_and_update();
-    let slots = table.iter().flat_map(|table| table.slots());
+    let slots = table.iter().flat_map(|held| held.table.slots());
     tracker.observe_zones(&view, slots.map(|slot| slot.zone.as_str()));
 }
 
+/// Versions in force here. A slice table that was received but is not yet
+/// followed does not count: the node would take itself for fresh and go on
+/// using slices that the newer table takes away.
+fn followed_versions(inputs: &FreshnessInputs) -> Versions {
+    let mut versions = *inputs.versions.borrow();
+    let followed = inputs
+        .table
+        .borrow()
+        .as_ref()
+        .map_or(0, |held| held.version);
+    let slices = &mut versions.0[DocumentKind::Slices.index()];
+    *slices = followed.min(*slices);
+    versions
+}
+
 fn replace<T: PartialEq>(held: &mut T, next: T) -> bool {
     let is_changed = *held != next;
     *held = next;
--- a/src/freshness/tracker.rs
+++ b/src/freshness/tracker.rs
@@ -69,6 +69,8 @@
     zones: BTreeSet<String>,
     own_zone_has_others: bool,
     confirmed_ms: Option<u64>,
+    /// Begin of the last own look, and what it showed.
+    own_look: Option<(u64, Versions)>,
     stamps: BTreeMap<String, PeerStamp>,
     replies: BTreeMap<String, ZoneReply>,
 }
@@ -84,6 +86,7 @@
             zones: BTreeSet::new(),
             own_zone_has_others: false,
             confirmed_ms: None,
+            own_look: None,
             stamps: BTreeMap::new(),
             replies: BTreeMap::new(),
         }
@@ -117,16 +120,21 @@
     /// Takes in the versions of the documents that this node holds.
     pub fn hold_versions(&mut self, versions: Versions) {
         self.versions = versions;
-        let covered = self.stamps.values().filter(|s| covers(&versions, s));
-        let newest = covered.filter_map(|stamp| stamp.platform_seen_ms).max();
+        let told = self.stamps.values();
+        let told = told.filter_map(|stamp| Some((stamp.platform_seen_ms?, stamp.versions)));
+        let looks = told.chain(self.own_look);
+        let covered = looks.filter(|(_, shown)| covers(&versions, shown));
+        let newest = covered.map(|(seen_ms, _)| seen_ms).max();
         self.confirmed_ms = self.confirmed_ms.max(newest);
     }
 
     /// Takes in a look of this node at the platform.
     ///
-    /// `asked_ms` is when the look was begun; the node must hold what it saw.
-    pub fn platform_seen(&mut self, asked_ms: u64) {
-        self.confirmed_ms = self.confirmed_ms.max(Some(asked_ms));
+    /// `asked_ms` is when the look was begun. Like a member's stamp it counts
+    /// once this node holds the versions that it showed.
+    pub fn platform_seen(&mut self, asked_ms: u64, versions: Versions) {
+        self.own_look = Some((asked_ms, versions));
+        self.hold_versions(self.versions);
     }
 
     /// Takes in a member's reply to a probe of this node.
@@ -140,7 +148,7 @@
         let reply = self.replies.entry(stamp.zone.clone());
         let reply = reply.or_insert(ZoneReply { probe_sent_ms: 0 });
         reply.probe_sent_ms = reply.probe_sent_ms.max(stamp.probe_sent_ms);
-        if covers(&self.versions, stamp) {
+        if covers(&self.versions, &stamp.versions) {
             self.confirmed_ms = self.confirmed_ms.max(stamp.platform_seen_ms);
         }
         self.stamps.insert(stamp.node_id.clone(), stamp.clone());
@@ -184,7 +192,7 @@
         let is_own = |stamp: &&PeerStamp| stamp.zone == self.zone;
         let stamps = self.stamps.values().filter(is_own);
         let holds_table = self.versions.of(DocumentKind::Slices) > 0;
-        if !holds_table || any_fresh(stamps, now_ms) {
+        if !holds_table || self.looked_itself(now_ms) || any_fresh(stamps, now_ms) {
             return None;
         }
         if !self.own_zone_has_others {
@@ -194,8 +202,16 @@
         Some(reply.probe_sent_ms + REPLY_LIMIT_MS)
     }
 
+    /// This node reached the platform, though it may not follow yet what it saw.
+    fn looked_itself(&self, now_ms: u64) -> bool {
+        self.own_look
+            .is_some_and(|(asked_ms, _)| now_ms < asked_ms + FRESH_LIMIT_MS)
+    }
+
     fn store_down_until_ms(&self, now_ms: u64) -> Option<u64> {
-        if self.versions.of(DocumentKind::Slices) == 0 || any_fresh(self.stamps.values(), now_ms) {
+        let holds_table = self.versions.of(DocumentKind::Slices) > 0;
+        let is_reached = self.looked_itself(now_ms) || any_fresh(self.stamps.values(), now_ms);
+        if !holds_table || is_reached {
             return None;
         }
         let own_zone = self.own_zone_has_others.then_some(&self.zone);
@@ -215,9 +231,9 @@
     })
 }
 
-fn covers(versions: &Versions, stamp: &PeerStamp) -> bool {
+fn covers(held: &Versions, shown: &Versions) -> bool {
     let mut kinds = DocumentKind::ALL.into_iter();
-    kinds.all(|kind| versions.of(kind) >= stamp.versions.of(kind))
+    kinds.all(|kind| held.of(kind) >= shown.of(kind))
 }
 
 fn zones_wholly_left(view: &View) -> BTreeSet<&str> {
--- a/src/slices/mod.rs
+++ b/src/slices/mod.rs
@@ -13,7 +13,7 @@
     plan::{Observed, Planner, SELF_CLAIM_WAIT_MS, TAKEOVER_WAIT_MS},
     share::{KEY_OWNERS_PER_ZONE, QUOTA_OWNERS_PER_ZONE},
     steps::{Moved, Step},
-    table::{Owner, Section, SliceTable, Slot, SlotKey},
+    table::{HeldTable, Owner, Section, SliceTable, Slot, SlotKey},
     task::{SliceInputs, spawn},
     writer::{DocumentWriter, WriteResult},
 };
--- a/src/slices/table.rs
+++ b/src/slices/table.rs
@@ -68,6 +68,16 @@
     pub(super) keys: Vec<Owner>,
 }
 
+/// A table that guard and quota follow, with the version of its document.
+#[derives::value]
+#[derive(Eq)]
+pub struct HeldTable {
+    /// Version of the document.
+    pub version: u64,
+    /// The table.
+    pub table: SliceTable,
+}
+
 impl SliceTable {
     /// The first table of a fleet: one slot owns everything.
     #[must_use]
--- a/src/slices/task.rs
+++ b/src/slices/task.rs
@@ -2,7 +2,8 @@
 
 use {
     super::{
-        DocumentWriter, Moved, Observed, Planner, Section, SliceTable, Slot, Step, WriteResult,
+        DocumentWriter, HeldTable, Moved, Observed, Planner, Section, SliceTable, Slot, Step,
+        WriteResult,
     },
     crate::{
         documents::{Document, DocumentKind},
@@ -67,20 +68,18 @@
 struct Task<W> {
     inputs: SliceInputs<W>,
     planner: Planner,
-    table: Option<(u64, Arc<SliceTable>)>,
-    tables: watch::Sender<Option<Arc<SliceTable>>>,
+    held: Option<Arc<HeldTable>>,
+    tables: watch::Sender<Option<Arc<HeldTable>>>,
 }
 
 /// Starts the task; it ends with the timer. Gives the table in force.
 #[must_use]
-pub fn spawn<W: DocumentWriter>(
-    inputs: SliceInputs<W>,
-) -> watch::Receiver<Option<Arc<SliceTable>>> {
+pub fn spawn<W: DocumentWriter>(inputs: SliceInputs<W>) -> watch::Receiver<Option<Arc<HeldTable>>> {
     let (tables, table) = watch::channel(None);
     let task = Task {
         planner: Planner::new(inputs.own.clone()),
         inputs,
-        table: None,
+        held: None,
         tables,
     };
     tokio::spawn(task.run());
@@ -100,8 +99,8 @@
             self.inputs.guard.expire();
             self.read_document();
             let now_ms = self.inputs.timer.now_ms();
-            match self.table.clone() {
-                Some((version, table)) => self.plan(version, &table, now_ms).await,
+            match self.held.clone() {
+                Some(held) => self.plan(&held, now_ms).await,
                 None if now_ms >= started_ms + CREATE_AFTER_MS => self.create().await,
                 None => {}
             }
@@ -110,7 +109,7 @@
 
     fn read_document(&mut self) {
         let document = self.inputs.document.borrow().clone();
-        let held_version = self.table.as_ref().map_or(0, |(version, _)| *version);
+        let held_version = self.held.as_ref().map_or(0, |held| held.version);
         let Some(document) = document.filter(|document| document.version > held_version) else {
             return;
         };
@@ -127,11 +126,12 @@
     }
 
     fn follow(&mut self, version: u64, table: SliceTable) {
-        let table = Arc::new(table);
         self.inputs.guard.observe_table(&table);
         self.inputs.quota.observe_table(&table);
-        self.table = Some((version, table.clone()));
-        self.tables.send_replace(Some(table));
+        // Told last: freshness counts from here on with this version.
+        let held = Arc::new(HeldTable { version, table });
+        self.held = Some(held.clone());
+        self.tables.send_replace(Some(held));
     }
 
     async fn create(&mut self) {
@@ -162,7 +162,8 @@
             .is_none_or(|first| first.node_id == self.inputs.own.node_id)
     }
 
-    async fn plan(&mut self, version: u64, table: &SliceTable, now_ms: u64) {
+    async fn plan(&mut self, held: &HeldTable, now_ms: u64) {
+        let HeldTable { version, table } = held;
         let view = self.inputs.view.borrow().clone();
         let observed = Observed {
             table,
@@ -177,14 +178,14 @@
         }
         let next = table.with_steps(&self.inputs.own, &steps);
         let outgoing = self.release(&steps);
-        let result = self.write_until_known(version, &next).await;
+        let result = self.write_until_known(*version, &next).await;
         if let WriteResult::Written(version) = result {
             log_steps(&steps);
             self.follow(version, next.clone());
             self.hand_over(outgoing, &next);
             return;
         }
-        self.resolve(version, outgoing).await;
+        self.resolve(*version, outgoing).await;
     }
 
     /// Stops using what is given up, before the table is written: written
--- a/tests/freshness.rs
+++ b/tests/freshness.rs
@@ -209,7 +209,7 @@
         ];
         tracker.observe_zones(&View { members }, []);
         if let Some(age_ms) = case.own_look_age_ms {
-            tracker.platform_seen(NOW_MS - age_ms);
+            tracker.platform_seen(NOW_MS - age_ms, HELD);
         }
         for reply in &case.replies {
             tracker.reply(&PeerStamp {
@@ -233,12 +233,24 @@
 #[test]
 fn a_snapshot_from_before_a_pause_is_worth_nothing() {
     let mut tracker = FreshnessTracker::new("a1", "a");
-    tracker.platform_seen(NOW_MS);
+    tracker.platform_seen(NOW_MS, Versions::default());
     let snapshot = tracker.snapshot(NOW_MS + 10);
     assert_eq!(snapshot.at(NOW_MS + FRESH_LIMIT_MS - 1), Freshness::Fresh);
     assert_eq!(snapshot.at(NOW_MS + FRESH_LIMIT_MS), Freshness::CutOff);
 }
 
+/// A node reads a new slice table and is stopped before it follows it. It
+/// would go on with slices that the table gave to others.
+#[test]
+fn an_own_look_counts_once_what_it_showed_is_followed() {
+    let mut tracker = FreshnessTracker::new("a1", "a");
+    tracker.hold_versions(HELD);
+    tracker.platform_seen(NOW_MS, Versions([4, 5, 7]));
+    assert_eq!(tracker.snapshot(NOW_MS).freshness, Freshness::CutOff);
+    tracker.hold_versions(Versions([4, 5, 7]));
+    assert_eq!(tracker.snapshot(NOW_MS).freshness, Freshness::Fresh);
+}
+
 #[test]
 fn a_stamp_counts_once_the_newer_table_is_held() {
     let mut tracker = FreshnessTracker::new("a1", "a");
--- a/tests/quota_fleet.rs
+++ b/tests/quota_fleet.rs
@@ -12,7 +12,9 @@
         quota::{self, LeasedQuota, QuotaGate, QuotaInputs, Rate, Rates},
         rpc::{self, CallKind, DocumentSource, NodeHandlers, RpcClient, RpcConfig},
         settings::Settings,
-        slices::{self, DocumentWriter, Section, SliceInputs, SliceTable, Slot, WriteResult},
+        slices::{
+            self, DocumentWriter, HeldTable, Section, SliceInputs, SliceTable, Slot, WriteResult,
+        },
         timer::Timer,
     },
     std::{
@@ -84,7 +86,7 @@
     quota: LeasedQuota,
     guard: Arc<GuardHome>,
     client: RpcClient,
-    table: watch::Receiver<Option<Arc<SliceTable>>>,
+    table: watch::Receiver<Option<Arc<HeldTable>>>,
     draining: watch::Sender<bool>,
     view: watch::Sender<Arc<View>>,
     workspace: WorkspaceKey,
@@ -213,14 +215,15 @@
         for node in &mut self.nodes {
             let held = node
                 .table
-                .wait_for(|table| table.as_ref().is_some_and(|t| is_met(t)));
+                .wait_for(|table| table.as_ref().is_some_and(|held| is_met(&held.table)));
             let held = tokio::time::timeout(Duration::from_secs(30), held).await;
             drop(held.expect("the table settles").expect("the task runs"));
         }
     }
 
     fn home_of(&self, request: &KeyedRequest) -> &TestNode {
-        let table = self.nodes[0].table.borrow().clone().expect("it settled");
+        let held = self.nodes[0].table.borrow().clone();
+        let table = &held.as_ref().expect("it settled").table;
         let home = &table.owner(Section::Keys, request.key.slice()).node_id;
         let members = &self.view.members;
         let index = members.iter().position(|member| member.node_id == *home);
