--- a/src/quota/gate.rs
+++ b/src/quota/gate.rs
@@ -2,8 +2,7 @@
 
 use {
     super::{
-        Bank, BorrowAnswer, BorrowAsk, LeaseAnswer, LeaseAsk, Process, Purse, QuotaGate,
-        QuotaOwner, Rate, route::banks,
+        Bank, BorrowAnswer, BorrowAsk, Process, Purse, QuotaGate, QuotaOwner, Rate, route::banks,
     },
     crate::{
         freshness::Snapshot,
@@ -15,7 +14,6 @@
     },
     std::{
         collections::HashMap,
-        net::SocketAddr,
         sync::{Arc, Mutex, MutexGuard},
         time::Duration,
     },
@@ -32,9 +30,6 @@
 /// Longest wait for a bank in another region.
 const FAR_ASK_LIMIT_MS: u64 = 250;
 
-/// Time between two looks at a bank that waits for its owners.
-const OWNERS_POLL_MS: u64 = 1;
-
 /// Rates in force by workspace.
 pub type Rates = HashMap<WorkspaceKey, Rate>;
 
@@ -68,24 +63,24 @@
 }
 
 #[derive(Default)]
-struct State {
-    owner: QuotaOwner,
-    is_usable: bool,
-    owner_ids: Vec<String>,
-    banks: HashMap<WorkspaceKey, Bank>,
+pub(super) struct State {
+    pub(super) owner: QuotaOwner,
+    pub(super) is_usable: bool,
+    pub(super) owner_ids: Vec<String>,
+    pub(super) banks: HashMap<WorkspaceKey, Bank>,
     wallets: HashMap<WorkspaceKey, Wallet>,
 }
 
-struct Inner {
-    inputs: QuotaInputs,
-    runtime: Handle,
+pub(super) struct Inner {
+    pub(super) inputs: QuotaInputs,
+    pub(super) runtime: Handle,
     state: Mutex<State>,
 }
 
 /// Quota by leased shares; clones share their state.
 #[derive(Clone)]
 pub struct LeasedQuota {
-    inner: Arc<Inner>,
+    pub(super) inner: Arc<Inner>,
 }
 
 impl LeasedQuota {
@@ -135,40 +130,6 @@
             .release(slices, |workspace| rate_of(&rates, workspace), now_us);
     }
 
-    /// Leases this node's share to a bank.
-    #[must_use]
-    pub fn lease(&self, ask: &LeaseAsk) -> LeaseAnswer {
-        let rate = rate_of(&self.rates(), ask.workspace);
-        let mut state = self.lock();
-        // One reading of the clock for both: a pause in between would let a
-        // share be leased that was taken over meanwhile.
-        let now_us = self.now_us();
-        let may_use = self
-            .inner
-            .inputs
-            .freshness
-            .borrow()
-            .allows_quota(now_us / 1000);
-        if !state.is_usable || !may_use {
-            return LeaseAnswer::default();
-        }
-        state.owner.lease(ask, rate, now_us)
-    }
-
-    /// Lends tokens as the bank of a workspace.
-    pub async fn borrow(&self, ask: BorrowAsk) -> BorrowAnswer {
-        let workspace = ask.workspace;
-        let Some(rate) = self.rates().get(&workspace).copied() else {
-            return BorrowAnswer::default();
-        };
-        self.with_bank(workspace, Bank::wake);
-        self.ask_owners(workspace, rate);
-        while self.with_bank(workspace, |bank, now_us| bank.awaits_owners(now_us)) {
-            tokio::time::sleep(Duration::from_millis(OWNERS_POLL_MS)).await;
-        }
-        self.with_bank(workspace, |bank, now_us| bank.borrow(&ask, rate, now_us))
-    }
-
     /// Renews leases, returns tokens, brings shares up to date.
     pub fn tick(&self) {
         let rates = self.rates();
@@ -189,44 +150,6 @@
         }
     }
 
-    fn ask_owners(&self, workspace: WorkspaceKey, rate: Rate) {
-        let (owners, now_us) = {
-            let mut state = self.lock();
-            let now_us = self.now_us();
-            let State {
-                banks, owner_ids, ..
-            } = &mut *state;
-            let bank = banks.entry(workspace).or_insert_with(|| new_bank(now_us));
-            let owners = bank.owners_to_ask(owner_ids.iter().map(String::as_str), now_us);
-            let owners = owners.into_iter().map(str::to_owned);
-            (owners.collect::<Vec<_>>(), now_us)
-        };
-        for owner in owners {
-            let quota = self.clone();
-            let call = async move { quota.ask_owner(workspace, rate, &owner, now_us).await };
-            self.inner.runtime.spawn(call);
-        }
-    }
-
-    async fn ask_owner(&self, workspace: WorkspaceKey, rate: Rate, owner: &str, sent_us: u64) {
-        let ask = LeaseAsk {
-            workspace,
-            bank: self.process(),
-        };
-        let answer = if owner == self.inner.inputs.own.node_id {
-            self.lease(&ask)
-        } else {
-            let Some(address) = self.address(owner) else {
-                return;
-            };
-            let answer = self.inner.inputs.client.lease(address, ask).await;
-            answer.unwrap_or_default()
-        };
-        self.with_bank(workspace, |bank, now_us| {
-            bank.leased(owner, sent_us, answer, rate, now_us);
-        });
-    }
-
     fn spawn_ask(&self, workspace: WorkspaceKey) {
         let quota = self.clone();
         self.inner
@@ -317,40 +240,22 @@
         })
     }
 
-    // Banks are never dropped: another one of the same process would not know
-    // what this one has lent, though owners take both for the same.
-    fn with_bank<T>(&self, workspace: WorkspaceKey, work: impl FnOnce(&mut Bank, u64) -> T) -> T {
-        let mut state = self.lock();
-        let now_us = self.now_us();
-        let bank = state
-            .banks
-            .entry(workspace)
-            .or_insert_with(|| new_bank(now_us));
-        work(bank, now_us)
-    }
-
-    fn process(&self) -> Process {
+    pub(super) fn process(&self) -> Process {
         Process {
             node_id: self.inner.inputs.own.node_id.clone(),
             started_unix_ms: self.inner.inputs.started_unix_ms,
         }
     }
 
-    fn address(&self, node_id: &str) -> Option<SocketAddr> {
-        let view = self.inner.inputs.view.borrow();
-        let member = view.member(node_id)?;
-        Some(member.rpc_address())
-    }
-
-    fn rates(&self) -> Arc<Rates> {
+    pub(super) fn rates(&self) -> Arc<Rates> {
         self.inner.inputs.rates.borrow().clone()
     }
 
-    fn now_us(&self) -> u64 {
+    pub(super) fn now_us(&self) -> u64 {
         self.inner.inputs.timer.now_us()
     }
 
-    fn lock(&self) -> MutexGuard<'_, State> {
+    pub(super) fn lock(&self) -> MutexGuard<'_, State> {
         self.inner
             .state
             .lock()
@@ -379,11 +284,7 @@
     }
 }
 
-fn new_bank(now_us: u64) -> Bank {
-    Bank::new(rand::random(), now_us)
-}
-
-fn rate_of(rates: &Rates, workspace: WorkspaceKey) -> Rate {
+pub(super) fn rate_of(rates: &Rates, workspace: WorkspaceKey) -> Rate {
     rates.get(&workspace).copied().unwrap_or(Rate {
         rate_per_s: 0,
         burst_count: 0,
--- a/src/quota/mod.rs
+++ b/src/quota/mod.rs
@@ -1,6 +1,7 @@
 //! Fleet-wide rate and burst of workspaces.
 
 mod bank;
+mod banking;
 mod bucket;
 mod gate;
 mod ledger;
@@ -18,6 +19,7 @@
     messages::{BorrowAnswer, BorrowAsk, LeaseAnswer, LeaseAsk, Process},
     owner::QuotaOwner,
     purse::Purse,
+    route::banks,
     violations::{Violation, window_violations},
 };
 
--- a/tests/quota_fleet.rs
+++ b/tests/quota_fleet.rs
@@ -90,6 +90,7 @@
     draining: watch::Sender<bool>,
     view: watch::Sender<Arc<View>>,
     workspace: WorkspaceKey,
+    shutdown: CancellationToken,
     _rates: watch::Sender<Arc<Rates>>,
     _freshness: watch::Sender<Snapshot>,
 }
@@ -123,7 +124,7 @@
     member: &Member,
     view: &View,
     store: &Store,
-    shutdown: &CancellationToken,
+    shutdown: CancellationToken,
 ) -> TestNode {
     let settings = Settings::parse_from([
         "dogwoodd",
@@ -191,6 +192,7 @@
         draining: draining_sender,
         view: view_sender,
         workspace,
+        shutdown,
         _rates: rates_sender,
         _freshness: freshness_sender,
     }
@@ -203,7 +205,7 @@
         let store = Store::new(lost_answer_count);
         let shutdown = CancellationToken::new();
         let nodes = view.members.iter();
-        let nodes = nodes.map(|member| start_node(member, &view, &store, &shutdown));
+        let nodes = nodes.map(|member| start_node(member, &view, &store, shutdown.child_token()));
         Self {
             nodes: nodes.collect(),
             view,
@@ -211,6 +213,14 @@
         }
     }
 
+    fn show_state(&mut self, index: usize, state: MemberState) {
+        self.view.members[index].state = state;
+        let view = Arc::new(self.view.clone());
+        for node in &self.nodes {
+            node.view.send_replace(view.clone());
+        }
+    }
+
     async fn until_table(&mut self, is_met: impl Fn(&SliceTable) -> bool) {
         for node in &mut self.nodes {
             let held = node
@@ -271,6 +281,40 @@
     );
 }
 
+/// The bank of a workspace dies. Its requests are refused until the shares
+/// that the bank had leased can be leased again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn another_bank_serves_after_the_first_died() {
+    let mut fleet = Fleet::start(3, 6, 0);
+    fleet.until_table(|table| table.slots().len() == 6).await;
+    tokio::time::sleep(Duration::from_millis(2200 + 500)).await;
+    let dead = quota::banks(&fleet.view, "shop", "z0")[0].node_id.clone();
+    let dead = fleet
+        .view
+        .members
+        .iter()
+        .position(|member| member.node_id == dead);
+    let dead = dead.expect("a member");
+    let survivor = (dead + 1) % 6;
+    assert_eq!(admit_at_once(&fleet.nodes[survivor], 20).await, 20);
+    fleet.nodes[dead].shutdown.cancel();
+    let died = std::time::Instant::now();
+    fleet.show_state(dead, MemberState::Dead);
+    let node = &fleet.nodes[survivor];
+    // Spends what the node has borrowed ahead.
+    while node.quota.admit(node.workspace, RATE).await.is_ok() {}
+    let mut refused_count = 0;
+    while node.quota.admit(node.workspace, RATE).await.is_err() {
+        refused_count += 1;
+        tokio::time::sleep(Duration::from_millis(5)).await;
+        assert!(refused_count < 6000, "no other bank serves");
+    }
+    println!(
+        "first admission {} ms after the bank died",
+        died.elapsed().as_millis()
+    );
+}
+
 /// A node leaves while writes of the slice table lose their answers. The keys
 /// that it knows must be known to their next homes, or a resend of an order
 /// would be refused as unsure, or worse run again.
@@ -292,11 +336,7 @@
         until(|| guard.begin(request) == Begin::Execute).await;
         guard.finish(request.key, Finish::Answered(answer.clone()));
     }
-    fleet.view.members[1].state = MemberState::Draining;
-    let view = Arc::new(fleet.view.clone());
-    for node in &fleet.nodes {
-        node.view.send_replace(view.clone());
-    }
+    fleet.show_state(1, MemberState::Draining);
     fleet.nodes[1].draining.send_replace(true);
     fleet.until_table(|table| table.find("n1").is_none()).await;
     for request in &requests {
