Hand the bank of a workspace over when another node becomes it

Ruled out: returning the shares to the owners, since loans that are still out would have to be known there too.

Trials: without the new number, with leases counted from the answer, or without the lent tokens, a test fails.

--- a/src/quota/bank.rs
+++ b/src/quota/bank.rs
@@ -2,7 +2,8 @@
 
 use {
     super::{
-        BorrowAnswer, BorrowAsk, Bucket, LeaseAnswer, Process, Rate, UNITS_PER_TOKEN, capacity,
+        BankRef, BorrowAnswer, BorrowAsk, Bucket, Estate, EstateLease, LeaseAnswer, Process, Rate,
+        UNITS_PER_TOKEN, capacity,
         ledger::Ledger,
         limits::{
             BANK_IDLE_MS, FIRST_LEASE_MS, LEASE_RENEW_MS, LEASE_RETRY_MS, LEASE_TTL_MS,
@@ -23,6 +24,25 @@
     ask_again_us: u64,
     /// Until when a borrower waits for the owner's first answer.
     awaited_until_us: u64,
+    /// Bank from which the lease was handed over, until it is renewed.
+    predecessor_id: u64,
+}
+
+/// An owner to be asked.
+#[derives::value]
+#[derive(Eq)]
+pub struct OwnerAsk {
+    /// The owner.
+    pub owner: String,
+    /// Bank from which its lease was handed over, else 0.
+    pub predecessor_id: u64,
+}
+
+/// Tokens that an earlier bank had lent when it handed over.
+#[derives::key]
+struct Inherited {
+    token_count: u64,
+    expires_us: u64,
 }
 
 /// Bank of one workspace in one process; no I/O, no clock.
@@ -37,6 +57,11 @@
     ledgers: HashMap<Process, Ledger>,
     next_loan: u64,
     asked_us: Option<u64>,
+    inherited: Vec<Inherited>,
+    /// Answers to asks from before belong to the successor.
+    retired_us: Option<u64>,
+    estate_asked_us: Option<u64>,
+    estate_awaited_until_us: u64,
 }
 
 impl Bank {
@@ -51,6 +76,10 @@
             ledgers: HashMap::new(),
             next_loan: 1,
             asked_us: None,
+            inherited: Vec::new(),
+            retired_us: None,
+            estate_asked_us: None,
+            estate_awaited_until_us: 0,
         }
     }
 
@@ -66,12 +95,18 @@
             .is_some_and(|asked_us| now_us < asked_us + us(BANK_IDLE_MS))
     }
 
+    /// Number of this bank.
+    #[must_use]
+    pub const fn bank_id(&self) -> u64 {
+        self.bank_id
+    }
+
     /// Owners to be asked now, for a lease or its renewal.
     pub fn owners_to_ask<'a>(
         &mut self,
         owners: impl IntoIterator<Item = &'a str>,
         now_us: u64,
-    ) -> Vec<&'a str> {
+    ) -> Vec<OwnerAsk> {
         if !self.is_awake(now_us) {
             return vec![];
         }
@@ -87,7 +122,10 @@
                     lease.awaited_until_us = now_us + us(FIRST_LEASE_MS);
                 }
                 lease.ask_again_us = now_us + us(LEASE_RETRY_MS);
-                to_ask.push(owner);
+                to_ask.push(OwnerAsk {
+                    owner: owner.to_owned(),
+                    predecessor_id: lease.predecessor_id,
+                });
             }
         }
         to_ask
@@ -98,12 +136,13 @@
     #[must_use]
     pub fn awaits_owners(&self, now_us: u64) -> bool {
         let mut leases = self.leases.values();
-        leases.any(|lease| lease.awaited_until_us > now_us)
+        self.estate_awaited_until_us > now_us || leases.any(|lease| lease.awaited_until_us > now_us)
     }
 
     /// Takes in an owner's answer to the ask that was sent at `sent_us`.
     ///
-    /// The lease is counted from then: the owner granted it later, so it ends
+    /// Returns the bank that is to be asked to hand its leases over, if there
+    /// is one. The lease is counted from when it was asked for: the owner granted it later, so it ends
     /// here before the owner uses the share again, however late the answer.
     pub fn leased(
         &mut self,
@@ -112,24 +151,102 @@
         answer: LeaseAnswer,
         rate: Rate,
         now_us: u64,
-    ) {
+    ) -> Option<BankRef> {
+        if self
+            .retired_us
+            .is_some_and(|retired_us| sent_us <= retired_us)
+        {
+            return None;
+        }
         self.advance(rate, now_us);
         let lease = self.leases.entry(owner.to_owned()).or_default();
         lease.awaited_until_us = 0;
         if answer.slice_count == 0 {
             lease.ask_again_us = now_us + us(answer.busy_ms.max(LEASE_RETRY_MS));
-            return;
+            return (answer.busy_ms > 0 && self.may_ask_estate(now_us)).then_some(answer.holder);
         }
         let ends_us = sent_us + us(answer.ttl_ms);
         if ends_us <= now_us {
-            return;
+            return None;
         }
+        lease.predecessor_id = 0;
         if ends_us > lease.ends_us {
             lease.ends_us = ends_us;
             lease.slice_count = answer.slice_count.into();
         }
         self.bucket.level = self.bucket.level.saturating_add(answer.level);
         self.clamp(rate, now_us);
+        None
+    }
+
+    fn may_ask_estate(&mut self, now_us: u64) -> bool {
+        let asked_us = self.estate_asked_us;
+        if asked_us.is_some_and(|asked_us| now_us < asked_us + us(LEASE_RETRY_MS)) {
+            return false;
+        }
+        self.estate_asked_us = Some(now_us);
+        self.estate_awaited_until_us = now_us + us(FIRST_LEASE_MS);
+        true
+    }
+
+    /// Hands everything over to another bank and goes on under a new number.
+    ///
+    /// With the old number an owner that serves a late ask would lease to both:
+    /// the successor names that number as its predecessor's.
+    pub fn retire(&mut self, next_bank_id: u64, rate: Rate, now_us: u64) -> Estate {
+        self.advance(rate, now_us);
+        let mut leases = Vec::new();
+        for (owner, lease) in self.leases.drain() {
+            let left_us = lease.ends_us.saturating_sub(now_us);
+            let holder_id = match lease.predecessor_id {
+                0 => self.bank_id,
+                predecessor_id => predecessor_id,
+            };
+            if left_us > 0 {
+                leases.push(EstateLease {
+                    owner,
+                    holder_id,
+                    slice_count: u16::try_from(lease.slice_count).unwrap_or(u16::MAX),
+                    left_ms: u32::try_from(left_us / 1000).unwrap_or(0),
+                });
+            }
+        }
+        self.bank_id = next_bank_id;
+        self.retired_us = Some(now_us);
+        self.asked_us = None;
+        Estate {
+            level: self.bucket.drain(),
+            lent_count: self.lent_count(),
+            leases,
+        }
+    }
+
+    /// Goes on for a bank that handed over when it was asked at `sent_us`.
+    pub fn inherit(&mut self, sent_us: u64, estate: Estate, rate: Rate, now_us: u64) {
+        self.advance(rate, now_us);
+        self.estate_awaited_until_us = 0;
+        if self
+            .retired_us
+            .is_some_and(|retired_us| sent_us <= retired_us)
+        {
+            return;
+        }
+        for inherited in estate.leases {
+            let lease = self.leases.entry(inherited.owner).or_default();
+            let ends_us = sent_us + us(inherited.left_ms);
+            if ends_us > lease.ends_us && ends_us > now_us {
+                lease.ends_us = ends_us;
+                lease.slice_count = inherited.slice_count.into();
+                lease.predecessor_id = inherited.holder_id;
+                lease.ask_again_us = now_us;
+            }
+        }
+        self.inherited.push(Inherited {
+            token_count: estate.lent_count,
+            expires_us: now_us + us(LOAN_TTL_MS + QUOTA_MARGIN_MS),
+        });
+        self.bucket.level = self.bucket.level.saturating_add(estate.level);
+        self.clamp(rate, now_us);
     }
 
     /// Lends tokens and settles earlier loans of the borrower.
@@ -184,18 +301,23 @@
         for ledger in self.ledgers.values_mut() {
             ledger.expire(now_us);
         }
+        self.inherited.retain(|lent| lent.expires_us > now_us);
         self.ledgers.retain(|_, ledger| !ledger.is_over(now_us));
         self.clamp(rate, now_us);
     }
 
     fn clamp(&mut self, rate: Rate, now_us: u64) {
-        let lent = self.ledgers.values().map(Ledger::outstanding_count);
-        let lent: u64 = lent.map(u64::from).sum();
         let capacity = capacity(rate, self.slice_count(now_us));
-        let room = capacity.saturating_sub(lent * UNITS_PER_TOKEN);
+        let room = capacity.saturating_sub(self.lent_count() * UNITS_PER_TOKEN);
         self.bucket.level = self.bucket.level.min(room);
     }
 
+    fn lent_count(&self) -> u64 {
+        let lent = self.ledgers.values().map(Ledger::outstanding_count);
+        let inherited = self.inherited.iter().map(|lent| lent.token_count);
+        lent.map(u64::from).sum::<u64>() + inherited.sum::<u64>()
+    }
+
     fn settle(&mut self, ask: &BorrowAsk, rate: Rate, now_us: u64) {
         if ask.bank_id != self.bank_id {
             return;
--- a/src/quota/banking.rs
+++ b/src/quota/banking.rs
@@ -2,7 +2,8 @@
 
 use {
     super::{
-        Bank, BorrowAnswer, BorrowAsk, LeaseAnswer, LeaseAsk, Rate,
+        Bank, BankRef, BorrowAnswer, BorrowAsk, Estate, LeaseAnswer, LeaseAsk, OwnerAsk, Rate,
+        banks,
         gate::{LeasedQuota, State, rate_of},
     },
     crate::model::WorkspaceKey,
@@ -55,34 +56,75 @@
                 banks, owner_ids, ..
             } = &mut *state;
             let bank = banks.entry(workspace).or_insert_with(|| new_bank(now_us));
-            let owners = bank.owners_to_ask(owner_ids.iter().map(String::as_str), now_us);
-            let owners = owners.into_iter().map(str::to_owned);
-            (owners.collect::<Vec<_>>(), now_us)
+            let owners = owner_ids.iter().map(String::as_str);
+            (bank.owners_to_ask(owners, now_us), now_us)
         };
-        for owner in owners {
+        for ask in owners {
             let quota = self.clone();
-            let call = async move { quota.ask_owner(workspace, rate, &owner, now_us).await };
+            let call = async move { quota.ask_owner(workspace, rate, ask, now_us).await };
             self.inner.runtime.spawn(call);
         }
     }
 
-    async fn ask_owner(&self, workspace: WorkspaceKey, rate: Rate, owner: &str, sent_us: u64) {
+    async fn ask_owner(&self, workspace: WorkspaceKey, rate: Rate, to: OwnerAsk, sent_us: u64) {
+        let node_id = self.inner.inputs.own.node_id.clone();
+        let is_own = to.owner == node_id;
+        let bank_id = self.with_bank(workspace, |bank, _| bank.bank_id());
         let ask = LeaseAsk {
             workspace,
-            bank: self.process(),
+            bank: BankRef { node_id, bank_id },
+            predecessor_id: to.predecessor_id,
         };
-        let answer = if owner == self.inner.inputs.own.node_id {
-            self.lease(&ask)
-        } else {
-            let Some(address) = self.address(owner) else {
-                return;
-            };
-            let answer = self.inner.inputs.client.lease(address, ask).await;
-            answer.unwrap_or_default()
+        let answer = match self.address(&to.owner) {
+            _ if is_own => self.lease(&ask),
+            Some(address) => {
+                let answer = self.inner.inputs.client.lease(address, ask).await;
+                answer.unwrap_or_default()
+            }
+            None => LeaseAnswer::default(),
+        };
+        let holder = self.with_bank(workspace, |bank, now_us| {
+            bank.leased(&to.owner, sent_us, answer, rate, now_us)
+        });
+        if let Some(holder) = holder {
+            self.ask_holder(workspace, rate, &holder).await;
+        }
+    }
+
+    /// Asks the earlier bank to hand over; without, its leases would have to
+    /// end first and requests inside their rate would be refused meanwhile.
+    async fn ask_holder(&self, workspace: WorkspaceKey, rate: Rate, holder: &BankRef) {
+        let sent_us = self.now_us();
+        let Some(address) = self.address(&holder.node_id) else {
+            return;
+        };
+        if holder.node_id == self.inner.inputs.own.node_id {
+            return;
+        }
+        let estate = self.inner.inputs.client.take_over(address, workspace).await;
+        let Ok(Some(estate)) = estate else {
+            return;
         };
         self.with_bank(workspace, |bank, now_us| {
-            bank.leased(owner, sent_us, answer, rate, now_us);
+            bank.inherit(sent_us, estate, rate, now_us);
         });
+        self.ask_owners(workspace, rate);
+    }
+
+    /// Hands the bank of a workspace over, unless this node is it by its view.
+    #[must_use]
+    pub fn take_over(&self, workspace: WorkspaceKey) -> Option<Estate> {
+        let inputs = &self.inner.inputs;
+        let name = inputs.names.workspace_name(workspace);
+        let view = inputs.view.borrow().clone();
+        let bank = banks(&view, &name, &inputs.own.zone).into_iter().next();
+        if bank.is_none_or(|bank| bank.node_id == inputs.own.node_id) {
+            return None;
+        }
+        let rate = rate_of(&self.rates(), workspace);
+        Some(self.with_bank(workspace, |bank, now_us| {
+            bank.retire(rand::random(), rate, now_us)
+        }))
     }
 
     // Banks are never dropped: another one of the same process would not know
--- a/src/quota/messages.rs
+++ b/src/quota/messages.rs
@@ -12,6 +12,16 @@
     pub started_unix_ms: u64,
 }
 
+/// A bank of one workspace.
+#[derives::value]
+#[derive(Eq, Default)]
+pub struct BankRef {
+    /// Node on which it is.
+    pub node_id: String,
+    /// Random number, drawn anew by a restart and when the bank hands over.
+    pub bank_id: u64,
+}
+
 /// A bank asks an owner for its share of a workspace.
 #[derives::value]
 #[derive(Eq)]
@@ -19,12 +29,14 @@
     /// The workspace.
     pub workspace: WorkspaceKey,
     /// The asking bank.
-    pub bank: Process,
+    pub bank: BankRef,
+    /// Bank that handed its lease over to the asking one; 0 when none did.
+    pub predecessor_id: u64,
 }
 
 /// An owner's answer to a bank.
-#[derives::key]
-#[derive(Default)]
+#[derives::value]
+#[derive(Eq, Default)]
 pub struct LeaseAnswer {
     /// Slices whose share is leased; 0 when nothing is granted.
     pub slice_count: u16,
@@ -35,6 +47,34 @@
     pub ttl_ms: u32,
     /// When to ask again, where another bank holds the lease.
     pub busy_ms: u32,
+    /// That other bank.
+    pub holder: BankRef,
+}
+
+/// What a bank that is one no longer hands over to its successor.
+#[derives::value]
+#[derive(Eq, Default)]
+pub struct Estate {
+    /// Level of its bucket.
+    pub level: u64,
+    /// Tokens that its borrowers may still spend.
+    pub lent_count: u64,
+    /// Its leases.
+    pub leases: Vec<EstateLease>,
+}
+
+/// A lease in an [`Estate`].
+#[derives::value]
+#[derive(Eq)]
+pub struct EstateLease {
+    /// The owner.
+    pub owner: String,
+    /// Bank for which the owner holds it.
+    pub holder_id: u64,
+    /// Slices whose share is leased.
+    pub slice_count: u16,
+    /// Lifetime left, counted by the successor from when it asked.
+    pub left_ms: u32,
 }
 
 /// A node asks a bank for tokens and states what became of earlier ones.
--- a/src/quota/mod.rs
+++ b/src/quota/mod.rs
@@ -13,10 +13,12 @@
 mod violations;
 
 pub use {
-    bank::Bank,
+    bank::{Bank, OwnerAsk},
     bucket::{Bucket, capacity},
     gate::{LeasedQuota, QuotaInputs, Rates, spawn},
-    messages::{BorrowAnswer, BorrowAsk, LeaseAnswer, LeaseAsk, Process},
+    messages::{
+        BankRef, BorrowAnswer, BorrowAsk, Estate, EstateLease, LeaseAnswer, LeaseAsk, Process,
+    },
     owner::QuotaOwner,
     purse::Purse,
     route::banks,
--- a/src/quota/owner.rs
+++ b/src/quota/owner.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Bucket, LeaseAnswer, LeaseAsk, Process, Rate,
+        BankRef, Bucket, LeaseAnswer, LeaseAsk, Rate,
         limits::{LEASE_TTL_MS, QUOTA_MARGIN_MS, us},
     },
     crate::{model::WorkspaceKey, slices::SliceIndex},
@@ -18,7 +18,7 @@
 
 #[derives::value]
 struct Lease {
-    bank: Process,
+    bank: BankRef,
     until_us: u64,
 }
 
@@ -28,6 +28,13 @@
     lease: Option<Lease>,
 }
 
+impl Lease {
+    fn is_for(&self, ask: &LeaseAsk) -> bool {
+        let holder_id = self.bank.bank_id;
+        holder_id == ask.bank.bank_id || holder_id == ask.predecessor_id
+    }
+}
+
 type Slices = HashMap<SliceIndex, (u64, u64)>;
 
 impl Share {
@@ -123,12 +130,13 @@
             lease: None,
         });
         if let Some(lease) = &share.lease
-            && lease.bank != ask.bank
+            && !lease.is_for(ask)
             && now_us < lease.until_us
         {
             let busy_ms = (lease.until_us - now_us).div_ceil(US_PER_MS);
             return LeaseAnswer {
                 busy_ms: u32::try_from(busy_ms).unwrap_or(u32::MAX),
+                holder: lease.bank.clone(),
                 ..LeaseAnswer::default()
             };
         }
@@ -146,7 +154,7 @@
             slice_count: u16::try_from(slice_count).expect("slices fit into 16 bits"),
             level,
             ttl_ms: LEASE_TTL_MS,
-            busy_ms: 0,
+            ..LeaseAnswer::default()
         }
     }
 
--- a/src/rpc/client.rs
+++ b/src/rpc/client.rs
@@ -5,7 +5,8 @@
     crate::{
         documents::{Document, DocumentKind},
         guard::Handover,
-        quota::{BorrowAnswer, BorrowAsk, LeaseAnswer, LeaseAsk},
+        model::WorkspaceKey,
+        quota::{BorrowAnswer, BorrowAsk, Estate, LeaseAnswer, LeaseAsk},
     },
     std::{net::SocketAddr, sync::Arc},
     tokio::sync::{mpsc, oneshot},
@@ -70,6 +71,10 @@
         ask: BorrowAsk,
         reply: Reply<BorrowAnswer>,
     },
+    TakeOver {
+        workspace: WorkspaceKey,
+        reply: Reply<Option<Estate>>,
+    },
     HandOver {
         handover: Handover,
         reply: Reply<bool>,
@@ -145,6 +150,17 @@
             .await
     }
 
+    /// Asks the earlier bank of a workspace to hand over; `None` when it takes
+    /// itself for the bank.
+    pub async fn take_over(
+        &self,
+        address: SocketAddr,
+        workspace: WorkspaceKey,
+    ) -> Result<Option<Estate>, RpcError> {
+        let command = |reply| Command::TakeOver { workspace, reply };
+        self.call(address, command).await
+    }
+
     /// Gives a slice's keys to its next home; whether it took them.
     pub async fn hand_over(
         &self,
--- a/src/rpc/codec.rs
+++ b/src/rpc/codec.rs
@@ -4,7 +4,9 @@
     crate::{
         guard::{GuardKey, Handover, History, SliceExport, SliceRecord, StoredAnswer},
         model::{Names, WorkspaceKey},
-        quota::{BorrowAnswer, BorrowAsk, LeaseAnswer, LeaseAsk, Process},
+        quota::{
+            BankRef, BorrowAnswer, BorrowAsk, Estate, EstateLease, LeaseAnswer, LeaseAsk, Process,
+        },
         schema::rpc_capnp as wire,
         slices::{SLICE_COUNT, SliceIndex},
     },
@@ -17,7 +19,7 @@
 
 // Keys are local to a process and names travel. A name of a workspace that
 // this node does not know yet is added: peers are authenticated.
-fn workspace(names: &Names, name: capnp::text::Reader<'_>) -> Result<WorkspaceKey, Error> {
+pub fn workspace(names: &Names, name: capnp::text::Reader<'_>) -> Result<WorkspaceKey, Error> {
     Ok(names.workspace(name.to_str()?))
 }
 
@@ -33,35 +35,80 @@
     builder.set_started_unix_ms(process.started_unix_ms);
 }
 
+fn read_bank(reader: wire::bank::Reader<'_>) -> Result<BankRef, Error> {
+    Ok(BankRef {
+        node_id: text(reader.get_node_id()?)?,
+        bank_id: reader.get_bank_id(),
+    })
+}
+
+fn write_bank(bank: &BankRef, mut builder: wire::bank::Builder<'_>) {
+    builder.set_node_id(&bank.node_id);
+    builder.set_bank_id(bank.bank_id);
+}
+
 pub fn read_lease_ask(
     names: &Names,
     reader: wire::lease_ask::Reader<'_>,
 ) -> Result<LeaseAsk, Error> {
     Ok(LeaseAsk {
         workspace: workspace(names, reader.get_workspace()?)?,
-        bank: read_process(reader.get_bank()?)?,
+        bank: read_bank(reader.get_bank()?)?,
+        predecessor_id: reader.get_predecessor_id(),
     })
 }
 
 pub fn write_lease_ask(names: &Names, ask: &LeaseAsk, mut builder: wire::lease_ask::Builder<'_>) {
     builder.set_workspace(names.workspace_name(ask.workspace));
-    write_process(&ask.bank, builder.init_bank());
+    builder.set_predecessor_id(ask.predecessor_id);
+    write_bank(&ask.bank, builder.init_bank());
 }
 
-pub fn read_lease_answer(reader: wire::lease_answer::Reader<'_>) -> LeaseAnswer {
-    LeaseAnswer {
+pub fn read_lease_answer(reader: wire::lease_answer::Reader<'_>) -> Result<LeaseAnswer, Error> {
+    Ok(LeaseAnswer {
         slice_count: reader.get_slice_count(),
         level: reader.get_level(),
         ttl_ms: reader.get_ttl_ms(),
         busy_ms: reader.get_busy_ms(),
-    }
+        holder: read_bank(reader.get_holder()?)?,
+    })
 }
 
-pub fn write_lease_answer(answer: LeaseAnswer, mut builder: wire::lease_answer::Builder<'_>) {
+pub fn write_lease_answer(answer: &LeaseAnswer, mut builder: wire::lease_answer::Builder<'_>) {
     builder.set_slice_count(answer.slice_count);
     builder.set_level(answer.level);
     builder.set_ttl_ms(answer.ttl_ms);
     builder.set_busy_ms(answer.busy_ms);
+    write_bank(&answer.holder, builder.init_holder());
+}
+
+pub fn read_estate(reader: wire::estate::Reader<'_>) -> Result<Estate, Error> {
+    let leases = reader.get_leases()?.iter().map(|lease| {
+        Ok(EstateLease {
+            owner: text(lease.get_owner()?)?,
+            holder_id: lease.get_holder_id(),
+            slice_count: lease.get_slice_count(),
+            left_ms: lease.get_left_ms(),
+        })
+    });
+    Ok(Estate {
+        level: reader.get_level(),
+        lent_count: reader.get_lent_count(),
+        leases: leases.collect::<Result<_, Error>>()?,
+    })
+}
+
+pub fn write_estate(estate: &Estate, mut builder: wire::estate::Builder<'_>) {
+    builder.set_level(estate.level);
+    builder.set_lent_count(estate.lent_count);
+    let mut leases = builder.init_leases(list_length(&estate.leases));
+    for (index, lease) in (0..).zip(&estate.leases) {
+        let mut builder = leases.reborrow().get(index);
+        builder.set_owner(&lease.owner);
+        builder.set_holder_id(lease.holder_id);
+        builder.set_slice_count(lease.slice_count);
+        builder.set_left_ms(lease.left_ms);
+    }
 }
 
 pub fn read_borrow_ask(
--- a/src/rpc/connection.rs
+++ b/src/rpc/connection.rs
@@ -11,8 +11,8 @@
     crate::{
         documents::{Document, DocumentKind},
         guard::Handover,
-        model::Names,
-        quota::{BorrowAnswer, BorrowAsk, LeaseAnswer, LeaseAsk},
+        model::{Names, WorkspaceKey},
+        quota::{BorrowAnswer, BorrowAsk, Estate, LeaseAnswer, LeaseAsk},
         schema::rpc_capnp::{gate, node},
     },
     capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork},
@@ -73,6 +73,10 @@
                 self.answer(address, reply, |node| self.borrow(node, ask))
                     .await;
             }
+            Command::TakeOver { workspace, reply } => {
+                self.answer(address, reply, |node| self.take_over(node, workspace))
+                    .await;
+            }
             Command::HandOver { handover, reply } => {
                 self.answer(address, reply, |node| self.hand_over(node, handover))
                     .await;
@@ -225,7 +229,7 @@
         let response = response.get()?;
         let answered = response.total_size()?.word_count;
         self.counters.words(CallKind::Lease, asked + answered);
-        Ok(codec::read_lease_answer(response.get_answer()?))
+        codec::read_lease_answer(response.get_answer()?)
     }
 
     async fn borrow(
@@ -244,6 +248,26 @@
         Ok(codec::read_borrow_answer(response.get_answer()?))
     }
 
+    async fn take_over(
+        &self,
+        node: node::Client,
+        workspace: WorkspaceKey,
+    ) -> Result<Option<Estate>, capnp::Error> {
+        let mut request = node.take_over_request();
+        request
+            .get()
+            .set_workspace(self.names.workspace_name(workspace));
+        self.counters.call(CallKind::TakeOver);
+        let response = request.send().promise.await?;
+        let response = response.get()?;
+        let answered = response.total_size()?.word_count;
+        self.counters.words(CallKind::TakeOver, answered);
+        if !response.get_retired() {
+            return Ok(None);
+        }
+        codec::read_estate(response.get_estate()?).map(Some)
+    }
+
     async fn hand_over(
         &self,
         node: node::Client,
--- a/src/rpc/counters.rs
+++ b/src/rpc/counters.rs
@@ -3,7 +3,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 /// Number of kinds, for tables indexed by kind.
-const CALL_KIND_COUNT: usize = 4;
+const CALL_KIND_COUNT: usize = 5;
 
 /// Bytes of a word in Cap'n Proto messages.
 const WORD_BYTES: u64 = 8;
@@ -19,12 +19,19 @@
     Borrow = 2,
     /// Keys of a slice that moves.
     HandOver = 3,
+    /// A bank asks its predecessor.
+    TakeOver = 4,
 }
 
 impl CallKind {
     /// All kinds in the order of their index.
-    pub const ALL: [Self; CALL_KIND_COUNT] =
-        [Self::Document, Self::Lease, Self::Borrow, Self::HandOver];
+    pub const ALL: [Self; CALL_KIND_COUNT] = [
+        Self::Document,
+        Self::Lease,
+        Self::Borrow,
+        Self::HandOver,
+        Self::TakeOver,
+    ];
 
     /// Value of the metric label.
     #[must_use]
@@ -34,6 +41,7 @@
             Self::Lease => "lease",
             Self::Borrow => "borrow",
             Self::HandOver => "hand-over",
+            Self::TakeOver => "take-over",
         }
     }
 }
--- a/src/rpc/handlers.rs
+++ b/src/rpc/handlers.rs
@@ -5,7 +5,8 @@
     crate::{
         documents::{Document, DocumentKind},
         guard::{GuardHome, Handover},
-        quota::{BorrowAnswer, BorrowAsk, LeaseAnswer, LeaseAsk, LeasedQuota},
+        model::WorkspaceKey,
+        quota::{BorrowAnswer, BorrowAsk, Estate, LeaseAnswer, LeaseAsk, LeasedQuota},
     },
     std::sync::Arc,
 };
@@ -48,6 +49,10 @@
         self.quota.borrow(ask).await
     }
 
+    fn take_over(&self, workspace: WorkspaceKey) -> Option<Estate> {
+        self.quota.take_over(workspace)
+    }
+
     fn hand_over(&self, handover: Handover) -> bool {
         self.guard.hand_over(handover)
     }
--- a/src/rpc/mod.rs
+++ b/src/rpc/mod.rs
@@ -24,7 +24,8 @@
     crate::{
         documents::{Document, DocumentKind},
         guard::Handover,
-        quota::{BorrowAnswer, BorrowAsk, LeaseAnswer, LeaseAsk},
+        model::WorkspaceKey,
+        quota::{BorrowAnswer, BorrowAsk, Estate, LeaseAnswer, LeaseAsk},
     },
     std::future::Future,
 };
@@ -43,6 +44,10 @@
     /// Lends tokens as the bank of a workspace.
     fn borrow(&self, ask: BorrowAsk) -> impl Future<Output = BorrowAnswer> + Send;
 
+    /// Hands the bank of a workspace over to the asking node, unless this node
+    /// takes itself for the bank.
+    fn take_over(&self, workspace: WorkspaceKey) -> Option<Estate>;
+
     /// Takes in keys of a slice that was given up for this node.
     fn hand_over(&self, handover: Handover) -> bool;
 }
--- a/src/rpc/server.rs
+++ b/src/rpc/server.rs
@@ -110,7 +110,7 @@
     ) -> Result<(), Error> {
         let ask = codec::read_lease_ask(&self.shared.names, params.get()?.get_ask()?)?;
         let answer = self.shared.handlers.lease(ask);
-        codec::write_lease_answer(answer, results.get().init_answer());
+        codec::write_lease_answer(&answer, results.get().init_answer());
         Ok(())
     }
 
@@ -135,4 +135,18 @@
         results.get().set_accepted(accepted);
         Ok(())
     }
+
+    async fn take_over(
+        self: Rc<Self>,
+        params: node::TakeOverParams,
+        mut results: node::TakeOverResults,
+    ) -> Result<(), Error> {
+        let workspace = params.get()?.get_workspace()?;
+        let workspace = codec::workspace(&self.shared.names, workspace)?;
+        if let Some(estate) = self.shared.handlers.take_over(workspace) {
+            results.get().set_retired(true);
+            codec::write_estate(&estate, results.get().init_estate());
+        }
+        Ok(())
+    }
 }
--- a/src/schema/rpc.capnp
+++ b/src/schema/rpc.capnp
@@ -21,6 +21,9 @@
   lease @1 (ask :LeaseAsk) -> (answer :LeaseAnswer);
   borrow @2 (ask :BorrowAsk) -> (answer :BorrowAnswer);
   handOver @3 (handover :Handover) -> (accepted :Bool);
+  # From the bank of a workspace to the node that was it before. `retired` is
+  # false when that node takes itself for the bank.
+  takeOver @4 (workspace :Text) -> (retired :Bool, estate :Estate);
 }
 
 # A process of a node: the start tells a replacement from its predecessor.
@@ -32,7 +35,14 @@
 # From a bank to the owner of quota slices.
 struct LeaseAsk {
   workspace @0 :Text;
-  bank @1 :Process;
+  bank @1 :Bank;
+  # Number of the bank that handed its lease over, or 0.
+  predecessorId @2 :UInt64;
+}
+
+struct Bank {
+  nodeId @0 :Text;
+  bankId @1 :UInt64;
 }
 
 struct LeaseAnswer {
@@ -44,6 +54,21 @@
   ttlMs @2 :UInt32;
   # When to ask again, where another bank holds the lease.
   busyMs @3 :UInt32;
+  holder @4 :Bank;
+}
+
+struct Estate {
+  level @0 :UInt64;
+  lentCount @1 :UInt64;
+  leases @2 :List(Lease);
+
+  struct Lease {
+    owner @0 :Text;
+    holderId @1 :UInt64;
+    sliceCount @2 :UInt16;
+    # Lifetime left, counted by the successor from when it asked.
+    leftMs @3 :UInt32;
+  }
 }
 
 # From any node to the bank of a workspace.
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -3,8 +3,8 @@
 use dogwoodbridge::{
     model::WorkspaceKey,
     quota::{
-        Bank, BorrowAnswer, BorrowAsk, LeaseAnswer, LeaseAsk, Process, Purse, QuotaOwner, Rate,
-        UNITS_PER_TOKEN,
+        Bank, BankRef, BorrowAnswer, BorrowAsk, LeaseAnswer, LeaseAsk, Process, Purse, QuotaOwner,
+        Rate, UNITS_PER_TOKEN,
         limits::{LEASE_TTL_MS, LOAN_TTL_MS, QUOTA_MARGIN_MS, us},
     },
     slices::SliceIndex,
@@ -30,7 +30,7 @@
         slice_count: 4096,
         level: 40 * UNITS_PER_TOKEN,
         ttl_ms: LEASE_TTL_MS,
-        busy_ms: 0,
+        ..LeaseAnswer::default()
     }
 }
 
@@ -109,6 +109,41 @@
     assert_eq!(bank.borrow(&ask(99), RATE, 3000).granted_count, 36);
 }
 
+/// A bank hands over while an owner's answer to it is under way. Taken in, the
+/// share would be used by both.
+#[test]
+fn a_bank_that_handed_over_takes_in_no_earlier_lease() {
+    let mut bank = Bank::new(BANK_ID, 0);
+    bank.leased("o", 0, whole_lease(), RATE, 0);
+    bank.borrow(&ask(15), RATE, 0);
+    let estate = bank.retire(78, RATE, 1000);
+    assert_eq!(
+        (estate.level, estate.lent_count),
+        (25 * UNITS_PER_TOKEN, 15)
+    );
+    assert_eq!(
+        bank.bank_id(),
+        78,
+        "owners must not take it for the old one"
+    );
+    let mut late = Bank::new(98, 0);
+    let late_us = us(LEASE_TTL_MS) - us(LOAN_TTL_MS);
+    late.inherit(0, estate.clone(), RATE, late_us);
+    let answer = late.borrow(&ask(1), RATE, late_us);
+    assert_eq!(answer.granted_count, 0, "counted from the ask");
+    bank.leased("o", 1000, whole_lease(), RATE, 2000);
+    assert_eq!(bank.borrow(&ask(1), RATE, 2000).granted_count, 0);
+
+    let mut successor = Bank::new(99, 0);
+    successor.inherit(500, estate, RATE, 2000);
+    assert_eq!(successor.borrow(&ask(99), RATE, 2000).granted_count, 25);
+    let owners = successor.owners_to_ask(["o"], 2000);
+    assert_eq!(owners, [], "nobody woke it");
+    successor.wake(2000);
+    let owners = successor.owners_to_ask(["o"], us(LEASE_TTL_MS) - 1000);
+    assert_eq!(owners[0].predecessor_id, BANK_ID);
+}
+
 struct Lent {
     name: &'static str,
     /// Bank, loan and when its answer arrives.
@@ -178,32 +213,44 @@
     let quarantine_us = us(LEASE_TTL_MS + QUOTA_MARGIN_MS);
     let mut owner = QuotaOwner::new();
     owner.set_slices([(SliceIndex::new(3), 1)], |_| rate, 0);
-    let lease = |bank: &str| LeaseAsk {
+    let lease = |bank_id| LeaseAsk {
         workspace: WORKSPACE,
-        bank: process(bank),
+        bank: BankRef {
+            node_id: "bank".to_owned(),
+            bank_id,
+        },
+        predecessor_id: 0,
     };
-    let early = owner.lease(&lease("a"), rate, quarantine_us - 1);
+    let early = owner.lease(&lease(1), rate, quarantine_us - 1);
     assert_eq!(early, LeaseAnswer::default());
     owner.track([(WORKSPACE, rate)], quarantine_us);
     let now_us = quarantine_us + 500_000;
-    let granted = owner.lease(&lease("a"), rate, now_us);
+    let granted = owner.lease(&lease(1), rate, now_us);
     assert_eq!(
         (granted.slice_count, granted.level),
         (1, UNITS_PER_TOKEN / 2)
     );
-    let busy = owner.lease(&lease("b"), rate, now_us + 1000);
+    let busy = owner.lease(&lease(2), rate, now_us + 1000);
     assert_eq!(
         (busy.slice_count, busy.busy_ms),
         (0, LEASE_TTL_MS + QUOTA_MARGIN_MS - 1)
     );
-    let renewed = owner.lease(&lease("a"), rate, now_us + 1000);
+    let renewed = owner.lease(&lease(1), rate, now_us + 1000);
     assert_eq!(
         (renewed.slice_count, renewed.level),
         (1, 0),
         "its level went along before"
     );
+    let successor = LeaseAsk {
+        predecessor_id: 1,
+        ..lease(3)
+    };
+    let taken_over = owner.lease(&successor, rate, now_us + 1000);
+    assert_eq!((taken_over.slice_count, taken_over.level), (1, 0));
+    let late = owner.lease(&lease(1), rate, now_us + 1000);
+    assert_eq!((late.slice_count, late.holder.bank_id), (0, 3));
     let over_us = now_us + 1000 + quarantine_us;
-    let granted = owner.lease(&lease("b"), rate, over_us + 250_000);
+    let granted = owner.lease(&lease(2), rate, over_us + 250_000);
     assert_eq!(
         (granted.slice_count, granted.level),
         (1, UNITS_PER_TOKEN / 4)
--- a/tests/quota_fleet.rs
+++ b/tests/quota_fleet.rs
@@ -315,6 +315,29 @@
     );
 }
 
+/// The bank of a workspace is drained while it is in use. Its requests, which
+/// are inside their rate, must not be refused for a planned stop.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_draining_bank_hands_over_without_a_refusal() {
+    let mut fleet = Fleet::start(4, 6, 0);
+    fleet.until_table(|table| table.slots().len() == 6).await;
+    tokio::time::sleep(Duration::from_millis(2200 + 1600)).await;
+    let first = quota::banks(&fleet.view, "shop", "z0")[0].node_id.clone();
+    let first = fleet
+        .view
+        .members
+        .iter()
+        .position(|member| member.node_id == first);
+    let first = first.expect("a member");
+    assert_eq!(admit_at_once(&fleet.nodes[(first + 1) % 6], 100).await, 100);
+    fleet.show_state(first, MemberState::Draining);
+    let second = quota::banks(&fleet.view, "shop", "z0")[0].node_id.clone();
+    assert_ne!(second, fleet.view.members[first].node_id);
+    for node in &fleet.nodes {
+        assert_eq!(admit_at_once(node, 10).await, 10);
+    }
+}
+
 /// A node leaves while writes of the slice table lose their answers. The keys
 /// that it knows must be known to their next homes, or a resend of an order
 /// would be refused as unsure, or worse run again.
--- a/tests/quota_property.rs
+++ b/tests/quota_property.rs
@@ -9,13 +9,15 @@
     dogwoodbridge::{
         model::WorkspaceKey,
         quota::{
-            Bank, BorrowAnswer, BorrowAsk, LeaseAnswer, LeaseAsk, Process, Purse, QuotaOwner, Rate,
+            Bank, BankRef, BorrowAnswer, BorrowAsk, Estate, LeaseAnswer, LeaseAsk, Process, Purse,
+            QuotaOwner, Rate,
             limits::{LEASE_TTL_MS, QUOTA_MARGIN_MS},
             window_violations,
         },
         slices::{SLICE_COUNT, SliceIndex},
     },
     rand::{Rng, SeedableRng, rngs::StdRng},
+    std::collections::HashMap,
 };
 
 const WORKSPACE: WorkspaceKey = WorkspaceKey::new(0);
@@ -27,8 +29,10 @@
 
 #[derive(Clone)]
 enum Message {
-    LeaseAsk(LeaseAsk),
-    LeaseAnswer { sent_us: u64, answer: LeaseAnswer },
+    LeaseAsk { ask: LeaseAsk, call: u64 },
+    LeaseAnswer { call: u64, answer: LeaseAnswer },
+    TakeOver { call: u64 },
+    Estate { call: u64, estate: Estate },
     BorrowAsk { ask: BorrowAsk, call: u64 },
     BorrowAnswer { call: u64, answer: BorrowAnswer },
 }
@@ -37,10 +41,6 @@
 struct Envelope {
     from: usize,
     to: usize,
-    /// Process that sent it; answers to an earlier process are not delivered.
-    process: u64,
-    /// When a lease was asked for, on the asker's clock.
-    sent_us: u64,
     due_us: u64,
     message: Message,
 }
@@ -52,13 +52,14 @@
 }
 
 struct Node {
-    process: u64,
     clock_offset_us: u64,
     paused_until_us: u64,
     owner: QuotaOwner,
     bank: Bank,
     purse: Purse,
     calls: Vec<Call>,
+    /// When the bank's calls to owners and earlier banks were sent.
+    bank_calls: HashMap<u64, u64>,
     wait_count: u32,
     group: usize,
 }
@@ -74,6 +75,7 @@
     restart_permille: u32,
     split_permille: u32,
     move_permille: u32,
+    bank_permille: u32,
 }
 
 const KIND: Faults = Faults {
@@ -85,6 +87,7 @@
     restart_permille: 0,
     split_permille: 0,
     move_permille: 0,
+    bank_permille: 0,
 };
 
 struct World {
@@ -100,6 +103,7 @@
     message_count: u64,
     next_number: u64,
     epoch: u64,
+    bank_shift: usize,
 }
 
 impl World {
@@ -119,6 +123,7 @@
             message_count: 0,
             next_number: 1,
             epoch: 1,
+            bank_shift: node_count - 1,
         };
         for index in 0..node_count {
             let node = world.new_process(index);
@@ -142,13 +147,13 @@
             started_unix_ms: process,
         };
         Node {
-            process,
             clock_offset_us,
             paused_until_us: 0,
             owner: QuotaOwner::new(),
             bank: Bank::new(self.random.random(), now_us),
             purse: Purse::new(WORKSPACE, name),
             calls: vec![],
+            bank_calls: HashMap::new(),
             wait_count: 0,
             group: 0,
         }
@@ -169,15 +174,13 @@
         self.nodes[node].owner.set_slices(owned, |_| rate, now_us);
     }
 
-    /// First member of the node's group: all in a group agree on the bank.
+    /// All in a group agree on the bank; it changes with the members.
     fn bank_of(&self, node: usize) -> usize {
         let group = self.nodes[node].group;
-        let mut members = self
-            .nodes
-            .iter()
-            .rposition(|other| other.group == group)
-            .into_iter();
-        members.next().expect("the node itself is in it")
+        let count = self.nodes.len();
+        let candidates = (0..count).map(|place| (place + self.bank_shift) % count);
+        let mut mates = candidates.filter(|other| self.nodes[*other].group == group);
+        mates.next().expect("the node itself is in it")
     }
 
     fn send(&mut self, from: usize, to: usize, message: &Message) {
@@ -206,8 +209,6 @@
             self.bag.push(Envelope {
                 from,
                 to,
-                process: self.nodes[from].process,
-                sent_us: self.clock_us(from),
                 due_us: self.now_us + delay_us,
                 message: message.clone(),
             });
@@ -243,20 +244,28 @@
         let (rate, now_us) = (self.rate, self.clock_us(to));
         let node = &mut self.nodes[to];
         match envelope.message {
-            Message::LeaseAsk(ask) => {
+            Message::LeaseAsk { ask, call } => {
                 let answer = node.owner.lease(&ask, rate, now_us);
-                let sent_us = envelope.sent_us;
-                if self.nodes[from].process == envelope.process {
-                    self.send(to, from, &Message::LeaseAnswer { sent_us, answer });
-                }
+                self.send(to, from, &Message::LeaseAnswer { call, answer });
             }
-            Message::LeaseAnswer { sent_us, answer } => {
-                // A restarted bank has no call that this answers.
-                if sent_us <= now_us && self.is_current_bank_call(to, sent_us) {
+            Message::LeaseAnswer { call, answer } => {
+                if let Some(sent_us) = node.bank_calls.remove(&call) {
                     let owner = from.to_string();
-                    self.nodes[to]
-                        .bank
-                        .leased(&owner, sent_us, answer, rate, now_us);
+                    let holder = node.bank.leased(&owner, sent_us, answer, rate, now_us);
+                    self.ask_holder(to, holder);
+                }
+            }
+            Message::TakeOver { call } => {
+                if self.bank_of(to) != to {
+                    let next_id = self.random.random();
+                    let estate = self.nodes[to].bank.retire(next_id, rate, now_us);
+                    self.send(to, from, &Message::Estate { call, estate });
+                }
+            }
+            Message::Estate { call, estate } => {
+                if let Some(sent_us) = node.bank_calls.remove(&call) {
+                    node.bank.inherit(sent_us, estate, rate, now_us);
+                    self.renew(to);
                 }
             }
             Message::BorrowAsk { ask, call } => {
@@ -288,11 +297,21 @@
         }
     }
 
-    // Clock offsets are drawn anew at a restart, so that an answer to the old
-    // process names a time that the new one never had. Nothing else tells them
-    // apart here; between real processes the connection does.
-    fn is_current_bank_call(&self, node: usize, sent_us: u64) -> bool {
-        sent_us % STEP_US == self.clock_us(node) % STEP_US
+    fn ask_holder(&mut self, node: usize, holder: Option<BankRef>) {
+        let Some(holder) = holder else {
+            return;
+        };
+        let holder = holder.node_id.parse().expect("a number");
+        if holder != node {
+            let call = self.bank_call(node);
+            self.send(node, holder, &Message::TakeOver { call });
+        }
+    }
+
+    fn bank_call(&mut self, node: usize) -> u64 {
+        let (call, now_us) = (self.number(), self.clock_us(node));
+        self.nodes[node].bank_calls.insert(call, now_us);
+        call
     }
 
     fn serve_waiting(&mut self, node: usize) {
@@ -362,21 +381,21 @@
         }
         let now_us = self.clock_us(node);
         let names: Vec<String> = (0..OWNER_COUNT).map(|owner| owner.to_string()).collect();
-        let process = self.nodes[node].process;
-        let to_ask = self.nodes[node]
-            .bank
-            .owners_to_ask(names.iter().map(String::as_str), now_us);
-        let bank = Process {
+        let bank = &mut self.nodes[node].bank;
+        let to_ask = bank.owners_to_ask(names.iter().map(String::as_str), now_us);
+        let bank = BankRef {
             node_id: node.to_string(),
-            started_unix_ms: process,
+            bank_id: bank.bank_id(),
         };
-        for owner in to_ask {
-            let owner = owner.parse().expect("a number");
+        for to in to_ask {
             let ask = LeaseAsk {
                 workspace: WORKSPACE,
                 bank: bank.clone(),
+                predecessor_id: to.predecessor_id,
             };
-            self.send(node, owner, &Message::LeaseAsk(ask));
+            let owner = to.owner.parse().expect("a number");
+            let call = self.bank_call(node);
+            self.send(node, owner, &Message::LeaseAsk { ask, call });
         }
     }
 
@@ -400,6 +419,9 @@
         if self.chance_permille(self.faults.split_permille * 2) {
             self.nodes.iter_mut().for_each(|node| node.group = 0);
         }
+        if self.chance_permille(self.faults.bank_permille) {
+            self.bank_shift = self.random.random_range(0..self.nodes.len());
+        }
         if self.chance_permille(self.faults.move_permille) {
             self.move_slices();
         }
@@ -518,6 +540,26 @@
             },
             rate: rate(500, 200),
         },
+        Case {
+            name: "banks change",
+            faults: Faults {
+                bank_permille: 5,
+                ..KIND
+            },
+            rate: rate(500, 200),
+        },
+        Case {
+            name: "banks change on a bad network",
+            faults: Faults {
+                bank_permille: 3,
+                loss_percent: 10,
+                double_percent: 10,
+                slow_percent: 10,
+                pause_permille: 1,
+                ..KIND
+            },
+            rate: rate(500, 200),
+        },
         Case {
             name: "slices move",
             faults: Faults {
@@ -537,6 +579,7 @@
                 restart_permille: 1,
                 split_permille: 1,
                 move_permille: 2,
+                bank_permille: 2,
             },
             rate: rate(300, 300),
         },
@@ -604,6 +647,30 @@
     }
 }
 
+/// Nodes are replaced one after the other, the bank among them. Requests inside
+/// the rate must not be refused for it.
+#[test]
+fn a_change_of_bank_is_hardly_noticed() {
+    let rate = rate(500, 250);
+    let mut world = World::new(4, 16, rate, KIND);
+    world.run(WARM_UP_MS, |_, _| vec![]);
+    for shift in 0..10 {
+        world.bank_shift = shift;
+        world.run(3000, |random, _| {
+            let node = random.random_range(0..16);
+            if random.random_range(0..100) < 40 {
+                vec![node]
+            } else {
+                vec![]
+            }
+        });
+    }
+    let (admitted, refused) = (world.admissions.len(), world.refused_count);
+    println!("10 changes of bank: {admitted} admitted, {refused} refused");
+    assert_eq!(window_violations(&world.admissions, rate), []);
+    assert!((refused as f64) < 0.005 * admitted as f64);
+}
+
 /// A workspace sends six times its rate at all nodes. It gets its rate and
 /// burst, no more and hardly less, and its refusals cost few messages.
 #[test]
--- a/tests/quota_rpc.rs
+++ b/tests/quota_rpc.rs
@@ -5,8 +5,10 @@
     dogwoodbridge::{
         documents::{Document, DocumentKind},
         guard::{GuardKey, Handover, History, SliceExport, SliceRecord, StoredAnswer},
-        model::Names,
-        quota::{BorrowAnswer, BorrowAsk, LeaseAnswer, LeaseAsk, Process},
+        model::{Names, WorkspaceKey},
+        quota::{
+            BankRef, BorrowAnswer, BorrowAsk, Estate, EstateLease, LeaseAnswer, LeaseAsk, Process,
+        },
         rpc::{self, CallKind, Handlers, RpcClient, RpcConfig, RpcError},
         settings::Settings,
         slices::SliceIndex,
@@ -38,10 +40,11 @@
 
     fn lease(&self, ask: LeaseAsk) -> LeaseAnswer {
         LeaseAnswer {
-            slice_count: u16::try_from(ask.bank.started_unix_ms).expect("small in this test"),
+            slice_count: u16::try_from(ask.predecessor_id).expect("small in this test"),
             level: 1 << 50,
             ttl_ms: 3,
             busy_ms: 4,
+            holder: ask.bank,
         }
     }
 
@@ -56,12 +59,29 @@
         }
     }
 
+    fn take_over(&self, _: WorkspaceKey) -> Option<Estate> {
+        Some(estate_of_fake())
+    }
+
     fn hand_over(&self, handover: Handover) -> bool {
         self.handed_over.lock().expect("no panic").push(handover);
         true
     }
 }
 
+fn estate_of_fake() -> Estate {
+    Estate {
+        level: 1 << 51,
+        lent_count: 5,
+        leases: vec![EstateLease {
+            owner: "o".to_owned(),
+            holder_id: 1 << 60,
+            slice_count: 6,
+            left_ms: 7,
+        }],
+    }
+}
+
 struct TestNode {
     client: RpcClient,
     fake: Arc<Fake>,
@@ -118,9 +138,14 @@
     assert_eq!((document.version, document.content.len()), (9, 1 << 20));
     assert_eq!(fetch(9).await, Ok(None));
 
+    let bank = BankRef {
+        node_id: "bank".to_owned(),
+        bank_id: u64::MAX,
+    };
     let ask = LeaseAsk {
         workspace: ours,
-        bank: process(77),
+        bank: bank.clone(),
+        predecessor_id: 77,
     };
     let answer = asker.client.lease(asked.address, ask).await;
     let expected = LeaseAnswer {
@@ -128,8 +153,11 @@
         level: 1 << 50,
         ttl_ms: 3,
         busy_ms: 4,
+        holder: bank,
     };
     assert_eq!(answer, Ok(expected));
+    let estate = asker.client.take_over(asked.address, ours).await;
+    assert_eq!(estate, Ok(Some(estate_of_fake())));
 
     let ask = BorrowAsk {
         workspace: ours,
