--- a/src/quota/mod.rs
+++ b/src/quota/mod.rs
@@ -1,6 +1,7 @@
 //! Fleet-wide rate and burst of workspaces.
 
 mod bank;
+mod banking;
 mod bucket;
 mod gate;
 mod ledger;
@@ -12,12 +13,15 @@
 mod violations;
 
 pub use {
-    bank::Bank,
+    bank::{Bank, OwnerAsk},
     bucket::{Bucket, capacity},
     gate::{LeasedQuota, QuotaInputs, Rates, spawn},
-    messages::{BorrowAnswer, BorrowAsk, LeaseAnswer, LeaseAsk, Process},
+    messages::{
+        BankRef, BorrowAnswer, BorrowAsk, Estate, EstateLease, LeaseAnswer, LeaseAsk, Process,
+    },
     owner::QuotaOwner,
     purse::Purse,
+    route::banks,
     violations::{Violation, window_violations},
 };
 
