Tell the named nodes of a revocation at once

Finding all nodes took two seconds and more when one of them was frozen, and the revoked key worked meanwhile. Ruled out: shorter time limits, which would give up on slow nodes.

--- a/src/cli/fleet.rs
+++ b/src/cli/fleet.rs
@@ -149,24 +149,38 @@
     ///
     /// Gives each node's zone and answer, in the order of the view.
     pub async fn call_all<T, F, C>(&self, view: &FleetView, call: C) -> Vec<(String, Option<T>)>
+    where
+        C: Fn(OperatorsClient) -> F,
+        F: Future<Output = Result<T, ControlError>>,
+    {
+        let addresses = view.nodes.iter().map(|node| node.address).collect();
+        let answers = self.call_each(addresses, call).await;
+        let zones = view.nodes.iter().map(|node| node.zone().to_owned());
+        zones.zip(answers).collect()
+    }
+
+    /// Calls the named nodes at once, without looking for others.
+    pub async fn call_seeds<T, F, C>(&self, call: C) -> Vec<Option<T>>
+    where
+        C: Fn(OperatorsClient) -> F,
+        F: Future<Output = Result<T, ControlError>>,
+    {
+        self.call_each(self.seeds.clone(), call).await
+    }
+
+    async fn call_each<T, F, C>(&self, addresses: Vec<SocketAddr>, call: C) -> Vec<Option<T>>
     where
         C: Fn(OperatorsClient) -> F,
         F: Future<Output = Result<T, ControlError>>,
     {
         let call = &call;
-        let call_one = |node: &NodeAnswer| {
-            let (address, zone) = (node.address, node.zone().to_owned());
-            async move {
-                let answer = match self.connect(address).await {
-                    Ok(client) => call(client).await,
-                    Err(error) => Err(error),
-                };
-                (zone, answer.ok())
-            }
+        let call_one = |address| async move {
+            let client = self.connect(address).await.ok()?;
+            call(client).await.ok()
         };
-        let calls: Vec<_> = view.nodes.iter().map(call_one).collect();
-        stream::iter(calls)
-            .buffer_unordered(CALLS_AT_ONCE)
+        stream::iter(addresses)
+            .map(call_one)
+            .buffered(CALLS_AT_ONCE)
             .collect()
             .await
     }
--- a/src/cli/keys.rs
+++ b/src/cli/keys.rs
@@ -7,7 +7,7 @@
     },
     crate::{
         conf::read_configuration,
-        control::KeyVerdict,
+        control::{KeyVerdict, OperatorsClient},
         documents::{Document, DocumentKind},
         keys::{KeyDigest, new_key},
         platform::Platform,
@@ -153,12 +153,15 @@
     })
 }
 
+// Finding all nodes takes seconds when one of them is frozen, and the key would
+// work meanwhile. The named nodes are therefore told at once; they tell the
+// others.
 async fn tell_nodes(fleet: &Fleet, digest: KeyDigest) -> Vec<ZoneReport> {
-    let view = fleet.look().await;
-    let tell = |client: crate::control::OperatorsClient| async move {
+    let tell = |client: OperatorsClient| async move {
         let verdict = client.revoke(call_context(), digest).await?;
         Ok(verdict == KeyVerdict::Revoked)
     };
+    let (_, view) = tokio::join!(fleet.call_seeds(tell), fleet.look());
     let answers = fleet.call_all(&view, tell).await;
     zone_reports(
         answers
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -556,6 +556,32 @@
     );
 }
 
+// One of the named nodes is frozen: its port takes connections and never
+// answers. The key must stop working on the others, and the operator must read
+// that the frozen one did not answer.
+#[tokio::test]
+async fn a_frozen_node_does_not_keep_the_others_from_revoking() {
+    let mesh = Mesh::new().await;
+    let frozen = tokio::net::TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("a free port");
+    let frozen_address = frozen.local_addr().expect("bound");
+    let mut member = mesh.nodes[0].member(frozen_address);
+    member.node_id = "n3".to_owned();
+    member.zone = "az3".to_owned();
+    mesh.nodes[0]
+        .members
+        .lock()
+        .expect("not poisoned")
+        .push(member);
+    let nodes = format!("{frozen_address},{}", mesh.seed());
+    let ran = ctl(&["key", "revoke", "--key", KEY, "--nodes", &nodes]).await;
+    assert_eq!(ran.code, 3, "{}{}", ran.output, ran.errors);
+    assert_eq!(mesh.verdicts(), [KeyVerdict::Revoked, KeyVerdict::Revoked]);
+    let silent = "zone az3: NOT in force everywhere (0 of 1 nodes, 1 did not answer)";
+    assert!(ran.output.contains(silent), "{}", ran.output);
+}
+
 /// Which ways to revoke a key are open, and what is reported.
 struct RevokeCase {
     name: &'static str,
