Read past a stale copy by a watch

With reads that stay stale, creating a key failed although the platform was fine. A read of a version that the platform has named now falls back on a watch above the one before, which can't be answered with less. The two loops that read until new enough are one now.

--- a/src/cli/errors.rs
+++ b/src/cli/errors.rs
@@ -20,12 +20,6 @@
     /// The platform did not give what is needed.
     #[error("nothing was changed: {0}")]
     Platform(#[from] PlatformError),
-    /// The platform answers only with versions older than the current one.
-    #[error("nothing was changed: the platform's reads are older than version {version}")]
-    StaleReads {
-        /// The current version.
-        version: u64,
-    },
     /// The published documents cannot be read.
     #[error("nothing was changed: {0}")]
     Document(#[from] crate::conf::CompileError),
--- a/src/cli/keys.rs
+++ b/src/cli/keys.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         Args, CliError, Exit, Finished, Fleet, KeyCommand, KeysOutcome, ZoneReport,
-        fleet::call_context, keys_change::change_keys, publication::read_at_least, zone_reports,
+        fleet::call_context, keys_change::change_keys, zone_reports,
     },
     crate::{
         conf::read_configuration,
@@ -82,9 +82,7 @@
 async fn check_workspace(platform: &Platform, workspace: &str) -> Result<(), CliError> {
     let kind = DocumentKind::Configuration;
     let object = match platform.current_version(kind.name()).await {
-        Ok(version) => read_at_least(platform, kind, version)
-            .await
-            .ok_or(CliError::StaleReads { version })?,
+        Ok(version) => platform.read_at_least(kind.name(), version).await?,
         Err(_) => platform.read(kind.name()).await?,
     };
     let mut known = Vec::new();
--- a/src/cli/keys_change.rs
+++ b/src/cli/keys_change.rs
@@ -1,7 +1,6 @@
 //! Changes the keys document, whatever happens to the answers.
 
 use {
-    super::publication::read_at_least,
     crate::{
         backoff::Backoff,
         documents::DocumentKind,
@@ -50,7 +49,6 @@
             Attempt::Written(version) => return Ok(KeysOutcome::Written { version }),
             Attempt::Conflict => "other operators write all the time".clone_into(&mut reason),
             Attempt::Failed(error) => reason = error.to_string(),
-            Attempt::Stale => "the platform's reads are stale".clone_into(&mut reason),
             Attempt::Unknown(error) => {
                 may_be_written = true;
                 reason = error.to_string();
@@ -67,7 +65,6 @@
 enum Attempt {
     Written(u64),
     Conflict,
-    Stale,
     Failed(PlatformError),
     Unknown(PlatformError),
 }
@@ -78,16 +75,14 @@
 ) -> Result<Attempt, KeysError> {
     let name = DocumentKind::Keys.name();
     let object = match platform.current_version(name).await {
-        Ok(version) => read_at_least(platform, DocumentKind::Keys, version).await,
+        Ok(version) => platform.read_at_least(name, version).await,
         // The answers to looks may be lost as those to writes are. A plain
         // read has to do then: were it stale, the write would meet a conflict.
-        Err(_) => match platform.read(name).await {
-            Ok(object) => Some(object),
-            Err(error) => return Ok(Attempt::Failed(error)),
-        },
+        Err(_) => platform.read(name).await,
     };
-    let Some(object) = object else {
-        return Ok(Attempt::Stale);
+    let object = match object {
+        Ok(object) => object,
+        Err(error) => return Ok(Attempt::Failed(error)),
     };
     let mut record = KeysRecord::read(&object.content)?;
     if !change(&mut record)? {
--- a/src/cli/publication.rs
+++ b/src/cli/publication.rs
@@ -5,7 +5,7 @@
         backoff::Backoff,
         conf::{ConfigurationRecord, Publication},
         documents::DocumentKind,
-        platform::{Object, Platform, PlatformError, Write},
+        platform::{Platform, PlatformError, Write},
     },
     serde::Serialize,
     uuid::Uuid,
@@ -13,7 +13,6 @@
 
 const WRITE_ATTEMPTS: usize = 5;
 const LOOK_ATTEMPTS: usize = 3;
-const READ_ATTEMPTS: usize = 8;
 const FIRST_BACKOFF_MS: u64 = 100;
 const LONGEST_BACKOFF_MS: u64 = 1_000;
 
@@ -166,8 +165,9 @@
 }
 
 async fn read_winner(platform: &Platform, version: u64) -> Winner {
-    let object = read_at_least(platform, DocumentKind::Configuration, version).await;
-    let record = object.as_ref().map(|object| {
+    let name = DocumentKind::Configuration.name();
+    let object = platform.read_at_least(name, version).await;
+    let record = object.as_ref().ok().map(|object| {
         let record = serde_json::from_slice::<ConfigurationRecord>(&object.content);
         (object.version, record.ok().map(|record| record.publication))
     });
@@ -182,19 +182,3 @@
         },
     }
 }
-
-/// Reads a document until the answer is at least as new as this version.
-pub(super) async fn read_at_least(
-    platform: &Platform,
-    kind: DocumentKind,
-    version: u64,
-) -> Option<Object> {
-    let mut backoff = Backoff::new(FIRST_BACKOFF_MS, LONGEST_BACKOFF_MS);
-    for _ in 0..READ_ATTEMPTS {
-        match platform.read(kind.name()).await {
-            Ok(object) if object.version >= version => return Some(object),
-            _ => backoff.wait().await,
-        }
-    }
-    None
-}
--- a/src/documents/look.rs
+++ b/src/documents/look.rs
@@ -20,7 +20,6 @@
 /// Pause after a watch that told nothing new, so that a platform that answers
 /// at once from a stale copy is not called in a tight loop.
 const STALE_PAUSE: Duration = Duration::from_millis(200);
-const READ_ATTEMPTS: usize = 5;
 
 /// Confirms the versions of all documents about once a second.
 ///
@@ -79,16 +78,13 @@
     }
 
     async fn read_up_to(&self, kind: DocumentKind, version: u64) -> Result<(), PlatformError> {
-        let mut backoff = Backoff::new(50, 400);
-        for _ in 0..READ_ATTEMPTS {
-            if self.shared.store.versions().of(kind) >= version {
-                break;
-            }
-            let object = self.shared.platform.read(kind.name()).await?;
+        if self.shared.store.versions().of(kind) < version {
+            let object = self
+                .shared
+                .platform
+                .read_at_least(kind.name(), version)
+                .await?;
             offer(&self.shared, kind, object);
-            if self.shared.store.versions().of(kind) < version {
-                backoff.wait().await;
-            }
         }
         Ok(())
     }
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -6,6 +6,7 @@
         exchange::{Answer, exchange},
     },
     crate::{
+        backoff::Backoff,
         documents::{DocumentKind, DocumentWriter, WriteResult},
         event,
         events::Event,
@@ -32,6 +33,12 @@
 /// How much longer than its wait a watch may take. Generous, since a platform
 /// that is slow for long still tells changes through its watches.
 const WATCH_GRACE_MS: u64 = 10_000;
+/// Tries to read at least a version that the platform is known to have.
+const READ_ATTEMPTS: usize = 5;
+/// Wait of the watch that follows a stale read.
+const CATCH_UP_MS: u64 = 300;
+const FIRST_BACKOFF_MS: u64 = 50;
+const LONGEST_BACKOFF_MS: u64 = 400;
 /// Condition that no object ever meets. It fits a signed 64-bit number, so
 /// that every server can read it.
 const IMPOSSIBLE_VERSION: u64 = i64::MAX as u64;
@@ -108,6 +115,32 @@
         }
     }
 
+    /// Reads an object that is known to have this version or a higher one.
+    // A plain read may be older. A watch above the version before answers only
+    // with what was asked for, if the platform has it at hand; taking the
+    // older content would build the next write on withdrawn rules.
+    pub async fn read_at_least(&self, name: &str, version: u64) -> Result<Object, PlatformError> {
+        let mut backoff = Backoff::new(FIRST_BACKOFF_MS, LONGEST_BACKOFF_MS);
+        let mut failure = PlatformError::Stale { version };
+        for _ in 0..READ_ATTEMPTS {
+            match self.read(name).await {
+                Ok(object) if object.version >= version => return Ok(object),
+                Ok(_) => {}
+                Err(error) => failure = error,
+            }
+            let watched = self
+                .watch(name, version.saturating_sub(1), CATCH_UP_MS)
+                .await;
+            if let Ok(Watched::Changed(object)) = watched
+                && object.version >= version
+            {
+                return Ok(object);
+            }
+            backoff.wait().await;
+        }
+        Err(failure)
+    }
+
     /// Waits until an object has a version above this one.
     pub async fn watch(
         &self,
--- a/src/platform/outcome.rs
+++ b/src/platform/outcome.rs
@@ -66,6 +66,12 @@
         /// The status code.
         status: u16,
     },
+    /// Reads stay behind a version that the platform itself named.
+    #[error("the platform's reads stay behind version {version}")]
+    Stale {
+        /// That version.
+        version: u64,
+    },
     /// An answer without a usable `object-version`.
     #[error("the platform's answer has no valid object-version")]
     NoVersion,
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -291,3 +291,45 @@
         .collect();
     assert!(delays.len() > 10);
 }
+
+// Plain reads stay behind a version that the platform itself has named, until
+// they catch up. Whoever builds on the older content brings withdrawn rules
+// back with the next write.
+#[tokio::test]
+async fn reads_up_to_a_named_version_or_says_that_it_cannot() {
+    let fake = FakePlatform::new().await;
+    let platform = Platform::new(fake.address);
+    fake.put(NAME, b"a");
+    fake.put(NAME, b"b");
+    fake.set_faults(Faults {
+        stale: true,
+        ..Faults::default()
+    });
+    let behind = platform.read_at_least(NAME, 2).await;
+    assert!(
+        matches!(behind, Err(PlatformError::Stale { version: 2 })),
+        "{behind:?}"
+    );
+    assert_eq!(
+        platform
+            .read_at_least(NAME, 1)
+            .await
+            .expect("has it")
+            .version,
+        1
+    );
+    let catch_up = async {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        fake.set_faults(Faults::default());
+    };
+    let (object, ()) = tokio::join!(platform.read_at_least(NAME, 2), catch_up);
+    assert_eq!(object.expect("catches up").content, b"b");
+    assert_eq!(
+        platform
+            .read_at_least("absent", 0)
+            .await
+            .expect("absent")
+            .version,
+        0
+    );
+}
