--- a/src/cli/keys.rs
+++ b/src/cli/keys.rs
@@ -3,11 +3,11 @@
 use {
     super::{
         Args, CliError, Exit, Finished, Fleet, KeyCommand, KeysOutcome, ZoneReport,
-        fleet::call_context, keys_change::change_keys, publication::read_at_least, zone_reports,
+        fleet::call_context, keys_change::change_keys, zone_reports,
     },
     crate::{
         conf::read_configuration,
-        control::KeyVerdict,
+        control::{KeyVerdict, OperatorsClient},
         documents::{Document, DocumentKind},
         keys::{KeyDigest, new_key},
         platform::Platform,
@@ -82,9 +82,7 @@
 async fn check_workspace(platform: &Platform, workspace: &str) -> Result<(), CliError> {
     let kind = DocumentKind::Configuration;
     let object = match platform.current_version(kind.name()).await {
-        Ok(version) => read_at_least(platform, kind, version)
-            .await
-            .ok_or(CliError::StaleReads { version })?,
+        Ok(version) => platform.read_at_least(kind.name(), version).await?,
         Err(_) => platform.read(kind.name()).await?,
     };
     let mut known = Vec::new();
@@ -153,12 +151,15 @@
     })
 }
 
+// Finding all nodes takes seconds when one of them is frozen, and the key would
+// work meanwhile. The named nodes are therefore told at once; they tell the
+// others.
 async fn tell_nodes(fleet: &Fleet, digest: KeyDigest) -> Vec<ZoneReport> {
-    let view = fleet.look().await;
-    let tell = |client: crate::control::OperatorsClient| async move {
+    let tell = |client: OperatorsClient| async move {
         let verdict = client.revoke(call_context(), digest).await?;
         Ok(verdict == KeyVerdict::Revoked)
     };
+    let (_, view) = tokio::join!(fleet.call_seeds(tell), fleet.look());
     let answers = fleet.call_all(&view, tell).await;
     zone_reports(
         answers
--- a/tests/cli_control.rs
+++ b/tests/cli_control.rs
@@ -7,8 +7,8 @@
         control::{ControlError, connect, prove, verify},
         keys::KeyDigest,
     },
-    platform_support::node::{FakeNode, SECRET},
     std::{net::SocketAddr, sync::atomic::Ordering, time::Duration},
+    platform_support::node::{FakeNode, SECRET},
     tarpc::context,
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
