Send keyed unrepeatable requests by the home of their key

Cause: a resent order must not run again, whichever node it enters by. Change: a KeyGuard policy names the home and decides; requests travel to the home in a context marked as guarded; executions outlive their caller, so that a resend gets the answer. A node that is stopped without a drain ends its listeners and its shutdown task (tests/keyed.rs hung on it). Ruled out: cancelling the execution with its caller, which leaves an unknown outcome that a resend cannot resolve.

--- a/src/bin/dogwoodd.rs
+++ b/src/bin/dogwoodd.rs
@@ -12,7 +12,10 @@
         logging,
         membership::{OwnState, View},
         model::Names,
-        node::{LeastOutstanding, LocalQuota, Node, NodeInputs, PolicySet, SimpleBudget, start},
+        node::{
+            LeastOutstanding, LocalGuard, LocalQuota, Node, NodeInputs, PolicySet, SimpleBudget,
+            start,
+        },
         retry::RetryPolicy,
         settings::{AdmissionChoice, RetryChoice, Settings},
         shutdown,
@@ -60,7 +63,8 @@
     let (_view, view) = watch::channel(Arc::new(View::default()));
     let (_freshness, freshness) = watch::channel(Freshness::Fresh);
     let (own_state, _) = watch::channel(OwnState::default());
-    let node = Node::<PolicySet<A, LeastOutstanding, T, LocalQuota>>::new(NodeInputs {
+    let node = Node::<PolicySet<A, LeastOutstanding, T, LocalQuota, LocalGuard>>::new(NodeInputs {
+        guard: LocalGuard::new(&settings.node_id, Vec::new()),
         settings,
         names: Names::new(),
         quota: LocalQuota::new(timer.clone()),
--- a/src/egress/attempts.rs
+++ b/src/egress/attempts.rs
@@ -135,35 +135,33 @@
                 level: Some(level),
             }
         }
-        Place::Peer(link) => send(node, &link, &context, outbound, remaining_us).await,
+        Place::Peer(link) => {
+            let attempt = Attempt {
+                context: &context,
+                is_guarded: false,
+                outbound,
+                buffered_bytes: node.settings.buffered_answer_bytes,
+                limit: Duration::from_micros(remaining_us),
+            };
+            send(node, &link, attempt).await
+        }
     };
     node.retries().give_back(call.retry, end.unspent);
     outstanding.end(result_of(&end.result), end.level);
     end.result
 }
 
-async fn send<P: Policies>(
-    node: &Node<P>,
-    link: &PeerLink,
-    context: &RequestContext,
-    outbound: &Outbound,
-    remaining_us: u64,
-) -> HopEnd {
-    let limit = Duration::from_micros(remaining_us);
-    let attempt = Attempt {
-        context,
-        outbound,
-        buffered_bytes: node.settings.buffered_answer_bytes,
-        limit,
-    };
+/// Sends to another node, at most until this side's own deadline.
+pub async fn send<P: Policies>(node: &Node<P>, link: &PeerLink, attempt: Attempt<'_>) -> HopEnd {
     let sending = peer::send(link, attempt, &node.auth, &node.names);
-    match tokio::time::timeout(limit, sending).await {
+    match tokio::time::timeout(attempt.limit, sending).await {
         Ok(end) => end,
         Err(_) => HopEnd::failed(Refusal::unknown(Reason::DeadlineExceeded), 0),
     }
 }
 
-fn context_of(call: &Call, remaining_us: u64, lent: u8) -> RequestContext {
+/// What the next hop is told of a call.
+pub fn context_of(call: &Call, remaining_us: u64, lent: u8) -> RequestContext {
     let margin_us = HOP_MARGIN_US.min(remaining_us / HOP_MARGIN_PART);
     RequestContext {
         request_id: call.request_id,
--- a/src/egress/child.rs
+++ b/src/egress/child.rs
@@ -1,14 +1,17 @@
 //! Downstream calls of the own target.
 
 use {
-    super::{Call, run_attempts},
+    super::Call,
     crate::{
         event,
         events::Event,
         exchange::{AnswerBody, CALL, DEADLINE, Outbound, refusal_response, response_of},
-        ingress::{Rejection, check_size, discard_body, read_body, split_path, strip},
+        ingress::{
+            Rejection, check_idempotency_key, check_size, discard_body, read_body, split_path,
+            strip,
+        },
         model::{MAX_DEPTH, Reason, Refusal},
-        node::{InFlightCall, Node, Policies},
+        node::{InFlightCall, Node, Policies, dispatch},
         retry::{CallKey, RetryPolicy},
     },
     hyper::{HeaderMap, Request, Response, body::Incoming, http::request::Parts},
@@ -90,6 +93,7 @@
     let route = running
         .route(service, head.method.as_str(), path.path())
         .ok_or_else(|| Rejection::new(Refusal::not_run(Reason::NoRoute), "no route matches"))?;
+    let key = check_idempotency_key(&head.headers)?;
     let body = read_body(&node.settings, &head.headers, body).await?;
     let deadline_us = own_deadline_us(node, &head.headers, parent.deadline_us)?;
     strip(&mut head.headers);
@@ -110,7 +114,7 @@
         headers: std::mem::take(&mut head.headers),
         body,
     };
-    let result = run_attempts(node, &call, &outbound).await;
+    let result = dispatch(node, &call, &outbound, key.as_deref()).await;
     drop(share);
     if matches!(&result, Err(refusal) if refusal.exhausted) {
         node.calls().mark_exhausted(handle);
--- a/src/egress/mod.rs
+++ b/src/egress/mod.rs
@@ -4,7 +4,7 @@
 mod attempts;
 mod child;
 
-pub use attempts::{Call, run_attempts};
+pub use attempts::{Call, context_of, run_attempts, send};
 
 use {
     crate::{
--- a/src/exchange/listener.rs
+++ b/src/exchange/listener.rs
@@ -74,6 +74,7 @@
     loop {
         let accepted = tokio::select! {
             () = closing.cancelled() => break,
+            () = stopped.cancelled() => break,
             accepted = listener.accept() => accepted,
         };
         let Ok((stream, _)) = accepted else {
--- a/src/ingress/serve.rs
+++ b/src/ingress/serve.rs
@@ -8,7 +8,7 @@
     crate::{
         conf::{Running, WorkspaceRules},
         control::RequestLabels,
-        egress::{Call, run_attempts},
+        egress::Call,
         event,
         events::Event,
         exchange::{
@@ -17,7 +17,7 @@
         },
         keys::{KeyDigest, KeyState},
         model::{Class, Outcome, Reason, Refusal},
-        node::{Node, Policies},
+        node::{Node, Policies, dispatch},
         quota::QuotaGate,
         retry::{CallKey, RetryPolicy},
     },
@@ -128,7 +128,7 @@
         .ok_or_else(|| Rejection::new(Refusal::not_run(Reason::NoRoute), "no route matches"))?;
     *class = Some(route.class);
     let deadline_us = deadline_us(node, &head.headers, route.deadline_ms)?;
-    let _idempotency_key = check_idempotency_key(&head.headers)?;
+    let key = check_idempotency_key(&head.headers)?;
     let body = read_body(&node.settings, &head.headers, body).await?;
     let quota = node.quota.admit(workspace.workspace, workspace.rate).await;
     quota.map_err(|refusal| Rejection::new(refusal, "the workspace is over its rate"))?;
@@ -155,8 +155,7 @@
         headers: std::mem::take(&mut head.headers),
         body,
     };
-    // Unrepeatable requests with an idempotency key go by their key's home.
-    let result = run_attempts(node, &call, &outbound).await;
+    let result = dispatch(node, &call, &outbound, key.as_deref()).await;
     drop(budget);
     result.map_err(|refusal| Rejection::new(refusal, ""))
 }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission_table;
 mod calls;
+mod guarded;
 mod route_table;
 mod start;
 mod systems;
@@ -10,10 +11,11 @@
 pub use {
     admission_table::{AdmissionTable, Ticket, admit},
     calls::{CallHandle, CallTable, InFlightCall},
+    guarded::{Home, KeyGuard, KeyedCall, dispatch, serve_at_home},
     route_table::{Place, RouteTable},
     start::{StartError, start},
     systems::{follow_members, run_ticks},
-    thin::{LeastOutstanding, LocalQuota, SimpleBudget},
+    thin::{LeastOutstanding, LocalGuard, LocalQuota, SimpleBudget},
 };
 
 use {
@@ -58,31 +60,35 @@
     type Retry: RetryPolicy;
     /// Rate and burst of workspaces.
     type Quota: QuotaGate;
+    /// At most one execution for each idempotency key.
+    type Guard: KeyGuard;
 }
 
 /// A set of policies by type.
 #[derive(Debug)]
-pub struct PolicySet<A, R, T, Q>(PhantomData<Choice<A, R, T, Q>>);
+pub struct PolicySet<A, R, T, Q, G>(PhantomData<Choice<A, R, T, Q, G>>);
 
 /// A type that names the policies without holding any.
-type Choice<A, R, T, Q> = fn() -> (A, R, T, Q);
+type Choice<A, R, T, Q, G> = fn() -> (A, R, T, Q, G);
 
-impl<A, R, T, Q> Policies for PolicySet<A, R, T, Q>
+impl<A, R, T, Q, G> Policies for PolicySet<A, R, T, Q, G>
 where
     A: AdmissionPolicy,
     R: RoutePolicy,
     T: RetryPolicy,
     Q: QuotaGate,
+    G: KeyGuard,
 {
     type Admission = A;
     type Routing = R;
     type Retry = T;
     type Quota = Q;
+    type Guard = G;
 }
 
 /// What a node is made of besides its policies.
 #[derive(Debug)]
-pub struct NodeInputs<Q> {
+pub struct NodeInputs<Q, G> {
     /// Checked settings.
     pub settings: Arc<Settings>,
     /// Names shared with configuration and membership.
@@ -99,6 +105,8 @@
     pub freshness: watch::Receiver<Freshness>,
     /// Quota of workspaces.
     pub quota: Q,
+    /// Guard of idempotency keys.
+    pub guard: G,
 }
 
 /// One process of the fleet.
@@ -116,6 +124,8 @@
     pub own_state: watch::Sender<OwnState>,
     /// Quota of workspaces.
     pub quota: P::Quota,
+    /// Guard of idempotency keys.
+    pub guard: P::Guard,
     /// Counters for `/metrics`.
     pub metrics: Metrics,
     /// Fleet secret at work.
@@ -147,7 +157,7 @@
 impl<P: Policies> Node<P> {
     /// A node that does nothing yet.
     #[must_use]
-    pub fn new(inputs: NodeInputs<P::Quota>) -> Arc<Self> {
+    pub fn new(inputs: NodeInputs<P::Quota, P::Guard>) -> Arc<Self> {
         let auth = FleetAuth::new(&inputs.settings.fleet_secret);
         Arc::new(Self {
             auth,
@@ -157,6 +167,7 @@
             timer: inputs.timer,
             own_state: inputs.own_state,
             quota: inputs.quota,
+            guard: inputs.guard,
             metrics: Metrics::new(),
             caller_connection_count: Arc::default(),
             peer_connection_count: Arc::default(),
--- a/src/node/thin.rs
+++ b/src/node/thin.rs
@@ -1,8 +1,10 @@
 //! Plain policies that serve as baselines.
 
 use {
+    super::{Home, KeyGuard, KeyedCall},
     crate::{
         arena::Arena,
+        guard::{Begin, Finish, GuardKey, StoredAnswer},
         model::{AdmissionLevel, Class, Reason, Refusal, ServiceKey, WorkspaceKey},
         quota::{QuotaGate, Rate},
         retry::{CallKey, RetryPolicy},
@@ -187,3 +189,86 @@
         self.take(workspace, rate, self.timer.now_us())
     }
 }
+
+/// Idempotency keys in the memory of fixed homes, kept without limit.
+#[derive(Debug, Default)]
+pub struct LocalGuard {
+    own: String,
+    homes: Vec<String>,
+    records: Mutex<HashMap<GuardKey, Record>>,
+}
+
+#[derive(Debug)]
+struct Record {
+    fingerprint: u64,
+    state: RecordState,
+}
+
+#[derive(Debug)]
+enum RecordState {
+    InProgress,
+    Answered(StoredAnswer),
+    Unknown,
+}
+
+impl LocalGuard {
+    /// A guard on this node for keys that are spread over these homes.
+    #[must_use]
+    pub fn new(own: &str, homes: Vec<String>) -> Self {
+        Self {
+            own: own.to_owned(),
+            homes,
+            records: Mutex::default(),
+        }
+    }
+}
+
+impl KeyGuard for LocalGuard {
+    fn home(&self, key: GuardKey) -> Result<Home, Refusal> {
+        if self.homes.is_empty() {
+            return Ok(Home::Own);
+        }
+        let index = key.key_hash % self.homes.len() as u128;
+        let home = &self.homes[usize::try_from(index).unwrap_or(0)];
+        if *home == self.own {
+            Ok(Home::Own)
+        } else {
+            Ok(Home::Node(home.clone()))
+        }
+    }
+
+    fn begin(&self, call: KeyedCall) -> Begin {
+        let mut records = self.records.lock().expect("lock is not poisoned");
+        let Some(record) = records.get(&call.key) else {
+            let record = Record {
+                fingerprint: call.fingerprint,
+                state: RecordState::InProgress,
+            };
+            records.insert(call.key, record);
+            return Begin::Execute;
+        };
+        if record.fingerprint != call.fingerprint {
+            return Begin::Refuse(Refusal::not_run(Reason::KeyReused));
+        }
+        match &record.state {
+            RecordState::InProgress => Begin::Refuse(Refusal::unknown(Reason::InProgress)),
+            RecordState::Answered(answer) => Begin::Replay(answer.clone()),
+            RecordState::Unknown => Begin::Refuse(Refusal::unknown(Reason::EarlierUnknown)),
+        }
+    }
+
+    fn finish(&self, key: GuardKey, finish: Finish) {
+        let mut records = self.records.lock().expect("lock is not poisoned");
+        let state = match finish {
+            Finish::NotRun => {
+                records.remove(&key);
+                return;
+            }
+            Finish::Answered(answer) => RecordState::Answered(answer),
+            Finish::Unknown => RecordState::Unknown,
+        };
+        if let Some(record) = records.get_mut(&key) {
+            record.state = state;
+        }
+    }
+}
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -1,7 +1,10 @@
 //! Sending an attempt to another node and reading what became of it.
 
 use {
-    super::{AttemptAnswer, FleetAuth, PeerLink, decode_answer, encode_context, link::PeerSender},
+    super::{
+        AttemptAnswer, FleetAuth, PeerLink, ReceivedContext, decode_answer, encode_context,
+        link::PeerSender,
+    },
     crate::{
         exchange::{ANSWER, ANSWER_AUTH, AUTH, Answer, AnswerBody, CONTEXT, Collected, Outbound},
         exchange::{collect, pump},
@@ -41,6 +44,8 @@
 pub struct Attempt<'a> {
     /// What the other node is told.
     pub context: &'a RequestContext,
+    /// Whether the other node is the home of the request's idempotency key.
+    pub is_guarded: bool,
     /// The request.
     pub outbound: &'a Outbound,
     /// Answers up to this size are delivered only when whole.
@@ -123,7 +128,12 @@
         .path_and_query(outbound.path.clone())
         .build()
         .ok()?;
-    let context = encode_context(attempt.context, attempt_id, names);
+    let sent = ReceivedContext {
+        context: *attempt.context,
+        attempt_id,
+        is_guarded: attempt.is_guarded,
+    };
+    let context = encode_context(&sent, names);
     let proof = auth.sign(&[
         context.as_bytes(),
         outbound.method.as_str().as_bytes(),
--- a/src/peer/headers.rs
+++ b/src/peer/headers.rs
@@ -37,6 +37,18 @@
     }
 }
 
+/// A context as it came from another node.
+#[derives::value]
+#[derive(Copy, Eq)]
+pub struct ReceivedContext {
+    /// The context.
+    pub context: RequestContext,
+    /// The attempt, for the answer.
+    pub attempt_id: u64,
+    /// It is for the home of its idempotency key, which sends it on.
+    pub is_guarded: bool,
+}
+
 /// What a node tells about an attempt besides the HTTP answer.
 #[derives::value]
 #[derive(Copy, Eq)]
@@ -111,7 +123,8 @@
 
 /// Header value of a context.
 #[must_use]
-pub fn encode_context(context: &RequestContext, attempt_id: u64, names: &Names) -> HeaderValue {
+pub fn encode_context(received: &ReceivedContext, names: &Names) -> HeaderValue {
+    let context = &received.context;
     let mut message = message::Builder::new_default();
     let mut builder = message.init_root::<peer_capnp::context::Builder<'_>>();
     builder.set_request_id(context.request_id.as_bytes());
@@ -123,7 +136,8 @@
     builder.set_depth(context.depth);
     builder.set_repeatable(context.repeatable);
     builder.set_sent_unix_ms(unix_ms());
-    builder.set_attempt_id(attempt_id);
+    builder.set_attempt_id(received.attempt_id);
+    builder.set_guarded(received.is_guarded);
     to_header(&message)
 }
 
@@ -131,7 +145,7 @@
 pub fn decode_context(
     value: &HeaderValue,
     names: &Names,
-) -> Result<(RequestContext, u64), PeerHeaderError> {
+) -> Result<ReceivedContext, PeerHeaderError> {
     let bytes = from_header(value)?;
     let message = serialize::read_message(bytes.as_slice(), message::ReaderOptions::new())?;
     let reader = message.get_root::<peer_capnp::context::Reader<'_>>()?;
@@ -152,7 +166,11 @@
         depth: reader.get_depth(),
         repeatable: reader.get_repeatable(),
     };
-    Ok((context, reader.get_attempt_id()))
+    Ok(ReceivedContext {
+        context,
+        attempt_id: reader.get_attempt_id(),
+        is_guarded: reader.get_guarded(),
+    })
 }
 
 /// Header value of an answer.
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -8,8 +8,8 @@
 pub use {
     client::{Attempt, HopEnd, send},
     headers::{
-        AttemptAnswer, FleetAuth, MAX_CONTEXT_AGE_MS, PeerHeaderError, decode_answer,
-        decode_context, encode_answer, encode_context,
+        AttemptAnswer, FleetAuth, MAX_CONTEXT_AGE_MS, PeerHeaderError, ReceivedContext,
+        decode_answer, decode_context, encode_answer, encode_context,
     },
     link::{LinkError, PeerLink, connect_from},
     server::serve_peers,
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -1,7 +1,7 @@
 //! Attempts that arrive from other nodes.
 
 use {
-    super::{AttemptAnswer, decode_context, encode_answer},
+    super::{AttemptAnswer, ReceivedContext, decode_context, encode_answer},
     crate::{
         event,
         events::Event,
@@ -9,8 +9,8 @@
             ANSWER, ANSWER_AUTH, AUTH, AnswerBody, CONTEXT, Collected, ListenerLimits, Outbound,
             collect, refusal_response, response_of, serve, strip_hop_by_hop, strip_internal,
         },
-        model::{Reason, Refusal, RequestContext},
-        node::{Node, Policies},
+        model::{Reason, Refusal},
+        node::{Node, Policies, serve_at_home},
         target::serve_local,
     },
     hyper::{Request, Response, body::Incoming, http::uri::PathAndQuery},
@@ -44,7 +44,7 @@
     node: Arc<Node<P>>,
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
-    let Some((context, attempt_id)) = authentic_context(&node, &request) else {
+    let Some(received) = authentic_context(&node, &request) else {
         let method = request.method();
         event!(Event::ContextForged, "port=peer method={method}");
         let refusal = Refusal::not_run(Reason::NotAuthentic);
@@ -52,13 +52,16 @@
     };
     let _in_flight = node.begin();
     let (result, unspent) = match read(&node, request).await {
-        Ok(outbound) => serve_local(&node, &context, &outbound).await,
-        Err(refusal) => (Err(refusal), context.retry_allotment),
+        Ok(outbound) if received.is_guarded => {
+            serve_at_home(&node, &received.context, outbound).await
+        }
+        Ok(outbound) => serve_local(&node, &received.context, &outbound).await,
+        Err(refusal) => (Err(refusal), received.context.retry_allotment),
     };
     let mut level = node.admission().level(node.timer.now_us());
     level.draining |= node.is_draining();
     let told = AttemptAnswer {
-        attempt_id,
+        attempt_id: received.attempt_id,
         refusal: result.as_ref().err().copied(),
         unspent,
         level,
@@ -74,7 +77,7 @@
 fn authentic_context<P: Policies>(
     node: &Node<P>,
     request: &Request<Incoming>,
-) -> Option<(RequestContext, u64)> {
+) -> Option<ReceivedContext> {
     let context = request.headers().get(CONTEXT)?;
     let proof = request.headers().get(AUTH)?;
     let path = request.uri().path_and_query()?;
--- a/src/schema/peer.capnp
+++ b/src/schema/peer.capnp
@@ -15,6 +15,8 @@
   sentUnixMs @8 :UInt64;
   # Made anew for each attempt; the answer repeats it.
   attemptId @9 :UInt64;
+  # For the home of the idempotency key, which sends it on; not for the target.
+  guarded @10 :Bool;
 }
 
 struct Answer {
--- a/src/shutdown/mod.rs
+++ b/src/shutdown/mod.rs
@@ -26,7 +26,10 @@
 
 /// Waits for a drain, carries it out and stops the node.
 pub async fn run<P: Policies>(node: Arc<Node<P>>) {
-    node.drain_begins().await;
+    tokio::select! {
+        () = node.stopped.cancelled() => return,
+        () = node.drain_begins() => {}
+    }
     let started_ms = node.timer.now_ms();
     tokio::time::sleep(ANNOUNCE_TIME).await;
     let now_us = node.timer.now_us();
--- a/tests/peer_faults.rs
+++ b/tests/peer_faults.rs
@@ -5,7 +5,7 @@
 use {
     dogwoodbridge::{
         model::{Class, Names, RequestContext},
-        peer::{FleetAuth, decode_context, encode_context},
+        peer::{FleetAuth, ReceivedContext, decode_context, encode_context},
     },
     hyper::header::HeaderValue,
     std::net::SocketAddr,
@@ -189,8 +189,13 @@
 fn a_context_comes_back_as_it_was() {
     let names = Names::new();
     let sent = context(&names);
-    let value = encode_context(&sent, 42, &names);
-    assert_eq!(decode_context(&value, &names), Ok((sent, 42)));
+    let sent = ReceivedContext {
+        context: sent,
+        attempt_id: 42,
+        is_guarded: true,
+    };
+    let value = encode_context(&sent, &names);
+    assert_eq!(decode_context(&value, &names), Ok(sent));
 }
 
 #[test]
--- a/tests/support/mesh.rs
+++ b/tests/support/mesh.rs
@@ -10,7 +10,10 @@
         keys::KeyDigest,
         membership::{Member, MemberPorts, MemberState, OwnState, View},
         model::{Class, Names},
-        node::{LeastOutstanding, LocalQuota, Node, NodeInputs, PolicySet, SimpleBudget, start},
+        node::{
+            LeastOutstanding, LocalGuard, LocalQuota, Node, NodeInputs, PolicySet, SimpleBudget,
+            start,
+        },
         quota::Rate,
         settings::{Settings, ports},
         timer::Timer,
@@ -32,7 +35,8 @@
 pub const REVOKED_KEY: &str = "tally-key-0";
 pub const SECRET: &str = "fleet-secret-of-the-tests";
 
-pub type TestNode = Node<PolicySet<AdmitAll, LeastOutstanding, SimpleBudget, LocalQuota>>;
+pub type TestNode =
+    Node<PolicySet<AdmitAll, LeastOutstanding, SimpleBudget, LocalQuota, LocalGuard>>;
 
 /// A node with its target.
 pub struct Instance {
@@ -80,8 +84,14 @@
     /// The same, with further flags of `dogwoodd`.
     pub async fn start_with(services: &[&str], flags: &[&str]) -> Self {
         let mut instances = Vec::new();
+        let ips: Vec<IpAddr> = services.iter().map(|_| next_ip()).collect();
+        // Each node is home to a share of the idempotency keys.
+        let homes: Vec<String> = ips.iter().map(|ip| format!("node-{ip}")).collect();
+        let mut ips = ips.into_iter();
         for service in services {
-            instances.push(start_instance(service, services, flags).await);
+            instances.push(
+                start_instance(service, services, flags, ips.next().unwrap(), homes.clone()).await,
+            );
         }
         let mesh = Self {
             instances: Arc::new(instances),
@@ -178,8 +188,13 @@
     IpAddr::V4(Ipv4Addr::new(127, 100 + process, high, low))
 }
 
-async fn start_instance(service: &str, services: &[&str], flags: &[&str]) -> Instance {
-    let ip = next_ip();
+async fn start_instance(
+    service: &str,
+    services: &[&str],
+    flags: &[&str],
+    ip: IpAddr,
+    homes: Vec<String>,
+) -> Instance {
     let node_id = format!("node-{ip}");
     let ip_text = ip.to_string();
     let mut arguments = vec![
@@ -209,6 +224,7 @@
     let (freshness, freshness_receiver) = watch::channel(Freshness::Fresh);
     let (own_state, _) = watch::channel(OwnState::default());
     let node = TestNode::new(NodeInputs {
+        guard: LocalGuard::new(&settings.node_id, homes),
         settings,
         names,
         quota: LocalQuota::new(timer.clone()),
