Print start errors in one line and name the tests' mesh

Cause: a rejected setting printed a stack backtrace where one is asked for by the environment; the tests' support clashed in name with others'.

--- a/src/bin/dogwoodd.rs
+++ b/src/bin/dogwoodd.rs
@@ -21,12 +21,22 @@
         shutdown,
         timer::Timer,
     },
-    std::sync::Arc,
+    std::{process::ExitCode, sync::Arc},
     tokio::sync::watch,
     tokio_util::sync::CancellationToken,
 };
 
-fn main() -> anyhow::Result<()> {
+fn main() -> ExitCode {
+    match start_up() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("dogwoodd: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start_up() -> anyhow::Result<()> {
     let settings = Settings::parse();
     logging::init(settings.log_level).context("logging")?;
     if let Err(error) = settings.check() {
--- a/tests/added_latency.rs
+++ b/tests/added_latency.rs
@@ -2,17 +2,17 @@
 //! in the same run. Prints figures and judges none of them; optimised builds are
 //! measured by `cargo test --release --test added_latency -- --nocapture`.
 
-mod support;
+mod local_mesh;
 
 use {
+    local_mesh::{
+        client,
+        mesh::{KEY, Mesh},
+    },
     std::{
         net::SocketAddr,
         time::{Duration, Instant},
     },
-    support::{
-        client,
-        mesh::{KEY, Mesh},
-    },
 };
 
 const WARM_UP_COUNT: usize = 200;
--- a/tests/callers.rs
+++ b/tests/callers.rs
@@ -1,13 +1,13 @@
 //! Callers that are slow, silent, many, or speak HTTP/2.
 
-mod support;
+mod local_mesh;
 
 use {
     bytes::Bytes,
     http_body_util::{BodyExt, Full},
     hyper::client::conn::http2,
     hyper_util::rt::{TokioExecutor, TokioIo},
-    support::{
+    local_mesh::{
         client,
         mesh::{KEY, Mesh},
     },
--- a/tests/datapath.rs
+++ b/tests/datapath.rs
@@ -1,13 +1,13 @@
 //! The path from a caller through nodes to targets and back.
 
-mod support;
+mod local_mesh;
 
 use {
-    std::time::Duration,
-    support::{
+    local_mesh::{
         client::{self, Seen},
         mesh::{KEY, Mesh, REVOKED_KEY},
     },
+    std::time::Duration,
 };
 
 async fn get(mesh: &Mesh, entry: usize, path: &str) -> Seen {
@@ -213,7 +213,7 @@
     assert_eq!(before.summary(), (200, "whole", ""));
     mesh[0].running.send_modify(|running| {
         let mut next = (**running).clone();
-        next.revoked.insert(support::mesh::digest(KEY));
+        next.revoked.insert(local_mesh::mesh::digest(KEY));
         *running = std::sync::Arc::new(next);
     });
     let after = client::exchange(&mut connection, request()).await;
--- a/tests/keyed.rs
+++ b/tests/keyed.rs
@@ -1,13 +1,13 @@
 //! Requests that carry an idempotency key on unrepeatable routes.
 
-mod support;
+mod local_mesh;
 
 use {
-    std::{sync::Arc, time::Duration},
-    support::{
+    local_mesh::{
         client::{self, Seen},
         mesh::{KEY, Mesh},
     },
+    std::{sync::Arc, time::Duration},
 };
 
 async fn order(mesh: &Mesh, entry: usize, key: &str, path: &str, body: &[u8]) -> Seen {
--- a/tests/peer_faults.rs
+++ b/tests/peer_faults.rs
@@ -1,6 +1,6 @@
 //! Connections between nodes break, and strangers stand where nodes should.
 
-mod support;
+mod local_mesh;
 
 use {
     dogwoodbridge::{
@@ -8,11 +8,11 @@
         peer::{FleetAuth, ReceivedContext, decode_context, encode_context},
     },
     hyper::header::HeaderValue,
-    std::net::SocketAddr,
-    support::{
+    local_mesh::{
         client::{self, Seen},
         mesh::{KEY, Mesh},
     },
+    std::net::SocketAddr,
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::TcpListener,
