Merge keyed requests by home and plug in the fleet's guard

Cause: the home of an idempotency key was a fixed list in memory; the slice table knows homes. Change: FleetGuard finds the home by the slice table and decides by GuardHome; one KeyedRequest instead of two; the stand-alone quota and guard move to the tests, which alone use them.

--- a/src/bin/dogwoodd.rs
+++ b/src/bin/dogwoodd.rs
@@ -11,10 +11,20 @@
         retry::{ChainBudget, NaiveRetry},
         settings::{AdmissionChoice, RetryChoice, Settings},
     },
-    std::sync::Arc,
+    std::{process::ExitCode, sync::Arc},
 };
 
-fn main() -> anyhow::Result<()> {
+fn main() -> ExitCode {
+    match start_up() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("dogwoodd: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start_up() -> anyhow::Result<()> {
     let settings = Settings::parse();
     logging::init(settings.log_level).context("logging")?;
     if let Err(error) = settings.check() {
--- a/src/daemon/inputs.rs
+++ b/src/daemon/inputs.rs
@@ -32,7 +32,11 @@
                         return;
                     }
                     match *seen.borrow_and_update() {
-                        Some(asked_ms) => Heard::Platform { asked_ms },
+                        // The follower tells of a look only once this node holds
+                        // all that it showed.
+                        Some(asked_ms) => {
+                            Heard::Platform { asked_ms, versions: Versions::default() }
+                        }
                         None => continue,
                     }
                 }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,5 +1,6 @@
 //! Assembles the parts of `dogwoodd`.
 
+mod guard;
 mod inputs;
 mod neighbours;
 mod operated;
@@ -27,6 +28,7 @@
         slices::{self, SliceInputs, Slot},
         timer::{Timer, unix_ms},
     },
+    guard::FleetGuard,
     neighbours::RpcNeighbours,
     operated::OperatedNode,
     std::{net::SocketAddr, sync::Arc, time::Duration},
@@ -176,7 +178,7 @@
         DaemonError::Rpc { address, source }
     })?;
 
-    let node = Node::<PolicySet<A, ZoneRouter, T, LeasedQuota>>::new(NodeInputs {
+    let node = Node::<PolicySet<A, ZoneRouter, T, LeasedQuota, FleetGuard>>::new(NodeInputs {
         settings: settings.clone(),
         names,
         timer: timer.clone(),
@@ -185,6 +187,7 @@
         own_state: own_state.clone(),
         freshness,
         quota,
+        guard: FleetGuard::new(settings.node_id.clone(), guard, tables.clone()),
     });
     let tasks = start(&node)?;
     let operated = OperatedNode::new(node.clone(), store, revocations, tables.clone());
@@ -203,10 +206,11 @@
 
 async fn wait_for_slices(
     node_id: &str,
-    mut tables: watch::Receiver<Option<Arc<slices::SliceTable>>>,
+    mut tables: watch::Receiver<Option<Arc<slices::HeldTable>>>,
 ) {
-    let owns_nothing = |table: &Option<Arc<slices::SliceTable>>| {
-        table.as_ref().is_none_or(|table| {
+    let owns_nothing = |held: &Option<Arc<slices::HeldTable>>| {
+        held.as_ref().is_none_or(|held| {
+            let table = &held.table;
             table.find(node_id).is_none_or(|slot| {
                 slices::Section::ALL
                     .into_iter()
--- a/src/daemon/operated.rs
+++ b/src/daemon/operated.rs
@@ -1,6 +1,7 @@
 //! The node as operators see it.
 
 use {
+    super::guard::FleetGuard,
     crate::{
         admission::AdmissionPolicy,
         control::{
@@ -14,21 +15,21 @@
         quota::LeasedQuota,
         retry::RetryPolicy,
         routing::ZoneRouter,
-        slices::{Section, SliceTable},
+        slices::{HeldTable, Section},
     },
     std::sync::Arc,
     tokio::sync::watch,
 };
 
 /// The daemon's choice of policies around the two that vary.
-type DaemonNode<A, T> = Node<PolicySet<A, ZoneRouter, T, LeasedQuota>>;
+type DaemonNode<A, T> = Node<PolicySet<A, ZoneRouter, T, LeasedQuota, FleetGuard>>;
 
 /// Answers operators from the parts of a running node.
 pub struct OperatedNode<A: AdmissionPolicy, T: RetryPolicy> {
     node: Arc<DaemonNode<A, T>>,
     store: DocumentStore,
     revocations: Revocations,
-    tables: watch::Receiver<Option<Arc<SliceTable>>>,
+    tables: watch::Receiver<Option<Arc<HeldTable>>>,
 }
 
 impl<A: AdmissionPolicy, T: RetryPolicy> Clone for OperatedNode<A, T> {
@@ -48,7 +49,7 @@
         node: Arc<DaemonNode<A, T>>,
         store: DocumentStore,
         revocations: Revocations,
-        tables: watch::Receiver<Option<Arc<SliceTable>>>,
+        tables: watch::Receiver<Option<Arc<HeldTable>>>,
     ) -> Self {
         Self {
             node,
@@ -59,8 +60,9 @@
     }
 
     fn owned_slice_count(&self) -> u32 {
-        let table = self.tables.borrow();
-        let owned = table.as_ref().and_then(|table| {
+        let held = self.tables.borrow();
+        let owned = held.as_ref().and_then(|held| {
+            let table = &held.table;
             let slot = table.find(&self.node.settings.node_id)?;
             Some(table.owned(Section::Quota, slot).count())
         });
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -4,11 +4,11 @@
 
 use {
     dogwoodbridge::model::{AdmissionLevel, Class},
-    std::sync::atomic::Ordering,
     platform_support::{
         FakePlatform,
         ctl::{KEY, Mesh, ctl, example},
     },
+    std::sync::atomic::Ordering,
     uuid::Uuid,
 };
 
--- a/tests/cli_publish.rs
+++ b/tests/cli_publish.rs
@@ -3,11 +3,11 @@
 mod platform_support;
 
 use {
-    std::time::Duration,
     platform_support::{
         FakePlatform, Faults,
         ctl::{Mesh, publish, published_by, publisher_in},
     },
+    std::time::Duration,
 };
 
 /// How a publication ends under a fault.
--- a/tests/datapath.rs
+++ b/tests/datapath.rs
@@ -1,13 +1,13 @@
 //! The path from a caller through nodes to targets and back.
 
-mod support;
+mod local_mesh;
 
 use {
-    std::time::Duration,
-    support::{
+    local_mesh::{
         client::{self, Seen},
         mesh::{KEY, Mesh, REVOKED_KEY},
     },
+    std::time::Duration,
 };
 
 async fn get(mesh: &Mesh, entry: usize, path: &str) -> Seen {
@@ -213,7 +213,7 @@
     assert_eq!(before.summary(), (200, "whole", ""));
     mesh[0].running.send_modify(|running| {
         let mut next = (**running).clone();
-        next.revoked.insert(support::mesh::digest(KEY));
+        next.revoked.insert(local_mesh::mesh::digest(KEY));
         *running = std::sync::Arc::new(next);
     });
     let after = client::exchange(&mut connection, request()).await;
@@ -434,7 +434,7 @@
     tokio::time::sleep(Duration::from_millis(300)).await;
     let seen = get(&mesh, 0, "/a/echo").await;
     assert_eq!(seen.summary(), (401, "not-run", "key-lease-expired"));
-    freshness.send_replace(support::mesh::ALWAYS_FRESH);
+    freshness.send_replace(local_mesh::mesh::ALWAYS_FRESH);
     tokio::time::sleep(Duration::from_millis(100)).await;
     assert_eq!(get(&mesh, 0, "/a/echo").await.summary(), (200, "whole", ""));
 }
--- a/tests/documents.rs
+++ b/tests/documents.rs
@@ -12,12 +12,12 @@
         platform::Platform,
         timer::Timer,
     },
+    platform_support::{FakePlatform, Faults},
     std::{
         net::{IpAddr, Ipv4Addr},
         sync::{Arc, Mutex},
         time::Duration,
     },
-    platform_support::{FakePlatform, Faults},
     tokio::{
         sync::{broadcast, mpsc, watch},
         time::timeout,
--- /dev/null
+++ b/tests/local_mesh/alone.rs
@@ -0,0 +1,151 @@
+//! Quota and guard of a node that stands alone.
+
+use {
+    dogwoodbridge::{
+        guard::{Begin, Finish, GuardKey, KeyedRequest, StoredAnswer},
+        model::{Reason, Refusal, WorkspaceKey},
+        node::{Home, KeyGuard},
+        quota::{QuotaGate, Rate},
+        timer::Timer,
+    },
+    std::{collections::HashMap, sync::Mutex},
+};
+
+/// A token bucket per workspace on this node alone.
+#[derive(Debug)]
+pub struct LocalQuota {
+    timer: Timer,
+    buckets: Mutex<HashMap<WorkspaceKey, Bucket>>,
+}
+
+/// Thousandths of tokens, so that small rates accrue between requests.
+#[derive(Debug)]
+struct Bucket {
+    milli_tokens: u64,
+    filled_us: u64,
+}
+
+const MILLI_TOKENS: u64 = 1000;
+
+impl LocalQuota {
+    /// Full buckets.
+    #[must_use]
+    pub fn new(timer: Timer) -> Self {
+        Self {
+            timer,
+            buckets: Mutex::default(),
+        }
+    }
+
+    fn take(&self, workspace: WorkspaceKey, rate: Rate, now_us: u64) -> Result<(), Refusal> {
+        let full = u64::from(rate.burst_count) * MILLI_TOKENS;
+        let rate_per_s = u64::from(rate.rate_per_s);
+        let mut buckets = self.buckets.lock().expect("lock is not poisoned");
+        let bucket = buckets.entry(workspace).or_insert(Bucket {
+            milli_tokens: full,
+            filled_us: now_us,
+        });
+        let gained = now_us.saturating_sub(bucket.filled_us) * rate_per_s / 1000;
+        if gained > 0 {
+            bucket.milli_tokens = (bucket.milli_tokens + gained).min(full);
+            bucket.filled_us = now_us;
+        }
+        if bucket.milli_tokens >= MILLI_TOKENS {
+            bucket.milli_tokens -= MILLI_TOKENS;
+            return Ok(());
+        }
+        let missing = MILLI_TOKENS - bucket.milli_tokens;
+        let wait_ms = missing.checked_div(rate_per_s).unwrap_or(1000) + 1;
+        let wait_ms = u32::try_from(wait_ms).unwrap_or(u32::MAX);
+        Err(Refusal::not_run(Reason::OverQuota).with_retry_after_ms(wait_ms))
+    }
+}
+
+impl QuotaGate for LocalQuota {
+    async fn admit(&self, workspace: WorkspaceKey, rate: Rate) -> Result<(), Refusal> {
+        self.take(workspace, rate, self.timer.now_us())
+    }
+}
+
+/// Idempotency keys in the memory of fixed homes, kept without limit.
+#[derive(Debug, Default)]
+pub struct LocalGuard {
+    own: String,
+    homes: Vec<String>,
+    records: Mutex<HashMap<GuardKey, Record>>,
+}
+
+#[derive(Debug)]
+struct Record {
+    fingerprint: u64,
+    state: RecordState,
+}
+
+#[derive(Debug)]
+enum RecordState {
+    InProgress,
+    Answered(StoredAnswer),
+    Unknown,
+}
+
+impl LocalGuard {
+    /// A guard on this node for keys that are spread over these homes.
+    #[must_use]
+    pub fn new(own: &str, homes: Vec<String>) -> Self {
+        Self {
+            own: own.to_owned(),
+            homes,
+            records: Mutex::default(),
+        }
+    }
+}
+
+impl KeyGuard for LocalGuard {
+    fn home(&self, key: GuardKey) -> Result<Home, Refusal> {
+        if self.homes.is_empty() {
+            return Ok(Home::Own);
+        }
+        let index = key.key_hash % self.homes.len() as u128;
+        let home = &self.homes[usize::try_from(index).unwrap_or(0)];
+        if *home == self.own {
+            Ok(Home::Own)
+        } else {
+            Ok(Home::Node(home.clone()))
+        }
+    }
+
+    fn begin(&self, call: KeyedRequest) -> Begin {
+        let mut records = self.records.lock().expect("lock is not poisoned");
+        let Some(record) = records.get(&call.key) else {
+            let record = Record {
+                fingerprint: call.fingerprint,
+                state: RecordState::InProgress,
+            };
+            records.insert(call.key, record);
+            return Begin::Execute;
+        };
+        if record.fingerprint != call.fingerprint {
+            return Begin::Refuse(Refusal::not_run(Reason::KeyReused));
+        }
+        match &record.state {
+            RecordState::InProgress => Begin::Refuse(Refusal::unknown(Reason::InProgress)),
+            RecordState::Answered(answer) => Begin::Replay(answer.clone()),
+            RecordState::Unknown => Begin::Refuse(Refusal::unknown(Reason::EarlierUnknown)),
+        }
+    }
+
+    fn finish(&self, key: GuardKey, finish: Finish) {
+        let mut records = self.records.lock().expect("lock is not poisoned");
+        let state = match finish {
+            Finish::NotRun => {
+                records.remove(&key);
+                return;
+            }
+            Finish::Answered(answer) => RecordState::Answered(answer),
+            Finish::Unknown => RecordState::Unknown,
+        };
+        if let Some(record) = records.get_mut(&key) {
+            record.state = state;
+        }
+    }
+}
--- a/tests/support/mesh.rs
+++ b/tests/local_mesh/mesh.rs
@@ -1,7 +1,11 @@
 //! Nodes with hand-made configuration and membership.
 
 use {
-    super::target::Target,
+    super::{
+        alone::{LocalGuard, LocalQuota},
+        policies::{LeastOutstanding, SimpleBudget},
+        target::Target,
+    },
     clap::Parser,
     dogwoodbridge::{
         admission::AdmitAll,
@@ -10,10 +14,8 @@
         keys::KeyDigest,
         membership::{Member, MemberPorts, MemberState, OwnState, View},
         model::{Class, Names},
-        node::{LocalQuota, Node, NodeInputs, PolicySet, start},
+        node::{Node, NodeInputs, PolicySet, start},
         quota::Rate,
-        retry::ChainBudget,
-        routing::ZoneRouter,
         settings::{Settings, ports},
         timer::Timer,
     },
@@ -41,7 +43,8 @@
     quota_until_ms: u64::MAX,
 };
 
-pub type TestNode = Node<PolicySet<AdmitAll, ZoneRouter, ChainBudget, LocalQuota>>;
+pub type TestNode =
+    Node<PolicySet<AdmitAll, LeastOutstanding, SimpleBudget, LocalQuota, LocalGuard>>;
 
 /// A node with its target.
 pub struct Instance {
@@ -89,8 +92,14 @@
     /// The same, with further flags of `dogwoodd`.
     pub async fn start_with(services: &[&str], flags: &[&str]) -> Self {
         let mut instances = Vec::new();
+        let ips: Vec<IpAddr> = services.iter().map(|_| next_ip()).collect();
+        // Each node is home to a share of the idempotency keys.
+        let homes: Vec<String> = ips.iter().map(|ip| format!("node-{ip}")).collect();
+        let mut ips = ips.into_iter();
         for service in services {
-            instances.push(start_instance(service, services, flags).await);
+            instances.push(
+                start_instance(service, services, flags, ips.next().unwrap(), homes.clone()).await,
+            );
         }
         let mesh = Self {
             instances: Arc::new(instances),
@@ -187,8 +196,13 @@
     IpAddr::V4(Ipv4Addr::new(127, 100 + process, high, low))
 }
 
-async fn start_instance(service: &str, services: &[&str], flags: &[&str]) -> Instance {
-    let ip = next_ip();
+async fn start_instance(
+    service: &str,
+    services: &[&str],
+    flags: &[&str],
+    ip: IpAddr,
+    homes: Vec<String>,
+) -> Instance {
     let node_id = format!("node-{ip}");
     let ip_text = ip.to_string();
     let mut arguments = vec![
@@ -218,6 +232,7 @@
     let (freshness, freshness_receiver) = watch::channel(ALWAYS_FRESH);
     let (own_state, _) = watch::channel(OwnState::default());
     let node = TestNode::new(NodeInputs {
+        guard: LocalGuard::new(&settings.node_id, homes),
         settings,
         names,
         quota: LocalQuota::new(timer.clone()),
--- a/tests/support/mod.rs
+++ b/tests/local_mesh/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, missing_docs)]
 
+pub mod alone;
 pub mod client;
 pub mod mesh;
+pub mod policies;
 pub mod target;
--- a/tests/peer_faults.rs
+++ b/tests/peer_faults.rs
@@ -1,18 +1,18 @@
 //! Connections between nodes break, and strangers stand where nodes should.
 
-mod support;
+mod local_mesh;
 
 use {
     dogwoodbridge::{
         model::{Class, Names, RequestContext},
-        peer::{FleetAuth, decode_context, encode_context},
+        peer::{FleetAuth, ReceivedContext, decode_context, encode_context},
     },
     hyper::header::HeaderValue,
-    std::net::SocketAddr,
-    support::{
+    local_mesh::{
         client::{self, Seen},
         mesh::{KEY, Mesh},
     },
+    std::net::SocketAddr,
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::TcpListener,
@@ -189,8 +189,13 @@
 fn a_context_comes_back_as_it_was() {
     let names = Names::new();
     let sent = context(&names);
-    let value = encode_context(&sent, 42, &names);
-    assert_eq!(decode_context(&value, &names), Ok((sent, 42)));
+    let sent = ReceivedContext {
+        context: sent,
+        attempt_id: 42,
+        is_guarded: true,
+    };
+    let value = encode_context(&sent, &names);
+    assert_eq!(decode_context(&value, &names), Ok(sent));
 }
 
 #[test]
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -8,8 +8,8 @@
         documents::{DocumentKind, DocumentWriter, WriteResult},
         platform::{MAX_OBJECT_BYTES, Platform, PlatformError, Watched, Write},
     },
-    std::{collections::HashSet, net::IpAddr, time::Duration},
     platform_support::{FakePlatform, Faults},
+    std::{collections::HashSet, net::IpAddr, time::Duration},
     tokio::time::timeout,
 };
 
