Run the node by the real admission, routing and retry policies

Cause: loans of retry allotment have keys of their own now. Change: the data path gives loans back by key; dogwoodd chooses among the policies by its settings; plain policies stay in the tests, which count attempts exactly. An attempt that reached no target is repeated elsewhere up to three times free of the retry budget: under the share per destination, tests/peer_faults.rs, keyed.rs and datapath.rs had orders end in not-run connection-lost although another target was idle.

--- a/src/bin/dogwoodd.rs
+++ b/src/bin/dogwoodd.rs
@@ -4,7 +4,7 @@
     anyhow::Context,
     clap::Parser,
     dogwoodbridge::{
-        admission::{AdmissionPolicy, AdmitAll},
+        admission::{Adaptive, AdmissionPolicy, AdmitAll, StaticLimit},
         conf::Running,
         event,
         events::Event,
@@ -12,11 +12,9 @@
         logging,
         membership::{OwnState, View},
         model::Names,
-        node::{
-            LeastOutstanding, LocalGuard, LocalQuota, Node, NodeInputs, PolicySet, SimpleBudget,
-            start,
-        },
-        retry::RetryPolicy,
+        node::{LocalGuard, LocalQuota, Node, NodeInputs, PolicySet, start},
+        retry::{ChainBudget, NaiveRetry, RetryPolicy},
+        routing::ZoneRouter,
         settings::{AdmissionChoice, RetryChoice, Settings},
         shutdown,
         timer::Timer,
@@ -54,15 +52,16 @@
 /// The policies are chosen here, once, so that no request pays for a choice.
 async fn choose_admission(settings: Arc<Settings>) -> anyhow::Result<()> {
     match settings.admission {
-        AdmissionChoice::Adaptive | AdmissionChoice::Static | AdmissionChoice::AdmitAll => {
-            choose_retry::<AdmitAll>(settings).await
-        }
+        AdmissionChoice::Adaptive => choose_retry::<Adaptive>(settings).await,
+        AdmissionChoice::Static => choose_retry::<StaticLimit>(settings).await,
+        AdmissionChoice::AdmitAll => choose_retry::<AdmitAll>(settings).await,
     }
 }
 
 async fn choose_retry<A: AdmissionPolicy>(settings: Arc<Settings>) -> anyhow::Result<()> {
     match settings.retry {
-        RetryChoice::Budget | RetryChoice::Naive => run::<A, SimpleBudget>(settings).await,
+        RetryChoice::Budget => run::<A, ChainBudget>(settings).await,
+        RetryChoice::Naive => run::<A, NaiveRetry>(settings).await,
     }
 }
 
@@ -73,7 +72,7 @@
     let (_view, view) = watch::channel(Arc::new(View::default()));
     let (_freshness, freshness) = watch::channel(Freshness::Fresh);
     let (own_state, _) = watch::channel(OwnState::default());
-    let node = Node::<PolicySet<A, LeastOutstanding, T, LocalQuota, LocalGuard>>::new(NodeInputs {
+    let node = Node::<PolicySet<A, ZoneRouter, T, LocalQuota, LocalGuard>>::new(NodeInputs {
         guard: LocalGuard::new(&settings.node_id, Vec::new()),
         settings,
         names: Names::new(),
--- a/src/egress/attempts.rs
+++ b/src/egress/attempts.rs
@@ -24,6 +24,10 @@
 /// The margin is at most this part of the remaining time.
 const HOP_MARGIN_PART: u64 = 10;
 
+/// Further targets that are tried, free of the retry budget, after attempts
+/// that reached no target.
+const FREE_PICK_COUNT: usize = 3;
+
 /// A call on its way out of this node.
 #[derives::value]
 #[derive(Copy, Eq)]
@@ -53,6 +57,7 @@
     outbound: &Outbound,
 ) -> Result<Answer, Refusal> {
     let mut tried = Vec::new();
+    let mut free_pick_count = 0;
     loop {
         let refusal = match attempt(node, call, outbound, &mut tried).await {
             Ok(answer) => return Ok(answer),
@@ -65,6 +70,14 @@
         if now_us >= call.deadline_us {
             return Err(refusal);
         }
+        // A node that is gone but still known would otherwise use up the
+        // retries of a service with little traffic, and callers would see
+        // refusals although another target is idle. Nothing ran, so nothing
+        // can multiply.
+        if never_reached(refusal) && free_pick_count < FREE_PICK_COUNT {
+            free_pick_count += 1;
+            continue;
+        }
         if !node.retries().try_retry(call.retry, call.service, now_us) {
             return Err(refusal.with_exhausted());
         }
@@ -77,6 +90,11 @@
     }
 }
 
+/// Whether no connection led to the target.
+fn never_reached(refusal: Refusal) -> bool {
+    refusal.outcome == Outcome::NotRun && refusal.reason == Reason::ConnectionLost
+}
+
 /// Whether sending again can help and cannot execute the request twice.
 fn may_repeat(call: &Call, refusal: Refusal) -> bool {
     let is_safe = call.repeatable || refusal.outcome == Outcome::NotRun;
@@ -123,8 +141,8 @@
     }
     tried.push(target);
     node.metrics.attempts.inc();
-    let lent = node.retries().lend(call.retry);
-    let context = context_of(call, remaining_us, lent);
+    let loan = node.retries().lend(call.retry);
+    let context = context_of(call, remaining_us, loan.allotment);
     let end = match place {
         Place::Own => {
             let (result, unspent) = serve_local(node, &context, outbound).await;
@@ -146,7 +164,7 @@
             send(node, &link, attempt).await
         }
     };
-    node.retries().give_back(call.retry, end.unspent);
+    node.retries().give_back(loan.key, end.unspent);
     outstanding.end(result_of(&end.result), end.level);
     end.result
 }
--- a/src/egress/child.rs
+++ b/src/egress/child.rs
@@ -12,7 +12,7 @@
         },
         model::{MAX_DEPTH, Reason, Refusal},
         node::{InFlightCall, Node, Policies, dispatch},
-        retry::{CallKey, RetryPolicy},
+        retry::{CallKey, LoanKey, RetryPolicy},
     },
     hyper::{HeaderMap, Request, Response, body::Incoming, http::request::Parts},
     std::sync::Arc,
@@ -138,19 +138,19 @@
 /// Retry allotment that a child call holds on this node while it lives.
 struct Share<P: Policies> {
     node: Arc<Node<P>>,
-    parent: CallKey,
+    loan: LoanKey,
     own: CallKey,
 }
 
 impl<P: Policies> Share<P> {
     fn new(node: &Arc<Node<P>>, parent: CallKey) -> Self {
         let mut retries = node.retries();
-        let lent = retries.lend(parent);
-        let own = retries.open(lent);
+        let loan = retries.lend(parent);
+        let own = retries.open(loan.allotment);
         drop(retries);
         Self {
             node: Arc::clone(node),
-            parent,
+            loan: loan.key,
             own,
         }
     }
@@ -160,6 +160,6 @@
     fn drop(&mut self) {
         let mut retries = self.node.retries();
         let unspent = retries.close(self.own);
-        retries.give_back(self.parent, unspent);
+        retries.give_back(self.loan, unspent);
     }
 }
--- a/src/node/guarded.rs
+++ b/src/node/guarded.rs
@@ -73,8 +73,8 @@
     let key = guard_key(&node.names, call.workspace, call.service, text);
     let home = node.guard.home(key)?;
     let remaining_us = call.deadline_us.saturating_sub(node.timer.now_us());
-    let lent = node.retries().lend(call.retry);
-    let context = context_of(call, remaining_us, lent);
+    let loan = node.retries().lend(call.retry);
+    let context = context_of(call, remaining_us, loan.allotment);
     let end = match home {
         Home::Own => {
             let (result, unspent) = execute(node, &context, outbound.clone(), text).await;
@@ -86,7 +86,7 @@
         }
         Home::Node(home) => send_home(node, &home, &context, outbound, remaining_us).await,
     };
-    node.retries().give_back(call.retry, end.unspent);
+    node.retries().give_back(loan.key, end.unspent);
     end.result
 }
 
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -15,7 +15,7 @@
     route_table::{Place, RouteTable},
     start::{StartError, start},
     systems::{follow_members, run_ticks},
-    thin::{LeastOutstanding, LocalGuard, LocalQuota, SimpleBudget},
+    thin::{LocalGuard, LocalQuota},
 };
 
 use {
--- a/tests/local_mesh/mod.rs
+++ b/tests/local_mesh/mod.rs
@@ -4,4 +4,5 @@
 
 pub mod client;
 pub mod mesh;
+pub mod policies;
 pub mod target;
