Let groups that asked different seeds meet, and stop a storm of marks

Cause: dogwood-lab up (8 nodes started together, each with the same seeds) ended in two groups of gossip: nodes asked one random seed each and a seed again only every 15 s, perhaps one of their own group. Each group took the other's slots for gone; one marked a slot, its owner cleared the mark, and the next version of the document started it anew: 2262 writes of the slice table in 9 s (dogwoodctl status, slices version; platform's /-/calls). Ruled out: failure detection; every member that was known stayed alive. Change: a seed that is no member yet is asked each round in the first 30 s and every 5 rounds later; relays read the platform's seed addresses every 5 s. A node that has just started suspects nobody for 5 s, and a slot whose owner cleared its mark is not marked again for 30 s.

--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod report;
 pub mod rules;
 pub mod scenario;
+pub mod up;
 pub mod usage;
 pub mod wait;
 
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -8,6 +8,7 @@
         measure::ScenarioResult,
         report,
         scenario::{self, Scenario},
+        up,
     },
     std::path::{Path, PathBuf},
     tokio::signal::unix::{SignalKind, signal},
@@ -25,6 +26,15 @@
 enum Command {
     /// Bring up a small mesh, send requests, print what became of them, clean up
     Demo,
+    /// Bring up the mesh of an example and keep it until the command is interrupted
+    Up {
+        /// Directory with the configuration to publish
+        #[arg(long, default_value = "examples/cascade-tally")]
+        dir: PathBuf,
+        /// Where the variables for dogwoodctl are written
+        #[arg(long, default_value = "target/mesh.env")]
+        env_file: PathBuf,
+    },
     /// Run a scenario and report the four measures
     Run {
         /// Scenario in TOML
@@ -67,6 +77,7 @@
 async fn run(command: Command) -> anyhow::Result<()> {
     match command {
         Command::Demo => run_demo().await,
+        Command::Up { dir, env_file } => run_up(&dir, &env_file).await,
         Command::Run {
             scenario,
             out,
@@ -102,6 +113,20 @@
     Ok(result)
 }
 
+async fn run_up(dir: &Path, env_file: &Path) -> anyhow::Result<()> {
+    println!("Starting a platform, 2 availability zones, 4 services, 8 nodes …");
+    let mesh = up::start(dir).await?;
+    let variables = up::instructions(&mesh);
+    std::fs::write(env_file, &variables).context("variables for dogwoodctl")?;
+    println!(
+        "{variables}\nThe mesh is up; these lines are in {}.",
+        env_file.display()
+    );
+    println!("Ctrl-C ends it.");
+    std::future::pending::<()>().await;
+    Ok(())
+}
+
 async fn run_demo() -> anyhow::Result<()> {
     println!("Starting a platform, 2 availability zones, 2 services, 4 nodes …");
     let demo = demo::run().await?;
--- a/lab/src/mesh/start.rs
+++ b/lab/src/mesh/start.rs
@@ -272,7 +272,7 @@
         Ok(dir)
     }
 
-    pub(super) const fn operator_secret(&self) -> &'static str {
+    pub(crate) const fn operator_secret(&self) -> &'static str {
         OPERATOR_SECRET
     }
 
--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -77,6 +77,11 @@
     },
     /// Show why a request would be admitted or refused
     Explain(ExplainArgs),
+    /// Print a page of the documentation that is made from the code
+    Reference {
+        /// The page
+        page: Page,
+    },
     /// Print completions for a shell
     Completions {
         /// The shell
@@ -84,6 +89,16 @@
     },
 }
 
+/// Pages of the documentation that are made from the code.
+#[derives::key]
+#[derive(ValueEnum)]
+pub enum Page {
+    /// Numbered log events.
+    Events,
+    /// Settings of dogwoodd.
+    Settings,
+}
+
 /// Flags of `publish`.
 #[derive(Debug, Clone, clap::Args)]
 pub struct PublishArgs {
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -15,7 +15,7 @@
 mod zones;
 
 pub use {
-    args::{Args, Command, KeyCommand, OutputFormat},
+    args::{Args, Command, KeyCommand, OutputFormat, Page},
     errors::CliError,
     fleet::{Fleet, FleetView, NodeAnswer},
     keys_change::{KeysOutcome, change_keys},
@@ -24,6 +24,8 @@
     zones::{ZoneReport, zone_reports},
 };
 
+use crate::reference;
+
 /// Carries out a command.
 pub async fn run(args: &Args) -> Result<Finished, CliError> {
     match &args.command {
@@ -33,6 +35,10 @@
         Command::Status => status::run(args).await,
         Command::Drain { node } => drain::run(args, node).await,
         Command::Explain(explain) => explain::run(args, explain).await,
+        Command::Reference { page: Page::Events } => Ok(Finished::page(reference::events_page())),
+        Command::Reference {
+            page: Page::Settings,
+        } => Ok(Finished::page(reference::settings_page())),
         Command::Completions { shell } => Ok(Finished::completions(*shell)),
     }
 }
--- a/src/cli/report.rs
+++ b/src/cli/report.rs
@@ -57,7 +57,12 @@
     pub fn completions(shell: Shell) -> Self {
         let mut script = Vec::new();
         clap_complete::generate(shell, &mut Args::command(), "dogwoodctl", &mut script);
-        let text = String::from_utf8_lossy(&script).into_owned();
+        Self::page(String::from_utf8_lossy(&script).into_owned())
+    }
+
+    /// A page that is the same in both forms.
+    #[must_use]
+    pub fn page(text: String) -> Self {
         Self {
             exit: Exit::Done,
             json: text.clone(),
--- a/src/daemon/seeds.rs
+++ b/src/daemon/seeds.rs
@@ -2,7 +2,8 @@
 //!
 //! Each zone's first relay keeps a few gossip addresses of its zone in one
 //! object, so that a new node needs nothing but the platform's address. The
-//! object is written when the addresses change, not by the clock.
+//! object is written when the addresses change; relays read it by the clock,
+//! once every few seconds for each zone.
 
 use {
     crate::{
@@ -95,13 +96,19 @@
 
     async fn keep(&mut self) {
         let addresses = self.zone_addresses();
-        if addresses == self.written || addresses.is_empty() {
+        if addresses.is_empty() {
             return;
         }
         let Ok(object) = self.platform.read(OBJECT).await else {
             return;
         };
         let mut seeds = parse(&object);
+        // Zones, or groups within one, that started apart meet through here.
+        let all = seeds.values().flatten().copied().collect();
+        let _ = self.to_gossip.send(all).await;
+        if addresses == self.written {
+            return;
+        }
         if seeds.get(&self.zone) != Some(&addresses) {
             seeds.insert(self.zone.clone(), addresses.clone());
             let content = serde_json::to_vec(&seeds).expect("addresses are valid JSON");
--- a/src/membership/probing.rs
+++ b/src/membership/probing.rs
@@ -6,7 +6,7 @@
         table::MemberKey,
     },
     rand::{Rng, seq::IndexedRandom},
-    std::net::SocketAddr,
+    std::{collections::HashSet, net::SocketAddr},
 };
 
 /// Time between probes of a member in the own availability zone; one in
@@ -34,9 +34,12 @@
 /// nobody else would tell it that it was taken for dead.
 const GONE_PROBE_PERIOD: u64 = 2;
 
-/// Every so many probe periods a seed is contacted although members are
-/// known: two halves of a fleet that started apart would never meet.
-const SEED_PERIOD: u64 = 15;
+/// Probe periods after the start in which an unknown seed is asked each time.
+const EAGER_ROUNDS: u64 = 30;
+
+/// Later on one is asked every so many probe periods: two halves of a fleet
+/// that were apart for long would otherwise never meet.
+const SEED_PERIOD: u64 = 5;
 
 impl Swim {
     pub(super) fn expire_probes<R: Rng>(
@@ -111,21 +114,33 @@
         for subject in [own_zone, other_zone, gone].into_iter().flatten() {
             self.ping(subject, None, now_ms, out);
         }
-        let knows_nobody = own_zone.is_none() && other_zone.is_none();
-        if knows_nobody || self.round.is_multiple_of(SEED_PERIOD) {
-            self.contact_seed(now_ms, rng, out);
+        if self.round <= EAGER_ROUNDS || self.round.is_multiple_of(SEED_PERIOD) {
+            self.contact_unknown_seed(now_ms, rng, out);
         }
     }
 
-    pub(super) fn contact_seed<R: Rng>(
+    // Nodes that start together ask different seeds first. Each group would know
+    // only its own members and take the others' slots for gone, until somebody
+    // noticed that requests find half of the targets. So every seed that is not
+    // a member yet is asked in its turn.
+    pub(super) fn contact_unknown_seed<R: Rng>(
         &mut self,
         now_ms: u64,
         rng: &mut R,
         out: &mut Vec<Outgoing>,
     ) {
-        if let Some(seed) = self.seeds.choose(rng).copied() {
+        let known: HashSet<SocketAddr> = self
+            .table
+            .iter()
+            .filter(|(_, entry)| entry.record.liveness <= Liveness::Suspect)
+            .map(|(_, entry)| entry.record.gossip_address())
+            .collect();
+        let own = self.own.gossip_address();
+        let is_unknown = |seed: &&SocketAddr| **seed != own && !known.contains(*seed);
+        let unknown: Vec<SocketAddr> = self.seeds.iter().filter(is_unknown).copied().collect();
+        if let Some(seed) = unknown.choose(rng) {
             let packet = self.packet(PacketKind::SyncRequest, 0, now_ms);
-            out.push(Outgoing { to: seed, packet });
+            out.push(Outgoing { to: *seed, packet });
         }
     }
 
--- a/src/slices/plan.rs
+++ b/src/slices/plan.rs
@@ -30,6 +30,15 @@
 /// in batches.
 const GIVE_PERIOD_MS: u64 = 2000;
 
+/// How long a node that has just started suspects nobody: its view of the
+/// members may still lack most of them.
+pub const SETTLE_MS: u64 = 5000;
+
+/// How long a slot that cleared its mark is not suspected again. Its owner is
+/// alive and reaches the platform; a node that does not see it is mistaken,
+/// and marking it over and over would fill the platform with writes.
+const RESUSPECT_MS: u64 = 30_000;
+
 /// What a node knows when it plans.
 #[derive(Clone, Copy)]
 pub struct Observed<'a> {
@@ -52,6 +61,8 @@
     /// First sight of each mark, by slot and the epoch that set it.
     marks: HashMap<String, (u64, u64)>,
     last_give_ms: Option<u64>,
+    /// When this node suspected a slot last.
+    suspected_ms: HashMap<String, u64>,
 }
 
 impl Planner {
@@ -62,6 +73,7 @@
             own,
             marks: HashMap::new(),
             last_give_ms: None,
+            suspected_ms: HashMap::new(),
         }
     }
 
@@ -125,7 +137,20 @@
             .then_some(Step::Claim)
     }
 
-    fn plan_takeovers(&self, observed: Observed<'_>) -> Vec<Step> {
+    fn plan_takeovers(&mut self, observed: Observed<'_>) -> Vec<Step> {
+        if observed.now_ms < SETTLE_MS {
+            return vec![];
+        }
+        let steps = self.takeovers(observed);
+        for step in &steps {
+            if let Step::Suspect { node_id } = step {
+                self.suspected_ms.insert(node_id.clone(), observed.now_ms);
+            }
+        }
+        steps
+    }
+
+    fn takeovers(&self, observed: Observed<'_>) -> Vec<Step> {
         let slots = observed.table.slots().iter();
         let gone = slots.filter(|slot| is_gone(observed.view, slot));
         gone.filter_map(|slot| self.plan_takeover(observed, slot))
@@ -139,7 +164,9 @@
         }
         let node_id = slot.node_id.clone();
         if slot.mark_epoch.is_none() {
-            return Some(Step::Suspect { node_id });
+            let last_ms = self.suspected_ms.get(&node_id);
+            let may = last_ms.is_none_or(|last_ms| observed.now_ms >= last_ms + RESUSPECT_MS);
+            return may.then_some(Step::Suspect { node_id });
         }
         self.waited(&node_id, observed.now_ms, TAKEOVER_WAIT_MS)
             .then_some(Step::Take { node_id, sections })
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -236,6 +236,21 @@
     }
 }
 
+// A fleet starts all at once and its nodes ask different seeds first. Two groups
+// that each know only themselves would route to half of the targets and take
+// the other half's slots for gone.
+#[test]
+fn groups_that_asked_different_seeds_meet() {
+    for seed in 100..140 {
+        let mut fleet = Fleet::new(2, 4, seed);
+        let seeds: Vec<SocketAddr> = fleet.hosts.iter().map(|host| host.address).collect();
+        for host in &mut fleet.hosts {
+            host.swim.add_seeds(&seeds);
+        }
+        fleet.run_until(10_000, Fleet::all_see_each_other);
+    }
+}
+
 // An instance fails without a word. Until the others know, they send requests
 // into nothing and callers wait for time outs.
 #[test]
