Keep an unknown outcome when a later attempt is refused not-run

Cause: run_attempts passed on the last attempt's refusal. A repeatable request whose first attempt broke off (unknown) and whose retry was refused before it ran was answered not-run, though a target may have executed it. Ruled out: the guard; keyed unrepeatable requests are never sent again after an unknown outcome. Change: once an attempt's outcome is unknown, the request's stays so.

--- a/src/egress/attempts.rs
+++ b/src/egress/attempts.rs
@@ -58,11 +58,23 @@
 ) -> Result<Answer, Refusal> {
     let mut tried = Vec::new();
     let mut free_pick_count = 0;
+    let mut may_have_run = false;
     loop {
         let refusal = match attempt(node, call, outbound, &mut tried).await {
             Ok(answer) => return Ok(answer),
             Err(refusal) => refusal,
         };
+        // A retry that is refused says nothing of an earlier attempt. Passed on
+        // as it is, its `not-run` would be false: the journal of a target
+        // would show the request although its caller was told otherwise.
+        may_have_run |= refusal.outcome == Outcome::Unknown;
+        let refusal = match may_have_run {
+            true => Refusal {
+                outcome: Outcome::Unknown,
+                ..refusal
+            },
+            false => refusal,
+        };
         if !may_repeat(call, refusal) {
             return Err(refusal);
         }
--- a/tests/datapath.rs
+++ b/tests/datapath.rs
@@ -288,6 +288,21 @@
     }
 }
 
+/// The answer to a repeatable request breaks, and its retry is refused before it
+/// runs. Told `not-run`, the caller would take it that nothing happened at all.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refused_retry_does_not_hide_an_earlier_attempt_that_may_have_run() {
+    for entry in [0, 1] {
+        let mesh = Mesh::start(&["a", "b"]).await;
+        let seen = get(&mesh, entry, "/a/cut-then-shed/1000").await;
+        assert_eq!(
+            seen.summary(),
+            (503, "unknown", "overloaded"),
+            "entry {entry}"
+        );
+    }
+}
+
 /// A large answer breaks after its head has gone out. Its caller must see a
 /// broken transfer, not a short answer that looks whole.
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/local_mesh/target.rs
+++ b/tests/local_mesh/target.rs
@@ -154,12 +154,11 @@
             }
             ("big", Some(bytes)) => whole(200, &"x".repeat(bytes.parse().unwrap())),
             ("cut", Some(bytes)) => cut(bytes.parse().unwrap()),
-            ("shed", _) => {
-                let mut response = whole(503, "shed");
-                let not_run = HeaderValue::from_static("not-run");
-                response.headers_mut().insert("dogwood-shed", not_run);
-                response
+            ("shed", _) => shed(),
+            ("cut-then-shed", Some(bytes)) if self.executions().len() <= 1 => {
+                cut(bytes.parse().unwrap())
             }
+            ("cut-then-shed", _) => shed(),
             ("fail", _) => whole(503, "failed"),
             _ => whole(200, &format!("{} ran", self.service)),
         }
@@ -194,6 +193,14 @@
     Response::builder().status(status).body(body).unwrap()
 }
 
+/// Refuses before beginning.
+fn shed() -> Response<Body> {
+    let mut response = whole(503, "shed");
+    let not_run = HeaderValue::from_static("not-run");
+    response.headers_mut().insert("dogwood-shed", not_run);
+    response
+}
+
 /// States a length, sends half of it and breaks the connection.
 fn cut(bytes: usize) -> Response<Body> {
     let half = Bytes::from(vec![b'x'; bytes / 2]);
