Prove keys and configuration with real processes under failure

Cause: nothing but the demonstration had run against real nodes, and no test showed keys and publications behind the fault proxy.

Change: lab::proofs holds what such tests share: small meshes of two availability zones, background traffic, callers' records against journals. lab/tests/keys.rs and lab/tests/configuration.rs are tables of cases on it.

--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod measure;
 pub mod mesh;
 pub mod process;
+pub mod proofs;
 pub mod report;
 pub mod rules;
 pub mod scenario;
--- a/lab/src/mesh/ctl.rs
+++ b/lab/src/mesh/ctl.rs
@@ -22,18 +22,26 @@
 impl Mesh {
     /// Runs `dogwoodctl` with the flags that reach this mesh, and `arguments`.
     pub async fn ctl(&self, arguments: &[&str]) -> Result<CtlOutput, LabError> {
-        let mut command = Command::new(binary("dogwoodctl")?);
-        command
-            .arg("--platform")
-            .arg(self.platform_address().to_string())
+        let platform = self.platform_address().to_string();
+        let mut flags = vec!["--platform", &platform];
+        let nodes = self.nodes_to_ask();
+        if !nodes.is_empty() {
+            flags.extend(["--nodes", &nodes]);
+        }
+        flags.extend(arguments);
+        self.ctl_bare(&flags).await
+    }
+
+    /// Runs `dogwoodctl` with the operators' secret and `arguments` alone.
+    pub async fn ctl_bare(&self, arguments: &[&str]) -> Result<CtlOutput, LabError> {
+        let output = Command::new(binary("dogwoodctl")?)
             .arg("--operator-secret")
             .arg(self.operator_secret())
+            .args(arguments)
             .stdin(Stdio::null())
-            .kill_on_drop(true);
-        if !self.nodes_to_ask().is_empty() {
-            command.arg("--nodes").arg(self.nodes_to_ask());
-        }
-        let output = command.args(arguments).output().await;
+            .kill_on_drop(true)
+            .output()
+            .await;
         let output = output.map_err(LabError::io("dogwoodctl"))?;
         Ok(CtlOutput {
             code: output.status.code(),
--- /dev/null
+++ b/lab/src/proofs/mod.rs
@@ -0,0 +1,13 @@
+//! What the proofs of docs/PROOFS.md share: meshes, traffic, checks, the page.
+
+mod fixture;
+mod traffic;
+mod violations;
+
+use crate::measure::Execution;
+
+pub use {
+    fixture::{Fixture, MAIN, SMALL, SMALL_BURST, SMALL_RATE_PER_S, chain, pair},
+    traffic::{Sent, Traffic},
+    violations::{Violation, executions_of, violations},
+};
