--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -6,6 +6,7 @@
     lab::{
         demo,
         measure::ScenarioResult,
+        proofs::{Page, scan_tests},
         report,
         scenario::{self, Scenario},
     },
@@ -50,6 +51,12 @@
         #[arg(long, default_value = "target/lab-reports")]
         out: PathBuf,
     },
+    /// Count the cells of docs/PROOFS.md that tests prove; fails if the page names a test that does not exist
+    Proofs {
+        /// Root of the repository
+        #[arg(long, default_value = ".")]
+        root: PathBuf,
+    },
 }
 
 #[tokio::main]
@@ -87,6 +94,11 @@
             println!("{}", report::compare_text(&first, &second));
             Ok(())
         }
+        Command::Proofs { root } => {
+            let page = Page::read(&root)?;
+            println!("{}", page.check(&scan_tests(&root)?)?);
+            Ok(())
+        }
     }
 }
 
