--- a/lab/tests/configuration.rs
+++ b/lab/tests/configuration.rs
@@ -6,10 +6,13 @@
         mesh::{ConfFile, CtlOutput},
         process::Process,
         proofs::{Fixture, pair},
-        rules::isolate,
+        rules::{cut_from_platform, isolate},
         wait::{GENEROUS_LIMIT, wait_until},
     },
-    standins::{faultproxy::CutMode, platform},
+    standins::{
+        faultproxy::{CutMode, Rule},
+        platform,
+    },
     std::{
         fs,
         path::PathBuf,
@@ -142,12 +145,14 @@
     struct Case {
         name: &'static str,
         faults: platform::Faults,
+        rules: Vec<Rule>,
         outcome: &'static str,
     }
     let cases = [
         Case {
             name: "no fault",
             faults: HEALTHY,
+            rules: vec![],
             outcome: "published",
         },
         // The write takes effect but its answer is lost. An operator who were
@@ -158,6 +163,7 @@
                 lose_answers_to_writes: true,
                 ..HEALTHY
             },
+            rules: vec![],
             outcome: "published",
         },
         // Reads show the revision before; nodes that believed them would never
@@ -168,6 +174,7 @@
                 stale_reads: true,
                 ..HEALTHY
             },
+            rules: vec![],
             outcome: "published",
         },
         Case {
@@ -176,6 +183,14 @@
                 slow_ms: 500,
                 ..HEALTHY
             },
+            rules: vec![],
+            outcome: "published",
+        },
+        // Nodes of the zone learn of it from the other zone.
+        Case {
+            name: "zone cut from the platform",
+            faults: HEALTHY,
+            rules: cut_from_platform("az2", CutMode::Reset),
             outcome: "published",
         },
         Case {
@@ -184,11 +199,13 @@
                 down: true,
                 ..HEALTHY
             },
+            rules: vec![],
             outcome: "not-published",
         },
     ];
     let fixture = Fixture::start(pair()).await.expect("a mesh");
     let admin = fixture.mesh.platform_admin();
+    let proxy = fixture.mesh.proxy_admin();
     for (retry_count, case) in (3..).zip(cases) {
         let before = fixture.revision(0).await.expect("a revision");
         let dir = directory(&fixture, &fixture.changed_files(retry_count));
@@ -196,6 +213,7 @@
             .set_platform_faults(case.faults)
             .await
             .expect("faults");
+        proxy.set_rules(case.rules).await.expect("rules");
         let started = Instant::now();
         let output = publish(&fixture, &dir, "anna").await;
         let report = report(&output);
@@ -215,6 +233,7 @@
             .set_platform_faults(HEALTHY)
             .await
             .expect("faults lifted");
+        proxy.set_rules(Vec::new()).await.expect("rules lifted");
         if case.outcome != "published" {
             assert_eq!(fixture.revision(0).await, Some(before), "{}", case.name);
         }
@@ -379,3 +398,22 @@
     proxy.set_rules(Vec::new()).await.expect("rules lifted");
     wait_in_force(&fixture, before + 1).await;
 }
+
+/// A node stands still while a revision is published, so it hears of nothing.
+/// Once it wakes it must not go on with the old rules for longer than it takes
+/// to hear from the others.
+#[tokio::test]
+async fn paused_node_follows_when_it_wakes() {
+    let mut fixture = Fixture::start(pair()).await.expect("a mesh");
+    let before = fixture.revision(0).await.expect("a revision");
+    node(&mut fixture, 3).pause().await.expect("paused");
+    let dir = directory(&fixture, &fixture.changed_files(3));
+    let output = publish(&fixture, &dir, "anna").await;
+    assert_eq!(report(&output)["outcome"], "published", "{output:?}");
+    let started = Instant::now();
+    node(&mut fixture, 3).resume().expect("resumed");
+    wait_in_force(&fixture, before + 1).await;
+    let took = started.elapsed();
+    println!("in force on the paused node {took:?} after it woke");
+    assert!(took < IN_FORCE_LIMIT, "{took:?}");
+}
--- a/lab/tests/keys.rs
+++ b/lab/tests/keys.rs
@@ -7,7 +7,7 @@
         proofs::{
             Fixture, MAIN, SMALL, SMALL_BURST, SMALL_RATE_PER_S, Sent, Violation, pair, violations,
         },
-        rules::{cut_from_platform, cut_one_way, isolate},
+        rules::{cut, cut_from_platform, cut_one_way, isolate},
         wait::{GENEROUS_LIMIT, wait_until},
     },
     standins::{
@@ -85,48 +85,115 @@
 }
 
 /// Two firms' callers share a connection, as behind a common proxy of theirs,
-/// and one of them claims in headers to be the other. Were a request to run
-/// for the wrong workspace, the small one would get more than its share, or
-/// the large one would be refused for the small one's rate.
+/// and one of them claims in headers to be the other, while nodes lose touch
+/// with each other or with the platform. Were a request to run for the wrong
+/// workspace, the small one would get more than its share, or the large one
+/// would be refused for the small one's rate.
 #[tokio::test]
 async fn requests_run_for_the_workspace_of_their_key() {
-    const ROUND_COUNT: usize = 40;
+    struct Case {
+        name: &'static str,
+        platform: platform::Faults,
+        rules: Vec<Rule>,
+    }
+    let healthy = platform::Faults::default();
+    let cases = [
+        Case {
+            name: "no fault",
+            platform: healthy,
+            rules: vec![],
+        },
+        Case {
+            name: "platform down",
+            platform: platform::Faults {
+                down: true,
+                ..healthy
+            },
+            rules: vec![],
+        },
+        Case {
+            name: "platform slow",
+            platform: platform::Faults {
+                slow_ms: 1000,
+                ..healthy
+            },
+            rules: vec![],
+        },
+        Case {
+            name: "zone cut from the platform",
+            platform: healthy,
+            rules: cut_from_platform("az1", CutMode::Reset),
+        },
+        Case {
+            name: "zones cut from each other",
+            platform: healthy,
+            rules: cut("az1", "az2", CutMode::Reset),
+        },
+    ];
     let fixture = Fixture::start(pair()).await.expect("a mesh");
     let small_key = fixture.mesh.create_key(SMALL).await.expect("a key");
-    // Buckets are empty at the start of a node and fill at the rate.
     fixture.wait_served(&small_key).await.expect("served");
+    let admin = fixture.mesh.platform_admin();
+    let proxy = fixture.mesh.proxy_admin();
+    for case in cases {
+        admin
+            .set_platform_faults(case.platform)
+            .await
+            .expect("faults");
+        proxy.set_rules(case.rules).await.expect("rules");
+        // A node that has lost the bank of a workspace has no tokens for a
+        // while.
+        for key in [&fixture.key, &small_key] {
+            fixture.wait_status(0, key, 200).await.expect(case.name);
+        }
+        interleave(&fixture, &small_key, case.name).await;
+        admin
+            .set_platform_faults(healthy)
+            .await
+            .expect("faults lifted");
+        proxy.set_rules(Vec::new()).await.expect("rules lifted");
+    }
+}
+
+async fn interleave(fixture: &Fixture, small_key: &str, name: &str) {
+    const ROUND_COUNT: usize = 40;
     let started = Instant::now();
-    let mut small_count = 0;
+    let (mut main_count, mut small_count) = (0, 0);
     let mut sent = Vec::new();
-    for round in 0..ROUND_COUNT {
-        for (key, claimed) in [(&fixture.key, SMALL), (&small_key, MAIN)] {
+    for _ in 0..ROUND_COUNT {
+        for (key, claimed) in [(fixture.key.as_str(), SMALL), (small_key, MAIN)] {
             let mut request = CallRequest::new("GET", &fixture.path()).with_key(key);
             for name in ["dogwood-workspace", "dogwood-context", "x-workspace"] {
                 request = request.with_header(name, claimed);
             }
             let record = fixture.send(0, &request).await.expect("a request");
-            if key == &fixture.key {
+            if record.judgement != Judgement::Whole {
                 assert_eq!(
-                    record.judgement,
-                    Judgement::Whole,
-                    "round {round}: {record:?}"
+                    record.reason.as_deref(),
+                    Some("over-quota"),
+                    "{name}: {record:?}"
                 );
-            } else if record.judgement == Judgement::Whole {
+            } else if key == small_key {
                 small_count += 1;
             } else {
-                assert_eq!(record.reason.as_deref(), Some("over-quota"), "{record:?}");
+                main_count += 1;
             }
             sent.push(Sent { request, record });
         }
     }
     let elapsed_s = usize::try_from(started.elapsed().as_secs() + 1).expect("small");
     let limit = SMALL_BURST + SMALL_RATE_PER_S * elapsed_s;
-    println!("small workspace: {small_count} of {ROUND_COUNT} admitted, at most {limit}");
-    assert!(small_count <= limit, "{small_count} > {limit}");
-    assert!(limit < ROUND_COUNT, "too slow to tell the workspaces apart");
-    let keys = [fixture.key.clone(), small_key];
+    println!(
+        "{name}: of {ROUND_COUNT} each, main {main_count}, small {small_count}, limit {limit}"
+    );
+    assert!(small_count <= limit, "{name}: {small_count} > {limit}");
+    assert!(
+        main_count > limit,
+        "{name}: {main_count} of the large workspace"
+    );
+    let keys = [fixture.key.clone(), small_key.to_owned()];
     let found = violations(&sent, &fixture.executions().expect("journals"), &keys);
-    assert_eq!(found, Vec::<Violation>::new());
+    assert_eq!(found, Vec::<Violation>::new(), "{name}");
 }
 
 struct Revocation {
@@ -171,6 +238,15 @@
             rules: vec![],
             is_told_directly: true,
         },
+        Revocation {
+            name: "platform slow",
+            platform: platform::Faults {
+                slow_ms: 1000,
+                ..Default::default()
+            },
+            rules: vec![],
+            is_told_directly: false,
+        },
         // Reads show the keys as they were before the revocation. A node that
         // believed them would let the holder in again.
         Revocation {
@@ -311,3 +387,47 @@
         .await
         .expect("gone");
 }
+
+/// A key is revoked while one node stands still, and another is killed right
+/// afterwards; the platform is down throughout, so nothing but the other nodes
+/// can tell them. The holder tries exactly these two nodes as soon as they are
+/// back, and must not get in again.
+#[tokio::test]
+async fn revocation_outlives_a_pause_and_a_restart() {
+    let mut fixture = Fixture::start(pair()).await.expect("a mesh");
+    let admin = fixture.mesh.platform_admin();
+    let down = platform::Faults {
+        down: true,
+        ..Default::default()
+    };
+    admin.set_platform_faults(down).await.expect("faults");
+    let (killed, paused) = (1, 3);
+    let node = fixture.mesh.instances[paused].node.as_mut();
+    node.expect("a node").pause().await.expect("paused");
+    let key = fixture.key.clone();
+    revoke(&fixture.mesh, &key, true).await;
+    for index in [0, 1, 2] {
+        fixture.wait_status(index, &key, 401).await.expect("gone");
+    }
+    let node = fixture.mesh.instances[killed].node.as_mut();
+    node.expect("a node").restart().expect("restarted");
+    let node = fixture.mesh.instances[paused].node.as_mut();
+    let started = Instant::now();
+    node.expect("a node").resume().expect("resumed");
+    fixture.wait_status(paused, &key, 401).await.expect("gone");
+    let took = started.elapsed();
+    println!("paused node refuses the key {took:?} after it woke");
+    assert!(took < REVOCATION_LIMIT, "{took:?}");
+    let ready = fixture.mesh.instances[killed].node_admin();
+    let is_ready = wait_until("ready", GENEROUS_LIMIT, || async {
+        ready.is_ok("/readyz").await.then_some(())
+    });
+    is_ready.await.expect("ready");
+    let started = Instant::now();
+    fixture.wait_status(killed, &key, 401).await.expect("gone");
+    println!(
+        "restarted node refuses the key {:?} after it was ready",
+        started.elapsed()
+    );
+    assert!(started.elapsed() < REVOCATION_LIMIT);
+}
