Measure an overload against what the slowed service could do

Cause: the report gave goodput, but not what the overloaded service could do, what became of important work, attempts at the service, or work in vain, so the claims on overload could not be checked from result.json. The scenario counted the first 13 s of a cold fleet, in which slices are not yet shared out, as normal operation: 1133 + 573 + 230 sends were refused for quota and 139 for want of a home. Change: a scenario may name the overloaded service, its possible rate and the loads that must not be shed; the result then carries nine figures for the time of the cause. settle_s waits before the load.

--- a/lab/src/measure/mod.rs
+++ b/lab/src/measure/mod.rs
@@ -3,6 +3,7 @@
 
 mod checks;
 mod evidence;
+mod overload;
 mod quota;
 mod recovery;
 mod result;
@@ -12,6 +13,7 @@
 pub use {
     checks::Checks,
     evidence::{Evidence, Execution, parse_journal, read_journals},
+    overload::OverloadResult,
     quota::{RateLimit, TokenBucket, window_excess},
     recovery::recovery_s,
     result::{LoadResult, ScenarioResult},
--- a/lab/src/measure/result.rs
+++ b/lab/src/measure/result.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Checks, Evidence, Second, WorkspaceResult,
+        Checks, Evidence, OverloadResult, Second, WorkspaceResult,
         recovery::recovery_s,
         series::seconds,
         workspaces::{Refusals, workspaces},
@@ -58,6 +58,8 @@
     pub worst_served_ratio: f64,
     /// Refusals for quota inside the rate, over all sends inside the rate.
     pub wrongful_ratio: f64,
+    /// Figures of the overload, where the scenario names one.
+    pub overload: Option<OverloadResult>,
     /// What the nodes cost during the load.
     pub node_cost: NodeCost,
     /// Processor time of all nodes for one send, in microseconds. A chain
@@ -107,6 +109,9 @@
             worst_served: worst.map(|workspace| workspace.name.clone()),
             worst_served_ratio: worst.map_or(1.0, |workspace| workspace.served_ratio),
             wrongful_ratio: wrongful_count as f64 / inside_count.max(1) as f64,
+            overload: scenario.overload.as_ref().and_then(|conf| {
+                OverloadResult::new(scenario, conf, evidence, &goodput, normal_per_s)
+            }),
             node_cost: evidence.node_cost,
             node_cpu_us_per_attempt: cpu_us_per_attempt(evidence),
             loads: loads(scenario, originals),
@@ -124,7 +129,7 @@
 }
 
 /// Mean of the whole seconds from `start_s` to `end_s`.
-fn mean(values: &[f64], start_s: f64, end_s: f64) -> f64 {
+pub(super) fn mean(values: &[f64], start_s: f64, end_s: f64) -> f64 {
     let first = (start_s.ceil() as usize).min(values.len());
     let last = (end_s.floor() as usize).clamp(first, values.len());
     let window = &values[first..last];
--- a/lab/src/report/compare.rs
+++ b/lab/src/report/compare.rs
@@ -1,6 +1,9 @@
 //! Two results side by side.
 
-use {crate::measure::ScenarioResult, std::fmt::Write};
+use {
+    crate::measure::{OverloadResult, ScenarioResult},
+    std::fmt::Write,
+};
 
 /// A measure of two runs.
 #[derives::value]
@@ -37,7 +40,25 @@
             first: measure(first),
             second: measure(second),
         };
-        measures.into_iter().map(comparison).collect()
+        type Figure = fn(&OverloadResult) -> f64;
+        let overload_measures: [(&str, Figure); 6] = [
+            ("goodput over possible", |o| o.goodput_ratio),
+            ("critical served", |o| o.critical_served_ratio),
+            ("other served", |o| o.other_served_ratio),
+            ("attempts per request", |o| o.attempts_per_original),
+            ("most attempts per send", |o| o.max_attempts_per_send),
+            ("work begun in vain", |o| o.wasted_ratio),
+        ];
+        let overload_comparisons = overload_measures.into_iter().map(|(name, measure)| Self {
+            name: name.to_owned(),
+            first: first.overload.as_ref().map(measure),
+            second: second.overload.as_ref().map(measure),
+        });
+        let comparisons = measures.into_iter().map(comparison);
+        if first.overload.is_none() && second.overload.is_none() {
+            return comparisons.collect();
+        }
+        comparisons.chain(overload_comparisons).collect()
     }
 }
 
--- a/lab/src/report/text.rs
+++ b/lab/src/report/text.rs
@@ -11,6 +11,7 @@
     let mut text = String::new();
     // Writing to a text does not fail.
     let _ = write_measures(&mut text, result);
+    let _ = write_overload(&mut text, result);
     let _ = write_loads(&mut text, result);
     let _ = write_workspaces(&mut text, result);
     let _ = write_checks(&mut text, &result.checks);
@@ -47,6 +48,28 @@
     writeln!(text, "memory of largest node   {resident_mib:>10.1} MiB\n")
 }
 
+fn write_overload(text: &mut String, result: &ScenarioResult) -> std::fmt::Result {
+    let Some(overload) = &result.overload else {
+        return Ok(());
+    };
+    writeln!(text, "overload of {}", overload.service)?;
+    let rows = [
+        ("possible, /s", overload.possible_per_s),
+        ("goodput, /s", overload.goodput_per_s),
+        ("goodput over possible", overload.goodput_ratio),
+        ("critical requests served", overload.critical_served_ratio),
+        ("other requests served", overload.other_served_ratio),
+        ("sends per request", overload.sends_per_original),
+        ("attempts per request", overload.attempts_per_original),
+        ("most attempts per send", overload.max_attempts_per_send),
+        ("work begun in vain", overload.wasted_ratio),
+    ];
+    for (name, value) in rows {
+        writeln!(text, "  {name:<26}{value:>10.3}")?;
+    }
+    writeln!(text)
+}
+
 fn write_loads(text: &mut String, result: &ScenarioResult) -> std::fmt::Result {
     for load in &result.loads {
         writeln!(
--- a/lab/src/scenario/conf.rs
+++ b/lab/src/scenario/conf.rs
@@ -17,6 +17,12 @@
     /// Seed of arrival times.
     #[serde(default)]
     pub seed: u64,
+    /// Wait between the start of the nodes and the load. A fleet that starts
+    /// as a whole has yet to share out its slices; until then it refuses
+    /// requests for quota and for want of a home, which would be taken for a
+    /// part of normal operation.
+    #[serde(default)]
+    pub settle_s: u64,
     /// How long load is offered.
     pub duration_s: u64,
     /// Load before this is left out of normal goodput.
@@ -29,6 +35,8 @@
     /// without nodes. Targets then make no downstream calls.
     #[serde(default)]
     pub without_nodes: bool,
+    /// Service whose overload is measured.
+    pub overload: Option<OverloadConf>,
     /// Flags of all nodes.
     #[serde(default)]
     pub node_flags: Vec<String>,
@@ -49,6 +57,18 @@
     pub faults: Vec<FaultConf>,
 }
 
+/// What the overload of one service is measured against.
+#[derives::record]
+#[serde(deny_unknown_fields)]
+pub struct OverloadConf {
+    /// Service that is overloaded.
+    pub service: String,
+    /// Requests a second that its targets can do while the cause lasts.
+    pub possible_per_s: f64,
+    /// Names of the loads that must not be shed.
+    pub critical_loads: Vec<String>,
+}
+
 /// Equal instances in one availability zone.
 #[derives::record]
 #[serde(deny_unknown_fields)]
--- a/lab/src/scenario/mod.rs
+++ b/lab/src/scenario/mod.rs
@@ -7,8 +7,8 @@
 
 pub use {
     conf::{
-        ClientRetry, FaultAction, FaultConf, GroupConf, LoadConf, LoadStep, ProcessKind, Scenario,
-        Selection, WorkspaceConf,
+        ClientRetry, FaultAction, FaultConf, GroupConf, LoadConf, LoadStep, OverloadConf,
+        ProcessKind, Scenario, Selection, WorkspaceConf,
     },
     faults::apply_faults,
     run::run,
--- a/lab/src/scenario/read.rs
+++ b/lab/src/scenario/read.rs
@@ -35,6 +35,15 @@
         if self.duration_s == 0 || self.duration_s > MAX_DURATION_S {
             return fail(format!("duration_s must lie in 1..={MAX_DURATION_S}"));
         }
+        if let Some(overload) = &self.overload {
+            if overload.possible_per_s <= 0.0 || overload.possible_per_s.is_nan() {
+                return fail("overload: possible_per_s must be over 0".to_owned());
+            }
+            let is_load = |name: &&String| self.loads.iter().any(|load| load.name == **name);
+            if let Some(name) = overload.critical_loads.iter().find(|name| !is_load(name)) {
+                return fail(format!("overload: no load {name:?}"));
+            }
+        }
         for load in &self.loads {
             if !self.workspaces.iter().any(|w| w.name == load.workspace) {
                 return fail(format!("load {:?}: no such workspace", load.name));
--- a/lab/src/scenario/run.rs
+++ b/lab/src/scenario/run.rs
@@ -32,6 +32,7 @@
         };
         keys.insert(workspace.name.clone(), key);
     }
+    sleep(Duration::from_secs(scenario.settle_s)).await;
     let usage_before = mesh.node_usage();
     let originals = offer_load(scenario, &mut mesh, &keys).await?;
     sleep(SETTLE).await;
