--- a/lab/src/measure/mod.rs
+++ b/lab/src/measure/mod.rs
@@ -14,7 +14,7 @@
     checks::Checks,
     evidence::{Evidence, Execution, parse_journal, read_journals},
     overload::OverloadResult,
-    quota::{RateLimit, TokenBucket, window_excess},
+    quota::{AdmissionSpan, RateLimit, TokenBucket, proven_excess, window_excess},
     recovery::recovery_s,
     result::{LoadResult, ScenarioResult},
     series::Second,
