--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -4,6 +4,7 @@
     anyhow::{Context, bail, ensure},
     clap::{Parser, Subcommand},
     lab::{
+        cost::{self, CostConf},
         demo,
         measure::ScenarioResult,
         report,
@@ -25,6 +26,18 @@
 enum Command {
     /// Bring up a small mesh, send requests, print what became of them, clean up
     Demo,
+    /// Measure what a call through one node costs, against the target directly
+    Cost {
+        /// Calls of each round
+        #[arg(long, default_value_t = 20_000)]
+        calls: usize,
+        /// Connections, each with one call at a time
+        #[arg(long, default_value_t = 16)]
+        connections: usize,
+        /// Rounds, whose medians are printed
+        #[arg(long, default_value_t = 5)]
+        rounds: usize,
+    },
     /// Run a scenario and report the four measures
     Run {
         /// Scenario in TOML
@@ -67,6 +80,19 @@
 async fn run(command: Command) -> anyhow::Result<()> {
     match command {
         Command::Demo => run_demo().await,
+        Command::Cost {
+            calls,
+            connections,
+            rounds,
+        } => {
+            let conf = CostConf {
+                call_count: calls,
+                connection_count: connections.max(1),
+                round_count: rounds,
+            };
+            println!("{}", cost::measure(conf).await?);
+            Ok(())
+        }
         Command::Run {
             scenario,
             out,
--- a/src/exchange/listener.rs
+++ b/src/exchange/listener.rs
@@ -29,6 +29,13 @@
 const BACKLOG: u32 = 1024;
 /// Pause after a failed accept, such as for want of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Time that a new connection gets for its first request when the listener
+/// closes.
+///
+/// The library closes a connection without a request at once. One that was
+/// sent a moment before is then unread, and its caller sees a reset without
+/// knowing whether it ran.
+const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(250);
 const STREAM_WINDOW_BYTES: u32 = 1 << 20;
 const CONNECTION_WINDOW_BYTES: u32 = 8 << 20;
 
@@ -72,10 +79,13 @@
 {
     let connections = tokio_util::task::TaskTracker::new();
     loop {
+        // Looks at the listener first: what the system has accepted for it
+        // would be reset when it goes.
         let accepted = tokio::select! {
+            biased;
+            accepted = listener.accept() => accepted,
             () = closing.cancelled() => break,
             () = stopped.cancelled() => break,
-            accepted = listener.accept() => accepted,
         };
         let Ok((stream, _)) = accepted else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -121,12 +131,13 @@
     let builder = builder(limits);
     let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
     let mut first_request = pin!(tokio::time::sleep(limits.header_timeout));
+    let mut end = pin!(end_of_requests(&closing, &was_used));
     let mut is_checked = false;
     let mut is_told = false;
     loop {
         tokio::select! {
             _ = connection.as_mut() => return,
-            () = closing.cancelled(), if !is_told => {
+            () = end.as_mut(), if !is_told => {
                 is_told = true;
                 connection.as_mut().graceful_shutdown();
             }
@@ -143,6 +154,14 @@
     }
 }
 
+/// Waits until a connection shall take no further requests.
+async fn end_of_requests(closing: &CancellationToken, was_used: &AtomicBool) {
+    closing.cancelled().await;
+    if !was_used.load(Ordering::Relaxed) {
+        tokio::time::sleep(FIRST_REQUEST_GRACE).await;
+    }
+}
+
 fn builder(limits: ListenerLimits) -> auto::Builder<TokioExecutor> {
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder
--- a/src/shutdown/mod.rs
+++ b/src/shutdown/mod.rs
@@ -16,6 +16,9 @@
 /// How long the news that the node left is given to spread.
 const FAREWELL_TIME: Duration = Duration::from_millis(300);
 
+/// How long work of the last moment is given to end.
+const FAREWELL_LIMIT: Duration = Duration::from_millis(2000);
+
 /// How long other nodes are given to let go of their connections.
 const PEERS_LIMIT: Duration = Duration::from_millis(1000);
 
@@ -35,6 +38,8 @@
     let cut_off = if is_done { 0 } else { node.in_flight_count() };
     node.own_state.send_modify(|own| own.left = true);
     tokio::time::sleep(FAREWELL_TIME).await;
+    // What came in at the last moment.
+    until(&node, FAREWELL_LIMIT, Node::is_idle).await;
     // Cut without GOAWAY, an attempt that arrives just now would end in an
     // unknown outcome at its sender instead of one that may be sent again.
     node.peers_closing.cancel();
