--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -4,6 +4,7 @@
     anyhow::{Context, bail, ensure},
     clap::{Parser, Subcommand},
     lab::{
+        cost::{self, CostConf},
         demo,
         measure::ScenarioResult,
         proofs::{Page, scan_tests},
@@ -36,6 +37,18 @@
         #[arg(long, default_value = "target/mesh.env")]
         env_file: PathBuf,
     },
+    /// Measure what a call through one node costs, against the target directly
+    Cost {
+        /// Calls of each round
+        #[arg(long, default_value_t = 20_000)]
+        calls: usize,
+        /// Connections, each with one call at a time
+        #[arg(long, default_value_t = 16)]
+        connections: usize,
+        /// Rounds, whose medians are printed
+        #[arg(long, default_value_t = 5)]
+        rounds: usize,
+    },
     /// Run a scenario and report the four measures
     Run {
         /// Scenario in TOML
@@ -85,6 +98,19 @@
     match command {
         Command::Demo => run_demo().await,
         Command::Up { dir, env_file } => run_up(&dir, &env_file).await,
+        Command::Cost {
+            calls,
+            connections,
+            rounds,
+        } => {
+            let conf = CostConf {
+                call_count: calls,
+                connection_count: connections.max(1),
+                round_count: rounds,
+            };
+            println!("{}", cost::measure(conf).await?);
+            Ok(())
+        }
         Command::Run {
             scenario,
             out,
--- a/src/shutdown/mod.rs
+++ b/src/shutdown/mod.rs
@@ -4,7 +4,7 @@
     crate::{
         event,
         events::Event,
-        node::{Node, Policies},
+        node::{DRAIN_ANNOUNCE_US, Node, Policies},
         timer::TICK_MS,
     },
     std::{
@@ -13,14 +13,12 @@
     },
 };
 
-/// How long the node goes on serving while others learn that it leaves.
-///
-/// Refusing at once would spend the retries of every request that others have
-/// already sent here.
-const ANNOUNCE_TIME: Duration = Duration::from_millis(1000);
 /// How long the news that the node left is given to spread.
 const FAREWELL_TIME: Duration = Duration::from_millis(300);
 
+/// How long work of the last moment is given to end.
+const FAREWELL_LIMIT: Duration = Duration::from_millis(2000);
+
 /// How long other nodes are given to let go of their connections.
 const PEERS_LIMIT: Duration = Duration::from_millis(1000);
 
@@ -31,15 +29,17 @@
         () = node.drain_begins() => {}
     }
     let started_ms = node.timer.now_ms();
-    tokio::time::sleep(ANNOUNCE_TIME).await;
     let now_us = node.timer.now_us();
     node.admission().drain(now_us);
+    tokio::time::sleep(Duration::from_micros(DRAIN_ANNOUNCE_US)).await;
     node.closing.cancel();
     let limit = Duration::from_millis(node.settings.drain_limit_ms);
     let is_done = until(&node, limit, Node::is_idle).await;
     let cut_off = if is_done { 0 } else { node.in_flight_count() };
     node.own_state.send_modify(|own| own.left = true);
     tokio::time::sleep(FAREWELL_TIME).await;
+    // What came in at the last moment.
+    until(&node, FAREWELL_LIMIT, Node::is_idle).await;
     // Cut without GOAWAY, an attempt that arrives just now would end in an
     // unknown outcome at its sender instead of one that may be sent again.
     node.peers_closing.cancel();
