--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod report;
 pub mod rules;
 pub mod scenario;
+pub mod up;
 pub mod usage;
 pub mod wait;
 
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -9,6 +9,7 @@
         measure::ScenarioResult,
         report,
         scenario::{self, Scenario},
+        up,
     },
     std::path::{Path, PathBuf},
     tokio::signal::unix::{SignalKind, signal},
@@ -38,6 +39,15 @@
         #[arg(long, default_value_t = 5)]
         rounds: usize,
     },
+    /// Bring up the mesh of an example and keep it until the command is interrupted
+    Up {
+        /// Directory with the configuration to publish
+        #[arg(long, default_value = "examples/cascade-tally")]
+        dir: PathBuf,
+        /// Where the variables for dogwoodctl are written
+        #[arg(long, default_value = "target/mesh.env")]
+        env_file: PathBuf,
+    },
     /// Run a scenario and report the four measures
     Run {
         /// Scenario in TOML
@@ -93,6 +103,7 @@
             println!("{}", cost::measure(conf).await?);
             Ok(())
         }
+        Command::Up { dir, env_file } => run_up(&dir, &env_file).await,
         Command::Run {
             scenario,
             out,
@@ -128,6 +139,20 @@
     Ok(result)
 }
 
+async fn run_up(dir: &Path, env_file: &Path) -> anyhow::Result<()> {
+    println!("Starting a platform, 2 availability zones, 4 services, 8 nodes …");
+    let mesh = up::start(dir).await?;
+    let variables = up::instructions(&mesh);
+    std::fs::write(env_file, &variables).context("variables for dogwoodctl")?;
+    println!(
+        "{variables}\nThe mesh is up; these lines are in {}.",
+        env_file.display()
+    );
+    println!("Ctrl-C ends it.");
+    std::future::pending::<()>().await;
+    Ok(())
+}
+
 async fn run_demo() -> anyhow::Result<()> {
     println!("Starting a platform, 2 availability zones, 2 services, 4 nodes …");
     let demo = demo::run().await?;
