--- a/lab/src/cost.rs
+++ b/lab/src/cost.rs
@@ -58,9 +58,22 @@
     pub failed_count: usize,
 }
 
-/// All rounds: directly and through the node.
+/// Both ways in turn.
+#[derives::value]
+#[derive(Copy)]
+pub struct Round {
+    /// Straight to the target.
+    pub direct: WayCost,
+    /// Through the node.
+    pub proxied: WayCost,
+}
+
+/// All rounds.
 #[derive(Debug)]
-pub struct Cost(pub Vec<(WayCost, WayCost)>);
+pub struct Cost(pub Vec<Round>);
+
+/// Picks one way of a round.
+type Pick = fn(&Round) -> WayCost;
 
 /// Measures on a mesh of one node with one worker thread, and its target.
 pub async fn measure(conf: CostConf) -> Result<Cost, LabError> {
@@ -86,8 +99,10 @@
     }
     let mut rounds = Vec::new();
     for _ in 0..conf.round_count {
-        let direct = direct.cost(&mesh, conf).await?;
-        rounds.push((direct, proxied.cost(&mesh, conf).await?));
+        rounds.push(Round {
+            direct: direct.cost(&mesh, conf).await?,
+            proxied: proxied.cost(&mesh, conf).await?,
+        });
     }
     Ok(Cost(rounds))
 }
@@ -145,7 +160,7 @@
 }
 
 impl Cost {
-    fn median(&self, value: impl Fn(&(WayCost, WayCost)) -> f64) -> f64 {
+    fn median(&self, value: impl Fn(&Round) -> f64) -> f64 {
         let mut values: Vec<f64> = self.0.iter().map(value).collect();
         values.sort_by(f64::total_cmp);
         values.get(values.len() / 2).copied().unwrap_or_default()
@@ -160,9 +175,9 @@
             "{:<18}{:>10}{:>14}{:>16}{:>8}",
             "", "calls/s", "node us/call", "target us/call", "failed"
         )?;
-        let rows: [(&str, fn(&(WayCost, WayCost)) -> WayCost); 2] = [
-            ("called directly", |round| round.0),
-            ("through the node", |round| round.1),
+        let rows: [(&str, Pick); 2] = [
+            ("called directly", |round| round.direct),
+            ("through the node", |round| round.proxied),
         ];
         for (name, way) in rows {
             let failed_count: usize = self.0.iter().map(|round| way(round).failed_count).sum();
