--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -4,9 +4,11 @@
     anyhow::{Context, bail, ensure},
     clap::{Parser, Subcommand},
     lab::{
+        capacity,
         cost::{self, CostConf},
         demo,
         measure::ScenarioResult,
+        proofs::{Page, scan_tests},
         report,
         scenario::{self, Scenario},
         up,
@@ -27,6 +29,15 @@
 enum Command {
     /// Bring up a small mesh, send requests, print what became of them, clean up
     Demo,
+    /// Bring up the mesh of an example and keep it until the command is interrupted
+    Up {
+        /// Directory with the configuration to publish
+        #[arg(long, default_value = "examples/cascade-tally")]
+        dir: PathBuf,
+        /// Where the variables for dogwoodctl are written
+        #[arg(long, default_value = "target/mesh.env")]
+        env_file: PathBuf,
+    },
     /// Measure what a call through one node costs, against the target directly
     Cost {
         /// Calls of each round
@@ -39,14 +50,14 @@
         #[arg(long, default_value_t = 5)]
         rounds: usize,
     },
-    /// Bring up the mesh of an example and keep it until the command is interrupted
-    Up {
-        /// Directory with the configuration to publish
-        #[arg(long, default_value = "examples/cascade-tally")]
-        dir: PathBuf,
-        /// Where the variables for dogwoodctl are written
-        #[arg(long, default_value = "target/mesh.env")]
-        env_file: PathBuf,
+    /// Measure what control costs at several fleet sizes; print the table for 580 nodes
+    Capacity {
+        /// Node counts, one mesh after the other
+        #[arg(long, value_delimiter = ',', default_value = "12,24,48,96")]
+        nodes: Vec<usize>,
+        /// File for all figures
+        #[arg(long, default_value = "target/lab-reports/capacity.json")]
+        out: PathBuf,
     },
     /// Run a scenario and report the four measures
     Run {
@@ -73,6 +84,12 @@
         #[arg(long, default_value = "target/lab-reports")]
         out: PathBuf,
     },
+    /// Count the cells of docs/PROOFS.md that tests prove; fails if the page names a test that does not exist
+    Proofs {
+        /// Root of the repository
+        #[arg(long, default_value = ".")]
+        root: PathBuf,
+    },
 }
 
 #[tokio::main]
@@ -90,6 +107,7 @@
 async fn run(command: Command) -> anyhow::Result<()> {
     match command {
         Command::Demo => run_demo().await,
+        Command::Up { dir, env_file } => run_up(&dir, &env_file).await,
         Command::Cost {
             calls,
             connections,
@@ -103,7 +121,7 @@
             println!("{}", cost::measure(conf).await?);
             Ok(())
         }
-        Command::Up { dir, env_file } => run_up(&dir, &env_file).await,
+        Command::Capacity { nodes, out } => run_capacity(&nodes, &out).await,
         Command::Run {
             scenario,
             out,
@@ -124,6 +142,11 @@
             println!("{}", report::compare_text(&first, &second));
             Ok(())
         }
+        Command::Proofs { root } => {
+            let page = Page::read(&root)?;
+            println!("{}", page.check(&scan_tests(&root)?)?);
+            Ok(())
+        }
     }
 }
 
@@ -153,6 +176,16 @@
     Ok(())
 }
 
+async fn run_capacity(node_counts: &[usize], out: &Path) -> anyhow::Result<()> {
+    let report = capacity::run(node_counts).await?;
+    if let Some(dir) = out.parent() {
+        std::fs::create_dir_all(dir)?;
+    }
+    std::fs::write(out, serde_json::to_vec_pretty(&report)?)?;
+    println!("{report}\nall figures: {}", out.display());
+    Ok(())
+}
+
 async fn run_demo() -> anyhow::Result<()> {
     println!("Starting a platform, 2 availability zones, 2 services, 4 nodes …");
     let demo = demo::run().await?;
