--- a/lab/tests/configuration.rs
+++ b/lab/tests/configuration.rs
@@ -252,6 +252,8 @@
     struct Case {
         name: &'static str,
         faults: platform::Faults,
+        /// Whether no neighbour is left that knows better.
+        all_at_once: bool,
     }
     let cases = [
         Case {
@@ -260,6 +262,7 @@
                 stale_reads: true,
                 ..HEALTHY
             },
+            all_at_once: false,
         },
         Case {
             name: "platform down",
@@ -267,6 +270,7 @@
                 down: true,
                 ..HEALTHY
             },
+            all_at_once: false,
         },
         Case {
             name: "platform slow and stale",
@@ -275,6 +279,16 @@
                 slow_ms: 300,
                 ..HEALTHY
             },
+            all_at_once: false,
+        },
+        // The platform's stale reads are all that nodes have to go by.
+        Case {
+            name: "stale reads, all nodes at once",
+            faults: platform::Faults {
+                stale_reads: true,
+                ..HEALTHY
+            },
+            all_at_once: true,
         },
     ];
     let mut fixture = Fixture::start(pair()).await.expect("a mesh");
@@ -288,26 +302,18 @@
             .set_platform_faults(case.faults)
             .await
             .expect("faults");
-        for index in 0..fixture.mesh.instances.len() {
-            node(&mut fixture, index).restart().expect("restarted");
-            let ready = fixture.mesh.instances[index].node_admin();
-            // Whatever the node has in force from its first answer on counts.
-            let seen = wait_until("ready", GENEROUS_LIMIT, || async {
-                let own = fixture.revision(index).await;
-                assert!(
-                    own.is_none_or(|own| own == 0 || own >= revision),
-                    "{}: {own:?}",
-                    case.name
-                );
-                ready.is_ok("/readyz").await.then_some(())
-            });
-            seen.await.expect(case.name);
-            assert_eq!(
-                fixture.revision(index).await,
-                Some(revision),
-                "{}",
-                case.name
-            );
+        let all: Vec<usize> = (0..fixture.mesh.instances.len()).collect();
+        let group_size = if case.all_at_once { all.len() } else { 1 };
+        for group in all.chunks(group_size) {
+            for index in group {
+                node(&mut fixture, *index).kill();
+            }
+            for index in group {
+                node(&mut fixture, *index).restart().expect("restarted");
+            }
+            for index in group {
+                check_start(&fixture, *index, revision, case.name).await;
+            }
         }
         admin
             .set_platform_faults(HEALTHY)
@@ -316,6 +322,19 @@
     }
 }
 
+/// Whatever the node has in force from its first answer on counts.
+async fn check_start(fixture: &Fixture, index: usize, revision: u64, name: &str) {
+    let ready = fixture.mesh.instances[index].node_admin();
+    let seen = wait_until("ready", GENEROUS_LIMIT, || async {
+        let own = fixture.revision(index).await;
+        let is_right = own.is_none_or(|own| own == 0 || own >= revision);
+        assert!(is_right, "{name}: {own:?} in place of {revision}");
+        ready.is_ok("/readyz").await.then_some(())
+    });
+    seen.await.expect(name);
+    assert_eq!(fixture.revision(index).await, Some(revision), "{name}");
+}
+
 /// All nodes go at once while the platform is down, so nobody is left to ask
 /// for a configuration. They wait, refuse with `not-run` and say in the log
 /// what they wait for; with the platform back they serve by themselves. A node
