--- a/lab/tests/quota_faults.rs
+++ b/lab/tests/quota_faults.rs
@@ -140,8 +140,7 @@
 
 /// Place of the node that is the bank of a workspace while all are alive.
 fn bank_index(mesh: &Mesh, workspace: &str) -> usize {
-    let mut view = View::default();
-    view.members = mesh
+    let mut members: Vec<Member> = mesh
         .instances
         .iter()
         .map(|instance| Member {
@@ -161,7 +160,8 @@
             target: None,
         })
         .collect();
-    view.members.sort_by(|a, b| a.node_id.cmp(&b.node_id));
+    members.sort_by(|a, b| a.node_id.cmp(&b.node_id));
+    let view = View { members };
     let bank = banks(&view, workspace, "");
     let bank = bank.first().expect("a mesh with nodes");
     let place = mesh
