Test the data path with the policies that nodes run with

Cause: the mesh of these tests had plain policies of its own, so that the real router and budget were never run on the data path in one process. Change: ZoneRouter and ChainBudget; the plain ones are gone. One test counted on a router that goes on picking a broken node; it takes a fresh mesh for its second half, with the same assertions. Before the fresh mesh 'the stranger was never picked' failed once, since the router had ejected it.

--- a/tests/local_mesh/mesh.rs
+++ b/tests/local_mesh/mesh.rs
@@ -3,7 +3,6 @@
 use {
     super::{
         alone::{LocalGuard, LocalQuota},
-        policies::{LeastOutstanding, SimpleBudget},
         target::Target,
     },
     clap::Parser,
@@ -16,6 +15,8 @@
         model::{Class, Names},
         node::{Node, NodeInputs, PolicySet, start},
         quota::Rate,
+        retry::ChainBudget,
+        routing::ZoneRouter,
         settings::{Settings, ports},
         timer::Timer,
     },
@@ -43,8 +44,7 @@
     quota_until_ms: u64::MAX,
 };
 
-pub type TestNode =
-    Node<PolicySet<AdmitAll, LeastOutstanding, SimpleBudget, LocalQuota, LocalGuard>>;
+pub type TestNode = Node<PolicySet<AdmitAll, ZoneRouter, ChainBudget, LocalQuota, LocalGuard>>;
 
 /// A node with its target.
 pub struct Instance {
--- a/tests/local_mesh/mod.rs
+++ b/tests/local_mesh/mod.rs
@@ -5,5 +5,4 @@
 pub mod alone;
 pub mod client;
 pub mod mesh;
-pub mod policies;
 pub mod target;
--- a/tests/peer_faults.rs
+++ b/tests/peer_faults.rs
@@ -134,7 +134,10 @@
             let seen = get(&mesh, "/a/echo").await;
             assert_eq!(seen.summary(), (200, "whole", ""), "{}", seen.text());
         }
-        mesh[0].target.journal.lock().unwrap().clear();
+        // A fresh mesh: this one's router avoids the broken node by now.
+        let mesh = Mesh::start(&["a"]).await;
+        mesh.add_stranger("stranger", "a", stranger(kind).await)
+            .await;
         let mut whole_count = 0;
         for _ in 0..CALL_COUNT {
             let seen = get(&mesh, "/a/once/echo").await;
