--- a/lab/tests/shutdown_load/mod.rs
+++ b/lab/src/load/closed.rs
@@ -1,8 +1,8 @@
-//! Callers that go on through planned stops, and what they and the journals
-//! tell.
+//! Closed-loop load: callers that go on through planned stops, and what they and
+//! the journals tell.
 
 use {
-    lab::{
+    crate::{
         caller::{CallRecord, CallRequest, Caller, Judgement},
         measure::read_journals,
         mesh::{Instance, Mesh},
@@ -20,6 +20,7 @@
     tokio_util::sync::CancellationToken,
 };
 
+/// Workspace that the callers belong to; the configuration must have it.
 pub const WORKSPACE: &str = "northwind-dealers";
 
 /// Of so many requests one is an order.
@@ -30,6 +31,7 @@
 const CALLER_TIMEOUT_MS: u64 = 30_000;
 
 /// How a request ended that was sent until it was not refused.
+#[derive(Debug)]
 struct Ended {
     record: CallRecord,
     is_order: bool,
@@ -37,12 +39,17 @@
 }
 
 /// Callers in a closed loop over all nodes.
-pub struct Load {
+#[derive(Debug)]
+pub struct ClosedLoad {
     stop: CancellationToken,
     callers: JoinSet<Vec<Ended>>,
 }
 
-impl Load {
+impl ClosedLoad {
+    /// Starts the callers with a new key.
+    ///
+    /// # Panics
+    /// If no key can be made.
     pub async fn start(mesh: &Mesh, caller_count: usize) -> Self {
         let key = mesh.create_key(WORKSPACE).await.expect("a key");
         let addresses: Vec<SocketAddr> = mesh
@@ -142,15 +149,21 @@
 }
 
 /// What callers saw.
+#[derive(Debug)]
 pub struct Seen(Vec<Ended>);
 
 impl Seen {
+    /// What these callers and the other ones saw.
+    #[must_use]
     pub fn merged(mut self, other: Self) -> Self {
         self.0.extend(other.0);
         self
     }
 
     /// Every request has its whole answer in the end.
+    ///
+    /// # Panics
+    /// If one has not, or if there were hardly any.
     pub fn assert_all_whole(&self, name: &str) {
         self.print(name);
         assert!(self.0.len() > 100, "{name}: hardly any load");
@@ -161,6 +174,9 @@
     }
 
     /// Every request has an answer; one whose time was up may be unknown.
+    ///
+    /// # Panics
+    /// If one has none.
     pub fn assert_none_cut(&self, name: &str) {
         self.print(name);
         for ended in &self.0 {
@@ -191,6 +207,10 @@
 }
 
 /// Requests that the target beside this node began after a time.
+///
+/// # Panics
+/// If the journals cannot be read.
+#[must_use]
 pub fn begun_after(mesh: &Mesh, node_id: &str, unix_ms: u64) -> usize {
     let executions = read_journals(mesh).expect("journals");
     let begun = executions.iter().filter(|execution| {
@@ -203,6 +223,9 @@
 
 /// No order ran twice, none with a whole answer is missing, none that was
 /// refused ran, and no target was cut off in the middle of one.
+///
+/// # Panics
+/// If any of this is not so, or the journals cannot be read.
 pub fn check_orders(mesh: &Mesh, seen: &Seen, name: &str) {
     let executions = read_journals(mesh).expect("journals");
     let orders: HashMap<&str, &Ended> = seen
--- a/lab/tests/fleet_support/mod.rs
+++ b/lab/src/scenario/fault_run.rs
@@ -1,16 +1,16 @@
-//! What tests of a fleet under faults share.
+//! A scenario's load with one fault that is made by code instead of a timetable.
 
 use {
-    dogwoodbridge::slices::{Section, SliceTable},
-    lab::{
+    super::{Scenario, run_script},
+    crate::{
         LabError,
         caller::Judgement,
         load::Original,
         measure::{Evidence, ScenarioResult},
         mesh::Mesh,
-        scenario::{Scenario, run_script},
         wait::wait_until,
     },
+    dogwoodbridge::slices::{Section, SliceTable},
     std::{cell::Cell, time::Duration},
     tokio::time::{Instant, sleep},
 };
@@ -38,6 +38,7 @@
 
 impl FaultRun {
     /// Requests sent in this time that got a whole answer in the end.
+    #[must_use]
     pub fn whole_count(&self, load_index: usize, from_us: u64, until_us: u64) -> usize {
         let is_in = |original: &&Original| {
             original.load_index == load_index && (from_us..until_us).contains(&original.intended_us)
@@ -48,6 +49,7 @@
     }
 
     /// Requests of a load served after the fault.
+    #[must_use]
     pub fn whole_after_count(&self, load_index: usize) -> usize {
         self.whole_count(load_index, self.until_us, u64::MAX)
     }
--- a/lab/src/scenario/mod.rs
+++ b/lab/src/scenario/mod.rs
@@ -1,6 +1,7 @@
 //! Scenarios: a mesh, load from many callers and faults on a timetable.
 
 mod conf;
+mod fault_run;
 mod faults;
 mod read;
 mod run;
@@ -10,6 +11,7 @@
         ClientRetry, FaultAction, FaultConf, GroupConf, LoadConf, LoadStep, OverloadConf,
         ProcessKind, Scenario, Selection, WorkspaceConf,
     },
+    fault_run::{FaultRun, run_with_fault, wait_for_table},
     faults::apply_faults,
     run::{run, run_script},
 };
--- a/lab/tests/at_most_once.rs
+++ b/lab/tests/at_most_once.rs
@@ -5,13 +5,15 @@
 //! next node until they have an answer. What ran is read from the targets'
 //! journals.
 
-mod fleet_support;
-
 use {
     dogwoodbridge::slices::Section,
-    fleet_support::{FaultRun, run_with_fault, wait_for_table},
     futures::future::join_all,
-    lab::{LabError, mesh::Mesh, rules, scenario::Scenario},
+    lab::{
+        LabError,
+        mesh::Mesh,
+        rules,
+        scenario::{FaultRun, Scenario, run_with_fault, wait_for_table},
+    },
     standins::{
         faultproxy::{CutMode, Rule},
         platform,
--- a/lab/tests/quota_faults.rs
+++ b/lab/tests/quota_faults.rs
@@ -6,17 +6,19 @@
 //! journal; the check finds windows that no time of admission in between could
 //! explain.
 
-mod fleet_support;
-
 use {
     dogwoodbridge::{
         membership::{Member, MemberPorts, MemberState, View},
         quota::{Rate, banks, window_violations},
         settings::ports,
     },
-    fleet_support::{FaultRun, run_with_fault},
     futures::future::join_all,
-    lab::{LabError, mesh::Mesh, rules, scenario::Scenario},
+    lab::{
+        LabError,
+        mesh::Mesh,
+        rules,
+        scenario::{FaultRun, Scenario, run_with_fault},
+    },
     standins::faultproxy::{CutMode, Rule},
     std::time::Duration,
     tokio::time::sleep,
--- a/lab/tests/shutdown.rs
+++ b/lab/tests/shutdown.rs
@@ -1,13 +1,11 @@
 //! Planned stops under full load, with real processes and chains in flight.
 
-mod shutdown_load;
-
 use {
     lab::{
+        load::{ClosedLoad, WORKSPACE, begun_after, check_orders},
         mesh::{Instance, Mesh, MeshConf},
         wait::{GENEROUS_LIMIT, wait_until},
     },
-    shutdown_load::{Load, WORKSPACE, begun_after, check_orders},
     standins::target::Faults,
     std::time::Duration,
     tokio::time::sleep,
@@ -145,7 +143,7 @@
 /// and work sent to a target that leaves would be lost with it.
 async fn an_instance_leaves(case: &StopCase) {
     let mut mesh = start().await;
-    let load = Load::start(&mesh, CALLER_COUNT).await;
+    let load = ClosedLoad::start(&mesh, CALLER_COUNT).await;
     sleep(LOAD_BEFORE).await;
     let began_ms = lab::caller::unix_ms();
     stop(&mut mesh, case).await;
@@ -197,7 +195,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_rolling_replacement_loses_and_doubles_nothing() {
     let mut mesh = start().await;
-    let load = Load::start(&mesh, CALLER_COUNT).await;
+    let load = ClosedLoad::start(&mesh, CALLER_COUNT).await;
     sleep(LOAD_BEFORE).await;
     for index in 0..mesh.instances.len() {
         let instance = &mut mesh.instances[index];
@@ -220,7 +218,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_drain_in_a_surge_cuts_off_no_request() {
     let mut mesh = start().await;
-    let load = Load::start(&mesh, CALLER_COUNT).await;
+    let load = ClosedLoad::start(&mesh, CALLER_COUNT).await;
     sleep(LOAD_BEFORE).await;
     let slow = Faults {
         slow_factor: 3.0,
@@ -230,7 +228,7 @@
         let admin = mesh.instances[index].target_admin();
         admin.set_target_faults(slow).await.expect("set");
     }
-    let surge = Load::start(&mesh, SURGE_CALLER_COUNT).await;
+    let surge = ClosedLoad::start(&mesh, SURGE_CALLER_COUNT).await;
     sleep(LOAD_BEFORE).await;
     let began_ms = lab::caller::unix_ms();
     let admin = mesh.instances[1].target_admin();
