Count a share from when its slices may be used, not from its first lease

The share began empty at the first tick or lease, and the first table of a fleet counted from its writing. Ruled out: quarantine; the first table skips it. Change: a share that nobody leased counts from the end of its slices' quarantine; those of the fleet's first table count from the start of the process that made it, since nothing can have been admitted before.

--- a/lab/tests/seams.rs
+++ b/lab/tests/seams.rs
@@ -107,7 +107,12 @@
         }
         let address = mesh.instances[0].caller_address();
         let record = caller.send(address, &request).await.expect("a request");
-        assert_eq!(record.judgement, Judgement::Whole, "{}", case.name);
+        assert_eq!(
+            record.judgement,
+            Judgement::Whole,
+            "{}: {record:?}",
+            case.name
+        );
     }
     let journal = mesh.instances[0].target_admin().journal(0).await;
     let journal = format!("{:?}", journal.expect("a journal"));
--- a/src/quota/gate.rs
+++ b/src/quota/gate.rs
@@ -101,8 +101,7 @@
 
     /// This process made the fleet's first slice table, which is in use now.
     pub fn created_fleet(&self) {
-        let now_us = self.inner.inputs.timer.now_us();
-        self.lock().owner.skip_quarantine(now_us);
+        self.lock().owner.skip_quarantine();
     }
 
     /// Follows a version of the slice table.
--- a/src/quota/owner.rs
+++ b/src/quota/owner.rs
@@ -51,6 +51,23 @@
     ready.count() as u64
 }
 
+/// The share of a workspace that nobody has leased since its slices came here.
+///
+/// Begun empty at the first lease, it would refuse the first burst of a
+/// workspace that has been silent for hours. Each slice accrues from the end of
+/// its quarantine, before which an earlier owner's lease may still be in use.
+fn unused_bucket(slices: &Slices, rate: Rate, now_us: u64) -> Bucket {
+    let accrued = slices.values().map(|(_, ready_us)| {
+        let mut slice = Bucket::new(*ready_us);
+        slice.advance(rate, 1, now_us);
+        slice.level
+    });
+    Bucket {
+        level: accrued.sum(),
+        updated_us: now_us,
+    }
+}
+
 /// Shares of this node's slices; no I/O, no clock.
 #[derive(Debug, Default)]
 pub struct QuotaOwner {
@@ -93,11 +110,12 @@
         }
     }
 
-    /// Uses all slices at once: nobody owned any before, so that no lease of
-    /// an earlier owner can be out.
-    pub fn skip_quarantine(&mut self, now_us: u64) {
+    /// Uses all slices at once and counts them from the start of the process:
+    /// nobody owned any before, so that no lease of an earlier owner can be out
+    /// and nothing has been admitted on them.
+    pub fn skip_quarantine(&mut self) {
         for (_, ready_us) in self.slices.values_mut() {
-            *ready_us = now_us;
+            *ready_us = 0;
         }
     }
 
@@ -132,9 +150,9 @@
         if slice_count == 0 {
             return LeaseAnswer::default();
         }
+        let slices = &self.slices;
         let share = self.shares.entry(ask.workspace).or_insert_with(|| Share {
-            // Nobody used the share since its slices came here.
-            bucket: Bucket::new(now_us),
+            bucket: unused_bucket(slices, rate, now_us),
             lease: None,
         });
         if let Some(lease) = &share.lease
@@ -173,9 +191,14 @@
         workspaces: impl IntoIterator<Item = (WorkspaceKey, Rate)>,
         now_us: u64,
     ) {
+        // A share that is begun before its slices come would count from then.
+        if self.slices.is_empty() {
+            return;
+        }
         for (workspace, rate) in workspaces {
+            let slices = &self.slices;
             let share = self.shares.entry(workspace).or_insert_with(|| Share {
-                bucket: Bucket::new(now_us),
+                bucket: unused_bucket(slices, rate, now_us),
                 lease: None,
             });
             share.advance(&self.slices, rate, now_us);
