Eject a failing target at the failure, not at the next tick

Cause: a node that breaks off answers faster than any other and has no latency of its own, so a large one stays the cheapest through many failures. It was judged at ticks only (10 ms); on an idle machine enough attempts fit between two of them to use up the service's retry share, and a repeatable request got 502 although another target was idle. Ruled out: the retry allotment of a single request (one retry suffices, the share refused it).

Change: a failed attempt has its service reviewed at once. demo.sh finds its program where CARGO_TARGET_DIR points.

--- a/demo.sh
+++ b/demo.sh
@@ -4,4 +4,4 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 cargo build --release --workspace --bins
-exec target/release/dogwood-lab demo
+exec "${CARGO_TARGET_DIR:-target}/release/dogwood-lab" demo
--- a/src/routing/zone_router.rs
+++ b/src/routing/zone_router.rs
@@ -55,6 +55,8 @@
 pub struct ZoneRouter {
     targets: Arena<TargetKey, Target>,
     services: Vec<Service>,
+    /// Changes that the next tick tells of.
+    changes: Vec<(TargetKey, bool)>,
 }
 
 impl RoutePolicy for ZoneRouter {
@@ -62,6 +64,7 @@
         Self {
             targets: Arena::new(),
             services: Vec::new(),
+            changes: Vec::new(),
         }
     }
 
@@ -117,14 +120,28 @@
         level: Option<AdmissionLevel>,
         now_us: u64,
     ) {
-        if let Some(target) = self.targets.get_mut(target) {
-            target.outstanding_count = target.outstanding_count.saturating_sub(1);
-            target.learn(result, latency_us, level, now_us);
+        let Some(entry) = self.targets.get_mut(target) else {
+            return;
+        };
+        entry.outstanding_count = entry.outstanding_count.saturating_sub(1);
+        entry.learn(result, latency_us, level, now_us);
+        // A node that breaks off answers faster than any other and looks idle.
+        // Between two ticks it would draw so many attempts that the retries of
+        // the whole service are used up, and callers would get failures while
+        // another target is idle.
+        if result == AttemptResult::Failed {
+            let service = entry.info.service.index();
+            review(
+                &mut self.services[service],
+                &mut self.targets,
+                now_us,
+                &mut self.changes,
+            );
         }
     }
 
     fn tick(&mut self, now_us: u64) -> Vec<(TargetKey, bool)> {
-        let mut changes = Vec::new();
+        let mut changes = std::mem::take(&mut self.changes);
         for service in &mut self.services {
             review(service, &mut self.targets, now_us, &mut changes);
         }
--- a/tests/routing_zone.rs
+++ b/tests/routing_zone.rs
@@ -300,6 +300,33 @@
     }
 }
 
+/// A node with many slots breaks off each attempt at once, so that dozens of
+/// attempts fit between two ticks. It always looks like the idlest: it would
+/// draw attempts until the retries of the service are used up, and callers
+/// would see failures beside an idle target.
+#[test]
+fn a_target_that_fails_fast_is_ejected_between_ticks() {
+    let mut fixture = Fixture::new(&[Distance::SameZone; 2]);
+    let large = TargetInfo {
+        slot_count: 1000,
+        ..info(Distance::SameZone)
+    };
+    fixture.router.update(fixture.targets[0], large);
+    let mut failed_count = 0;
+    for _ in 0..200 {
+        let target = fixture.pick(Class::Standard).expect("one target works");
+        let (result, latency_us) = match fixture.place(target) {
+            0 => (AttemptResult::Failed, 50),
+            _ => (AttemptResult::Answered, 1000),
+        };
+        failed_count += usize::from(result == AttemptResult::Failed);
+        fixture.end(target, result, latency_us);
+    }
+    assert!(failed_count <= 5, "{failed_count} attempts at a broken target");
+    let changes = fixture.router.tick(fixture.now_us);
+    assert_eq!(changes, [(fixture.targets[0], true)]);
+}
+
 /// All targets fail, since a dependency of theirs is down. Ejecting all would
 /// leave nobody to notice the recovery, and one left alone would drown.
 #[test]
