--- a/src/conf/mod.rs
+++ b/src/conf/mod.rs
@@ -4,6 +4,7 @@
 mod collect;
 mod compile;
 mod file;
+mod hosts;
 mod in_force;
 mod path;
 mod problem;
@@ -14,6 +15,9 @@
     collect::{CheckError, SERVICE_FILE, WORKSPACES_FILE, check_dir},
     compile::{CompileError, compile, read_configuration},
     file::{RouteSection, ServiceFile, WorkspaceSection, WorkspacesFile},
+    hosts::{
+        HostRoute, HostRoutes, HostedConfiguration, HostedRoute, HostedWorkspace, compile_hosted,
+    },
     in_force::spawn_in_force,
     path::{PathError, covers, parse_path},
     problem::Problem,
@@ -80,6 +84,8 @@
     pub revision: u64,
     /// Services by key.
     pub services: HashMap<ServiceKey, ServiceRules>,
+    /// Routes by host and path prefix, where a deployment has such.
+    pub hosts: HostRoutes,
     /// Service keys by the name in request paths.
     pub service_names: HashMap<String, ServiceKey>,
     /// Workspaces by key.
--- a/src/control/admin.rs
+++ b/src/control/admin.rs
@@ -3,6 +3,7 @@
 use {
     super::KindLabel,
     crate::{
+        dialect::Dialect,
         exchange::{AnswerBody, ListenerLimits, serve},
         node::{Node, Policies},
     },
@@ -49,9 +50,13 @@
     match path {
         "/metrics" => metrics(node),
         "/healthz" => text(StatusCode::OK, "ok\n"),
-        "/readyz" if node.is_draining() => text(StatusCode::SERVICE_UNAVAILABLE, "draining\n"),
-        "/readyz" if node.is_ready() => text(StatusCode::OK, "ready\n"),
-        "/readyz" => text(
+        path if node.dialect.asks_readiness(path) && node.is_draining() => {
+            text(StatusCode::SERVICE_UNAVAILABLE, "draining\n")
+        }
+        path if node.dialect.asks_readiness(path) && node.is_ready() => {
+            text(StatusCode::OK, "ready\n")
+        }
+        path if node.dialect.asks_readiness(path) => text(
             StatusCode::SERVICE_UNAVAILABLE,
             "waiting for a configuration from the platform or a neighbour\n",
         ),
--- /dev/null
+++ b/src/daemon/hosted/discovery.rs
@@ -0,0 +1,174 @@
+//! First contact between nodes through the object store.
+//!
+//! One object for each availability zone holds a few gossip addresses. A node
+//! reads all of them at its start and while it knows nobody; the zone's first
+//! relay keeps its zone's object. Zones that gossip has lost meet here again.
+
+use {
+    crate::{
+        event,
+        events::Event,
+        membership::{Member, View, relay_rank},
+        objects::{Condition, ObjectStore, StoreError, StoredObject},
+        settings::Settings,
+        timer::Timer,
+    },
+    std::{collections::BTreeSet, net::SocketAddr, sync::Arc},
+    tokio::sync::{mpsc, watch},
+    tokio_util::sync::CancellationToken,
+};
+
+/// Kind of the objects.
+const KIND: &str = "dogwood-seeds";
+/// Addresses kept for each zone.
+const ADDRESSES_PER_ZONE: usize = 4;
+/// Time between two reads by a node that knows nobody of its own zone or of
+/// others.
+const ALONE_PERIOD_MS: u64 = 500;
+/// Time between two looks of the zone's first relay. A zone that was cut off
+/// is met again within it.
+const RELAY_PERIOD_MS: u64 = 4000;
+
+/// Content of an object.
+#[derives::record]
+#[derive(Eq, Default)]
+struct SeedsRecord {
+    addresses: BTreeSet<SocketAddr>,
+}
+
+struct Discovery<S> {
+    node_id: String,
+    zone: String,
+    own_address: SocketAddr,
+    store: S,
+    view: watch::Receiver<Arc<View>>,
+    to_gossip: mpsc::Sender<Vec<SocketAddr>>,
+    read_ms: Option<u64>,
+}
+
+/// Starts reading and keeping the objects until `shutdown`.
+pub fn spawn<S: ObjectStore>(
+    settings: &Settings,
+    store: S,
+    view: watch::Receiver<Arc<View>>,
+    to_gossip: mpsc::Sender<Vec<SocketAddr>>,
+    timer: &Timer,
+    shutdown: CancellationToken,
+) {
+    let mut discovery = Discovery {
+        node_id: settings.node_id.clone(),
+        zone: settings.zone.clone(),
+        own_address: SocketAddr::new(settings.reachable_ip(), settings.gossip_port),
+        store,
+        view,
+        to_gossip,
+        read_ms: None,
+    };
+    let mut ticks = timer.subscribe(ALONE_PERIOD_MS);
+    tokio::spawn(async move {
+        loop {
+            tokio::select! {
+                () = shutdown.cancelled() => return,
+                tick = ticks.next() => match tick {
+                    Some(tick) => discovery.turn(tick.now_ms()).await,
+                    None => return,
+                },
+            }
+        }
+    });
+}
+
+impl<S: ObjectStore> Discovery<S> {
+    async fn turn(&mut self, now_ms: u64) {
+        let is_alone = self.view.borrow().members.len() < 2;
+        let is_first_relay = {
+            let view = self.view.borrow();
+            relay_rank(&view, &self.zone, &self.node_id) == Some(0)
+        };
+        let is_due = self
+            .read_ms
+            .is_none_or(|at_ms| now_ms >= at_ms + RELAY_PERIOD_MS);
+        if !(is_alone || (is_first_relay && is_due)) {
+            return;
+        }
+        self.read_ms = Some(now_ms);
+        let listing = match self.store.list(KIND).await {
+            Ok(listing) => listing,
+            Err(error) => {
+                log::debug!(target: "dogwood", "seeds cannot be read: {error}");
+                return;
+            }
+        };
+        let known: BTreeSet<SocketAddr> = listing
+            .objects
+            .iter()
+            .flat_map(|object| read(object).addresses)
+            .filter(|address| *address != self.own_address)
+            .collect();
+        if !known.is_empty() {
+            // Gossip that has ended needs no seeds.
+            let _ = self.to_gossip.send(known.into_iter().collect()).await;
+        }
+        let own_object = listing
+            .objects
+            .iter()
+            .find(|object| object.name == self.zone);
+        if is_first_relay {
+            self.keep(own_object).await;
+        }
+    }
+
+    /// Writes the zone's addresses if they have changed.
+    async fn keep(&self, object: Option<&StoredObject>) {
+        let wanted = self.zone_addresses();
+        let held = object.map(read).unwrap_or_default();
+        let is_kept = held.addresses.len() >= wanted.len().min(ADDRESSES_PER_ZONE)
+            && held
+                .addresses
+                .iter()
+                .all(|address| wanted.contains(address));
+        if is_kept {
+            return;
+        }
+        let addresses: BTreeSet<SocketAddr> = wanted.into_iter().take(ADDRESSES_PER_ZONE).collect();
+        let condition = object.map_or(Condition::Absent, |object| {
+            Condition::Revision(object.revision)
+        });
+        let content = match serde_json::to_vec(&SeedsRecord { addresses }) {
+            Ok(content) => content,
+            Err(error) => {
+                log::error!(target: "dogwood", "seeds cannot be written: {error}");
+                return;
+            }
+        };
+        match self.store.write(KIND, &self.zone, condition, content).await {
+            Ok(revision) => event!(
+                Event::SeedsWritten,
+                "zone={} revision={revision}",
+                self.zone
+            ),
+            // Beaten by another node or lost: the next turn looks again.
+            Err(StoreError::Conflict) => {}
+            Err(error) => {
+                log::debug!(target: "dogwood", "seeds cannot be written: {error}");
+            }
+        }
+    }
+
+    fn zone_addresses(&self) -> BTreeSet<SocketAddr> {
+        let view = self.view.borrow();
+        let members = view.members.iter();
+        members
+            .filter(|member| member.zone == self.zone && member.is_usable())
+            .map(Member::gossip_address)
+            .collect()
+    }
+}
+
+/// Addresses of an object; one that cannot be read holds none.
+fn read(object: &StoredObject) -> SeedsRecord {
+    serde_json::from_slice(&object.content).unwrap_or_else(|error| {
+        log::warn!(target: "dogwood", "seeds of {} cannot be read: {error}", object.name);
+        SeedsRecord::default()
+    })
+}
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,16 +1,20 @@
 //! Assembles the parts of `dogwoodd`.
 
 mod guard;
+mod hosted;
 mod inputs;
 mod neighbours;
 mod operated;
 mod seeds;
 
+pub use hosted::{HostedParts, run_hosted};
+
 use {
     crate::{
         admission::AdmissionPolicy,
         conf::spawn_in_force,
         control::{ControlError, ControlSources, Operated, spawn_operators},
+        dialect::Native,
         documents::{DocumentStore, FollowerParts, spawn_follower},
         freshness::{self, FreshnessInputs, FreshnessTracker},
         guard::GuardHome,
@@ -188,6 +192,7 @@
         freshness,
         quota,
         guard: FleetGuard::new(settings.node_id.clone(), guard.clone(), tables.clone()),
+        dialect: Native,
     });
     let tasks = start(&node)?;
     let operated = OperatedNode::new(node.clone(), store.clone(), revocations, tables.clone());
--- /dev/null
+++ b/src/dialect/native.rs
@@ -0,0 +1,260 @@
+//! The product's own headers, paths and statuses.
+
+use {
+    super::{
+        Asked, Dialect, NoticeError, TargetCall, TargetNotice, TargetState, TargetWord, Tenant,
+    },
+    crate::{
+        conf::{Running, WorkspaceRules},
+        exchange::{Answer, AnswerBody, CALL, DEADLINE, KEY, SHED, refusal_response, response_of},
+        ingress::{Rejection, check_idempotency_key, parse_deadline_ms, split_path, strip},
+        keys::{KeyDigest, KeyState},
+        model::{Outcome, Reason, Refusal, RequestId},
+    },
+    bytes::Bytes,
+    http_body_util::Full,
+    hyper::{
+        HeaderMap, Method, Request, Response, StatusCode, Version,
+        body::{Body, Incoming},
+        header::{CONTENT_LENGTH, HOST, HeaderValue, TRANSFER_ENCODING},
+        http::request::Parts,
+    },
+    serde::Deserialize,
+    sha2::{Digest, Sha256},
+};
+
+const KNOWN_NOTICES: &str = "POST /-/announce and POST /-/load";
+
+/// The dialect that the project defines itself.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Native;
+
+/// A target's announcement; repeated at least every few seconds.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct AnnounceBody {
+    service: String,
+    port: u16,
+    slots: u32,
+    connections: u32,
+    #[serde(default)]
+    draining: bool,
+    /// Start of the target's process, where it tells; a new value means a
+    /// cold target.
+    #[serde(default)]
+    started_unix_ms: u64,
+}
+
+/// A target's load report.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct LoadBody {
+    busy_ratio: f64,
+}
+
+impl Dialect for Native {
+    const CALLS_LIKE_CALLERS: bool = false;
+
+    fn read_request(&self, running: &Running, head: &Parts) -> Result<Asked, Rejection> {
+        let tenant = tenant_of(running, &head.headers)?;
+        if head.method == Method::CONNECT {
+            let refusal = Refusal::not_run(Reason::BadRequest);
+            return Err(Rejection::new(refusal, "the method CONNECT is not served"));
+        }
+        let (service, path) = split_path(running, &head.uri)?;
+        let route = running
+            .route(service, head.method.as_str(), path.path())
+            .ok_or_else(|| Rejection::new(Refusal::not_run(Reason::NoRoute), "no route matches"))?;
+        let route_ms = u64::from(route.deadline_ms);
+        let asked_ms = head
+            .headers
+            .get(DEADLINE)
+            .map(parse_deadline_ms)
+            .transpose()?;
+        let services = &running.services;
+        Ok(Asked {
+            request_id: RequestId::random(),
+            tenant: Some(tenant),
+            service,
+            host: None,
+            path,
+            class: route.class,
+            repeatable: route.repeatable,
+            retry_limit: services.get(&service).map_or(0, |rules| rules.retry_limit),
+            deadline_ms: asked_ms.map_or(route_ms, |ms| ms.min(route_ms)),
+            idempotency_key: check_idempotency_key(&head.headers)?,
+        })
+    }
+
+    fn clean(&self, headers: &mut HeaderMap, _workspace: Option<&str>) {
+        strip(headers, None);
+    }
+
+    fn response(&self, answer: Answer) -> Response<AnswerBody> {
+        response_of(Ok(answer))
+    }
+
+    fn refusal(&self, refusal: Refusal, detail: &str, _: &HeaderMap) -> Response<AnswerBody> {
+        refusal_response(refusal, detail)
+    }
+
+    fn address(&self, request: &mut Request<Full<Bytes>>, call: &TargetCall<'_>) {
+        let headers = request.headers_mut();
+        headers.insert(HOST, HeaderValue::from_static("target"));
+        headers.insert(CALL, handle_value(call));
+        headers.insert(DEADLINE, HeaderValue::from(call.remaining_ms));
+    }
+
+    fn judge(
+        &self,
+        method: &Method,
+        call: &TargetCall<'_>,
+        response: &Response<Incoming>,
+    ) -> TargetWord {
+        let is_own = response.headers().get(CALL) == Some(&handle_value(call));
+        let refusal = if is_own && has_end(method, response) {
+            shed_refusal(response)
+        } else {
+            Some(Refusal::unknown(Reason::BadAnswer))
+        };
+        TargetWord {
+            refusal,
+            is_shed: is_shed(response.status()),
+            idle_limit: None,
+            busy_ratio: None,
+        }
+    }
+
+    fn read_notice(
+        &self,
+        method: &Method,
+        path: &str,
+        body: &[u8],
+    ) -> Result<TargetNotice, NoticeError> {
+        match (method, path) {
+            (&Method::POST, "/-/announce") => announcement(serde_json::from_slice(body)?),
+            (&Method::POST, "/-/load") => load(&serde_json::from_slice(body)?),
+            _ => Err(NoticeError::Path {
+                known: KNOWN_NOTICES.to_owned(),
+            }),
+        }
+    }
+
+    fn notice_response(&self, result: Result<(), NoticeError>) -> Response<AnswerBody> {
+        match result {
+            Ok(()) => {
+                let mut response = Response::new(AnswerBody::whole(Bytes::new()));
+                *response.status_mut() = StatusCode::NO_CONTENT;
+                response
+            }
+            Err(error) => {
+                refusal_response(Refusal::not_run(Reason::BadRequest), &error.to_string())
+            }
+        }
+    }
+
+    fn asks_readiness(&self, path: &str) -> bool {
+        path == "/readyz"
+    }
+}
+
+fn handle_value(call: &TargetCall<'_>) -> HeaderValue {
+    HeaderValue::try_from(format!("{:032x}", call.handle)).expect("hex digits are visible")
+}
+
+/// Digest of the key that the request carries, and rules of its workspace.
+fn tenant_of(running: &Running, headers: &HeaderMap) -> Result<Tenant, Rejection> {
+    let reject = |reason, detail| Rejection::new(Refusal::not_run(reason), detail);
+    let mut values = headers.get_all(KEY).iter();
+    let Some(key) = values.next() else {
+        return Err(reject(
+            Reason::MissingKey,
+            "the header dogwood-key is missing",
+        ));
+    };
+    if values.next().is_some() {
+        return Err(reject(Reason::BadRequest, "dogwood-key must be given once"));
+    }
+    // The table is searched by the key's digest. How long that takes tells at
+    // most about digests, which cannot be turned back into keys, so a search
+    // in constant time would protect nothing.
+    let digest = KeyDigest(Sha256::digest(key.as_bytes()).into());
+    let workspace = match running.key_state(&digest) {
+        KeyState::Granted(workspace) => workspace,
+        KeyState::Revoked => return Err(reject(Reason::RevokedKey, "the key was revoked")),
+        KeyState::Unknown => return Err(reject(Reason::UnknownKey, "the key is unknown")),
+    };
+    let rules: Option<&WorkspaceRules> = running.workspaces.get(&workspace);
+    rules
+        .map(|rules| Tenant {
+            key: digest,
+            rules: rules.clone(),
+        })
+        .ok_or_else(|| reject(Reason::UnknownKey, "the key's workspace is not configured"))
+}
+
+/// Whether the end of the answer can be told from a break.
+fn has_end(method: &Method, response: &Response<Incoming>) -> bool {
+    response.body().is_end_stream()
+        || method == Method::HEAD
+        || response.headers().contains_key(CONTENT_LENGTH)
+        || (response.version() == Version::HTTP_11
+            && response.headers().contains_key(TRANSFER_ENCODING))
+}
+
+/// The refusal for an answer by which the target says that it shed the
+/// request untouched. Any other 429 or 503 is an answer like all others.
+fn shed_refusal(response: &Response<Incoming>) -> Option<Refusal> {
+    let says_not_run =
+        response.headers().get(SHED)?.as_bytes() == Outcome::NotRun.name().as_bytes();
+    (is_shed(response.status()) && says_not_run).then_some(Refusal::not_run(Reason::Overloaded))
+}
+
+/// Whether the target shed load by its own account.
+const fn is_shed(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
+    )
+}
+
+fn announcement(body: AnnounceBody) -> Result<TargetNotice, NoticeError> {
+    if body.slots == 0 || body.connections == 0 || body.port == 0 {
+        return Err(field("slots, connections and port", "must be at least 1"));
+    }
+    let is_allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+    if body.service.is_empty() || !body.service.chars().all(is_allowed) {
+        let expected = "must be a name of letters, digits, '-', '_' or '.'";
+        return Err(field("service", expected));
+    }
+    Ok(TargetNotice::Alive {
+        instance_id: String::new(),
+        service: body.service,
+        port: body.port,
+        slot_count: body.slots,
+        connection_count: body.connections,
+        state: match body.draining {
+            true => TargetState::Draining,
+            false => TargetState::Ready,
+        },
+        started_unix_ms: body.started_unix_ms,
+        sequence: None,
+        cold_left_ms: 0,
+    })
+}
+
+fn load(body: &LoadBody) -> Result<TargetNotice, NoticeError> {
+    if !(0.0..=1.0).contains(&body.busy_ratio) {
+        return Err(field("busy_ratio", "must lie between 0 and 1"));
+    }
+    Ok(TargetNotice::Load {
+        busy_ratio: body.busy_ratio,
+    })
+}
+
+fn field(name: &str, expected: &str) -> NoticeError {
+    NoticeError::Field {
+        field: name.to_owned(),
+        expected: expected.to_owned(),
+    }
+}
--- a/src/egress/attempts.rs
+++ b/src/egress/attempts.rs
@@ -6,7 +6,7 @@
         events::Event,
         exchange::{Answer, Outbound},
         keys::KeyDigest,
-        model::{AdmissionLevel, Class, Outcome, Reason, Refusal, RequestContext},
+        model::{AdmissionLevel, Class, Outcome, Reason, Refusal, RequestContext, RequestId},
         model::{ServiceKey, WorkspaceKey},
         node::{Node, Place, Policies},
         peer::{self, Attempt, HopEnd, PeerLink},
@@ -16,7 +16,6 @@
         target::serve_local,
     },
     std::{sync::Arc, time::Duration},
-    uuid::Uuid,
 };
 
 /// Taken off the time that a hop is given, so that its answer, which knows
@@ -34,7 +33,7 @@
 #[derive(Copy, Eq)]
 pub struct Call {
     /// The caller's original request.
-    pub request_id: Uuid,
+    pub request_id: RequestId,
     /// Workspace that it runs for.
     pub workspace: WorkspaceKey,
     /// Digest of the key that the original request carried.
--- a/src/egress/child.rs
+++ b/src/egress/child.rs
@@ -111,6 +111,7 @@
     };
     let outbound = Outbound {
         method: head.method.clone(),
+        host: None,
         path,
         headers: std::mem::take(&mut head.headers),
         body,
--- a/src/egress/mod.rs
+++ b/src/egress/mod.rs
@@ -8,6 +8,7 @@
 
 use {
     crate::{
+        dialect::Dialect,
         exchange::{AnswerBody, ListenerLimits, serve},
         node::{Node, Policies},
     },
@@ -47,7 +48,7 @@
     node: Arc<Node<P>>,
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
-    if request.uri().path().starts_with(OWN_PATHS) {
+    if P::Dialect::CALLS_LIKE_CALLERS || request.uri().path().starts_with(OWN_PATHS) {
         announce::handle(&node, request).await
     } else {
         child::handle(&node, request).await
--- a/src/events.rs
+++ b/src/events.rs
@@ -50,6 +50,8 @@
     KeyRevoked = 203, Info, "A key was revoked on this node.";
     PlatformReached = 210, Info, "The platform's object API answers again.";
     PlatformLost = 211, Warn, "The platform's object API does not answer.";
+    HistoryLost = 212, Info, "The platform dropped the history that a watch asked for; the object is read anew.";
+    SeedsWritten = 213, Info, "The zone's addresses for the first contact were written to the platform.";
     MemberJoined = 300, Info, "A member was seen for the first time or came back.";
     MemberSuspected = 301, Warn, "A member does not answer probes.";
     MemberDead = 302, Warn, "A suspected member did not refute and is taken for dead.";
@@ -57,6 +59,9 @@
     MemberDraining = 304, Info, "A member takes no new work.";
     TargetAnnounced = 310, Info, "The target announced itself to its node.";
     TargetLost = 311, Warn, "The target stopped announcing itself.";
+    TargetLeaving = 312, Info, "The target told that it leaves and gets no new work.";
+    NoticeOutdated = 313, Info, "A notice of the target is older than what is known, and is ignored.";
+    NoticeRejected = 314, Warn, "A notice of the target could not be read.";
     RoutePicked = 400, Debug, "A target was picked for a request.";
     RouteRefused = 401, Debug, "No target could be picked for a request.";
     TargetEjected = 402, Warn, "A target fails or is slow and gets no new work for a while.";
--- a/src/exchange/mod.rs
+++ b/src/exchange/mod.rs
@@ -27,6 +27,8 @@
 pub struct Outbound {
     /// Method.
     pub method: Method,
+    /// Host that the caller addressed, where targets are told of it.
+    pub host: Option<String>,
     /// Path below the service, with the query.
     pub path: PathAndQuery,
     /// Headers for the target.
--- a/src/ingress/serve.rs
+++ b/src/ingress/serve.rs
@@ -1,39 +1,37 @@
 //! One request of a caller, from its key to its answer.
 
 use {
-    super::{
-        Rejection, check_idempotency_key, check_size, discard_body, parse_deadline_ms, read_body,
-        split_path, strip,
-    },
+    super::{Rejection, check_size, discard_body, read_body},
     crate::{
-        conf::{Running, WorkspaceRules},
         control::RequestLabels,
+        dialect::{Asked, Dialect, Tenant},
         egress::Call,
         event,
         events::Event,
-        exchange::{
-            Answer, AnswerBody, DEADLINE, KEY, ListenerLimits, Outbound, refusal_response,
-            response_of, serve,
-        },
+        exchange::{Answer, AnswerBody, ListenerLimits, Outbound, serve},
+        freshness::Freshness,
         keys::{KeyDigest, KeyState},
-        model::{Class, Outcome, Reason, Refusal},
+        model::{Class, Outcome, Reason, Refusal, RequestId, WorkspaceKey},
         node::{Node, Policies, dispatch},
         quota::QuotaGate,
         retry::{CallKey, RetryPolicy},
     },
     hyper::{
-        HeaderMap, Method, Request, Response, Version,
+        Request, Response, Version,
         body::Incoming,
         header::{CONNECTION, HeaderValue},
         http::request::Parts,
     },
-    sha2::{Digest, Sha256},
     std::{sync::Arc, time::Duration},
     tokio::net::TcpListener,
-    uuid::Uuid,
 };
 
 const STREAM_COUNT: u32 = 256;
+/// Workspace that requests on open routes are counted for.
+const ANONYMOUS: &str = "";
+/// When to come back to a node that cannot confirm keys: about the time that a
+/// short outage of the platform lasts.
+const UNCONFIRMED_RETRY_MS: u32 = 1000;
 
 /// Serves callers until the node's drain closes their connections.
 pub async fn serve_callers<P: Policies>(node: Arc<Node<P>>, listener: TcpListener) {
@@ -49,6 +47,13 @@
     serve(listener, limits, closing, stopped, open_count, handle).await;
 }
 
+/// What is known of a request for its log line and its counters.
+#[derive(Debug, Default)]
+struct Seen {
+    request_id: Option<RequestId>,
+    class: Option<Class>,
+}
+
 async fn handle<P: Policies>(
     node: Arc<Node<P>>,
     request: Request<Incoming>,
@@ -56,20 +61,21 @@
     let _in_flight = node.begin();
     let is_http1 = request.version() <= Version::HTTP_11;
     let started_us = node.timer.now_us();
-    let mut class = None;
+    let mut seen = Seen::default();
     let (mut head, mut body) = request.into_parts();
-    let result = answer(&node, &mut head, &mut body, &mut class).await;
+    let result = answer(&node, &mut head, &mut body, &mut seen).await;
     let ended = match &result {
         Ok(_) => None,
         Err(rejection) => Some(rejection.refusal),
     };
     let latency_us = node.timer.now_us().saturating_sub(started_us);
-    count(&node, class, ended, latency_us);
+    count(&node, &seen, ended, latency_us);
     let mut response = match result {
-        Ok(answer) => response_of(Ok(answer)),
+        Ok(answer) => node.dialect.response(answer),
         Err(rejection) => {
             discard_body(&head.headers, &mut body).await;
-            refusal_response(rejection.refusal, &rejection.detail)
+            let (refusal, detail) = (rejection.refusal, &rejection.detail);
+            node.dialect.refusal(refusal, detail, &head.headers)
         }
     };
     if is_http1 && node.is_draining() {
@@ -79,14 +85,9 @@
     response
 }
 
-fn count<P: Policies>(
-    node: &Node<P>,
-    class: Option<Class>,
-    ended: Option<Refusal>,
-    latency_us: u64,
-) {
+fn count<P: Policies>(node: &Node<P>, seen: &Seen, ended: Option<Refusal>, latency_us: u64) {
     let labels = RequestLabels {
-        class: class.map_or("none", Class::name),
+        class: seen.class.map_or("none", Class::name),
         outcome: ended
             .map_or(Outcome::Whole, |refusal| refusal.outcome)
             .name(),
@@ -94,9 +95,11 @@
     };
     if let Some(refusal) = ended {
         let (outcome, reason) = (refusal.outcome.name(), refusal.reason);
+        let id = seen.request_id.as_ref().map_or("", RequestId::as_str);
+        let took_ms = latency_us / 1000;
         event!(
             Event::RequestRefused,
-            "port=caller outcome={outcome} reason={reason}"
+            "port=caller request={id} outcome={outcome} reason={reason} took_ms={took_ms}"
         );
     }
     node.metrics.count_request(&labels, latency_us);
@@ -106,7 +109,7 @@
     node: &Arc<Node<P>>,
     head: &mut Parts,
     body: &mut Incoming,
-    class: &mut Option<Class>,
+    seen: &mut Seen,
 ) -> Result<Answer, Rejection> {
     let running = node.running();
     if running.revision == 0 {
@@ -116,105 +119,84 @@
             "this node has no configuration yet",
         ));
     }
-    let (presented, workspace) = workspace_of(node, &running, &head.headers)?;
     check_size(head, node.settings.max_header_bytes)?;
-    if head.method == Method::CONNECT {
-        let refusal = Refusal::not_run(Reason::BadRequest);
-        return Err(Rejection::new(refusal, "the method CONNECT is not served"));
+    let asked = node.dialect.read_request(&running, head)?;
+    seen.request_id = Some(asked.request_id);
+    seen.class = Some(asked.class);
+    let deadline_us = node.timer.now_us() + asked.deadline_ms * 1000;
+    if let Some(tenant) = &asked.tenant {
+        check_lease(node, tenant)?;
     }
-    let (service, path) = split_path(&running, &head.uri)?;
-    let route = running
-        .route(service, head.method.as_str(), path.path())
-        .ok_or_else(|| Rejection::new(Refusal::not_run(Reason::NoRoute), "no route matches"))?;
-    *class = Some(route.class);
-    let deadline_us = deadline_us(node, &head.headers, route.deadline_ms)?;
-    let key = check_idempotency_key(&head.headers)?;
     let body = read_body(&node.settings, &head.headers, body).await?;
-    let quota = node.quota.admit(workspace.workspace, workspace.rate).await;
-    quota.map_err(|refusal| Rejection::new(refusal, "the workspace is over its rate"))?;
-    confirm_key(node, &head.headers)?;
-    strip(&mut head.headers, None);
-    let allotment = running
-        .services
-        .get(&service)
-        .map_or(0, |rules| rules.retry_limit);
-    let budget = Budget::new(node, allotment);
+    let (workspace, key) = admit_tenant(node, &asked).await?;
+    let workspace_name = node.names.workspace_name(workspace);
+    let known = asked.tenant.as_ref().map(|_| workspace_name.as_str());
+    let budget = Budget::new(node, asked.retry_limit);
     let call = Call {
-        request_id: Uuid::new_v4(),
-        workspace: workspace.workspace,
-        key: presented,
-        service,
-        class: route.class,
+        request_id: asked.request_id,
+        workspace,
+        key,
+        service: asked.service,
+        class: asked.class,
         deadline_us,
         depth: 0,
-        repeatable: route.repeatable,
+        repeatable: asked.repeatable,
         retry: budget.call,
     };
+    let mut headers = head.headers.clone();
+    node.dialect.clean(&mut headers, known);
     let outbound = Outbound {
         method: head.method.clone(),
-        path,
-        headers: std::mem::take(&mut head.headers),
+        host: asked.host,
+        path: asked.path,
+        headers,
         body,
     };
-    let result = dispatch(node, &call, &outbound, key.as_deref()).await;
+    let result = dispatch(node, &call, &outbound, asked.idempotency_key.as_deref()).await;
     drop(budget);
     result.map_err(|refusal| Rejection::new(refusal, ""))
 }
 
-fn deadline_us<P: Policies>(
+/// Workspace and key that the request runs for, within the workspace's rate.
+async fn admit_tenant<P: Policies>(
     node: &Node<P>,
-    headers: &HeaderMap,
-    route_ms: u32,
-) -> Result<u64, Rejection> {
-    let asked_ms = headers.get(DEADLINE).map(parse_deadline_ms).transpose()?;
-    let wait_ms = asked_ms.map_or(u64::from(route_ms), |ms| ms.min(u64::from(route_ms)));
-    Ok(node.timer.now_us() + wait_ms * 1000)
+    asked: &Asked,
+) -> Result<(WorkspaceKey, KeyDigest), Rejection> {
+    let Some(tenant) = &asked.tenant else {
+        return Ok((node.names.workspace(ANONYMOUS), KeyDigest::NONE));
+    };
+    let rules = &tenant.rules;
+    let quota = node.quota.admit(rules.workspace, rules.rate).await;
+    quota.map_err(|refusal| Rejection::new(refusal, "the workspace is over its rate"))?;
+    // Looks at the key again after waiting for body and quota: it may have
+    // been revoked in the meantime.
+    check_lease(node, tenant)?;
+    match node.running().key_state(&tenant.key) {
+        KeyState::Granted(workspace) if workspace == rules.workspace => Ok((workspace, tenant.key)),
+        KeyState::Granted(_) | KeyState::Revoked | KeyState::Unknown => {
+            let refusal = Refusal::not_run(Reason::RevokedKey);
+            Err(Rejection::new(refusal, "the key was revoked"))
+        }
+    }
 }
 
-/// Digest of the key that the request carries, and rules of its workspace.
-fn workspace_of<'a, P: Policies>(
-    node: &Node<P>,
-    running: &'a Running,
-    headers: &HeaderMap,
-) -> Result<(KeyDigest, &'a WorkspaceRules), Rejection> {
-    let reject = |reason, detail| Rejection::new(Refusal::not_run(reason), detail);
-    let mut values = headers.get_all(KEY).iter();
-    let Some(key) = values.next() else {
-        return Err(reject(
-            Reason::MissingKey,
-            "the header dogwood-key is missing",
-        ));
-    };
-    if values.next().is_some() {
-        return Err(reject(Reason::BadRequest, "dogwood-key must be given once"));
+/// Refuses a key that could not be confirmed for too long: it may have been
+/// taken away unseen, and its holder would go on being served.
+fn check_lease<P: Policies>(node: &Node<P>, tenant: &Tenant) -> Result<(), Rejection> {
+    if node.freshness() != Freshness::CutOff {
+        return Ok(());
     }
-    // The table is searched by the key's digest. How long that takes tells at
-    // most about digests, which cannot be turned back into keys, so a search
-    // in constant time would protect nothing.
-    let digest = KeyDigest(Sha256::digest(key.as_bytes()).into());
-    let workspace = match running.key_state(&digest) {
-        KeyState::Granted(workspace) => workspace,
-        KeyState::Revoked => return Err(reject(Reason::RevokedKey, "the key was revoked")),
-        KeyState::Unknown => return Err(reject(Reason::UnknownKey, "the key is unknown")),
-    };
-    let Some(rules) = running.workspaces.get(&workspace) else {
-        return Err(reject(
-            Reason::UnknownKey,
-            "the key's workspace is not configured",
-        ));
-    };
     let cut_off_ms = node.timer.now_ms().saturating_sub(node.cut_off_since_ms());
-    if cut_off_ms > rules.key_lease_ms {
+    let lease_ms = tenant.rules.key_lease_ms;
+    if cut_off_ms > lease_ms || lease_ms == 0 {
+        let refusal = Refusal::not_run(Reason::KeyLeaseExpired);
         let detail = "this zone is cut off and could not confirm the key for too long";
-        return Err(reject(Reason::KeyLeaseExpired, detail));
+        return Err(Rejection::new(
+            refusal.with_retry_after_ms(UNCONFIRMED_RETRY_MS),
+            detail,
+        ));
     }
-    Ok((digest, rules))
-}
-
-/// Looks at the key again after waiting for body and quota: it may have been
-/// revoked in the meantime.
-fn confirm_key<P: Policies>(node: &Node<P>, headers: &HeaderMap) -> Result<(), Rejection> {
-    workspace_of(node, &node.running(), headers).map(|_| ())
+    Ok(())
 }
 
 /// The retry allotment of an original request while it lives.
--- a/src/keys/digest.rs
+++ b/src/keys/digest.rs
@@ -27,6 +27,9 @@
 pub struct DigestError;
 
 impl KeyDigest {
+    /// Stands for requests that carry no key; no key has this digest.
+    pub const NONE: Self = Self([0; DIGEST_BYTES]);
+
     /// Digest of a presented key.
     #[must_use]
     pub fn of_key(key: &str) -> Self {
--- a/src/model/context.rs
+++ b/src/model/context.rs
@@ -1,9 +1,8 @@
 //! What travels with a request from node to node.
 
 use {
-    super::{Class, ServiceKey, WorkspaceKey},
+    super::{Class, RequestId, ServiceKey, WorkspaceKey},
     crate::keys::KeyDigest,
-    uuid::Uuid,
 };
 
 /// Deepest chain of calls that is served; guards against call cycles.
@@ -17,7 +16,7 @@
 #[derive(Copy, Eq)]
 pub struct RequestContext {
     /// Identifies the caller's original request along the whole chain.
-    pub request_id: Uuid,
+    pub request_id: RequestId,
     /// Workspace whose key the original request carried.
     pub workspace: WorkspaceKey,
     /// Digest of that key, so that each hop can refuse work that was queued
--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -4,10 +4,12 @@
 mod context;
 mod names;
 mod outcome;
+mod request_id;
 
 pub use {
     class::{CLASS_COUNT, Class, UnknownClass},
     context::{MAX_DEPTH, RequestContext},
     names::{Names, ServiceKey, WorkspaceKey},
     outcome::{AdmissionLevel, Outcome, Reason, Refusal},
+    request_id::RequestId,
 };
--- a/src/node/calls.rs
+++ b/src/node/calls.rs
@@ -4,19 +4,18 @@
     super::{Node, Policies},
     crate::{
         keys::KeyDigest,
-        model::{Class, WorkspaceKey},
+        model::{Class, RequestId, WorkspaceKey},
         retry::{CallKey, RetryPolicy},
     },
     std::{collections::HashMap, sync::Arc},
     tokio_util::sync::CancellationToken,
-    uuid::Uuid,
 };
 
 /// What a child call inherits.
 #[derive(Debug, Clone)]
 pub struct InFlightCall {
     /// The caller's original request.
-    pub request_id: Uuid,
+    pub request_id: RequestId,
     /// Workspace.
     pub workspace: WorkspaceKey,
     /// Digest of the key that the original request carried.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -21,6 +21,7 @@
         admission::AdmissionPolicy,
         conf::Running,
         control::Metrics,
+        dialect::{Dialect, Native},
         event,
         events::Event,
         freshness::{Freshness, Snapshot},
@@ -31,7 +32,7 @@
         retry::RetryPolicy,
         routing::RoutePolicy,
         settings::Settings,
-        target::TargetPool,
+        target::{Registration, TargetPool},
         timer::Timer,
     },
     std::{
@@ -60,33 +61,37 @@
     type Quota: QuotaGate;
     /// At most one execution for each idempotency key.
     type Guard: KeyGuard;
+    /// What callers and targets speak.
+    type Dialect: Dialect;
 }
 
 /// A set of policies by type.
 #[derive(Debug)]
-pub struct PolicySet<A, R, T, Q, G>(PhantomData<Choice<A, R, T, Q, G>>);
+pub struct PolicySet<A, R, T, Q, G, D = Native>(PhantomData<Choice<A, R, T, Q, G, D>>);
 
 /// A type that names the policies without holding any.
-type Choice<A, R, T, Q, G> = fn() -> (A, R, T, Q, G);
+type Choice<A, R, T, Q, G, D> = fn() -> (A, R, T, Q, G, D);
 
-impl<A, R, T, Q, G> Policies for PolicySet<A, R, T, Q, G>
+impl<A, R, T, Q, G, D> Policies for PolicySet<A, R, T, Q, G, D>
 where
     A: AdmissionPolicy,
     R: RoutePolicy,
     T: RetryPolicy,
     Q: QuotaGate,
     G: KeyGuard,
+    D: Dialect,
 {
     type Admission = A;
     type Routing = R;
     type Retry = T;
     type Quota = Q;
     type Guard = G;
+    type Dialect = D;
 }
 
 /// What a node is made of besides its policies.
 #[derive(Debug)]
-pub struct NodeInputs<Q, G> {
+pub struct NodeInputs<Q, G, D> {
     /// Checked settings.
     pub settings: Arc<Settings>,
     /// Names shared with configuration and membership.
@@ -105,6 +110,8 @@
     pub quota: Q,
     /// Guard of idempotency keys.
     pub guard: G,
+    /// What callers and targets speak.
+    pub dialect: D,
 }
 
 /// One process of the fleet.
@@ -124,6 +131,8 @@
     pub quota: P::Quota,
     /// Guard of idempotency keys.
     pub guard: P::Guard,
+    /// What callers and targets speak.
+    pub dialect: P::Dialect,
     /// Counters for `/metrics`.
     pub metrics: Metrics,
     /// Fleet secret at work.
@@ -149,6 +158,7 @@
     routes: Mutex<RouteTable<P::Routing>>,
     retries: Mutex<P::Retry>,
     calls: Mutex<CallTable>,
+    registration: Mutex<Registration>,
     in_flight_count: AtomicUsize,
     /// Wakes the systems when the first request comes.
     work_begins: Notify,
@@ -159,7 +169,7 @@
 impl<P: Policies> Node<P> {
     /// A node that does nothing yet.
     #[must_use]
-    pub fn new(inputs: NodeInputs<P::Quota, P::Guard>) -> Arc<Self> {
+    pub fn new(inputs: NodeInputs<P::Quota, P::Guard, P::Dialect>) -> Arc<Self> {
         let auth = FleetAuth::new(&inputs.settings.fleet_secret);
         Arc::new(Self {
             auth,
@@ -171,6 +181,7 @@
             own_state: inputs.own_state,
             quota: inputs.quota,
             guard: inputs.guard,
+            dialect: inputs.dialect,
             metrics: Metrics::new(),
             caller_connection_count: Arc::default(),
             peer_connection_count: Arc::default(),
@@ -184,6 +195,7 @@
             routes: Mutex::new(RouteTable::new()),
             retries: Mutex::new(P::Retry::new()),
             calls: Mutex::new(CallTable::new()),
+            registration: Mutex::new(Registration::new()),
             in_flight_count: AtomicUsize::new(0),
             work_begins: Notify::new(),
             cut_off_since_ms: AtomicU64::new(NOT_CUT_OFF),
@@ -287,6 +299,11 @@
         locked(&self.retries)
     }
 
+    /// Processes of the own target.
+    pub fn registration(&self) -> MutexGuard<'_, Registration> {
+        locked(&self.registration)
+    }
+
     /// Calls that the own target works on.
     pub fn calls(&self) -> MutexGuard<'_, CallTable> {
         locked(&self.calls)
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -126,7 +126,12 @@
     let outbound = attempt.outbound;
     let uri = Uri::builder()
         .scheme("http")
-        .authority(link.address().to_string())
+        .authority(
+            outbound
+                .host
+                .clone()
+                .unwrap_or_else(|| link.address().to_string()),
+        )
         .path_and_query(outbound.path.clone())
         .build()
         .ok()?;
--- a/src/peer/headers.rs
+++ b/src/peer/headers.rs
@@ -3,7 +3,9 @@
 use {
     crate::{
         keys::KeyDigest,
-        model::{AdmissionLevel, Class, Names, Outcome, Reason, Refusal, RequestContext},
+        model::{
+            AdmissionLevel, Class, Names, Outcome, Reason, Refusal, RequestContext, RequestId,
+        },
         schema::peer_capnp,
         timer::unix_ms,
     },
@@ -12,7 +14,6 @@
     hmac::{Hmac, Mac},
     hyper::header::HeaderValue,
     sha2::{Digest, Sha256},
-    uuid::Uuid,
 };
 
 /// Longest time between sending and arrival of a context, in milliseconds.
@@ -150,7 +151,7 @@
     let context = &received.context;
     let mut message = message::Builder::new_default();
     let mut builder = message.init_root::<peer_capnp::context::Builder<'_>>();
-    builder.set_request_id(context.request_id.as_bytes());
+    builder.set_request_id(context.request_id.as_str().as_bytes());
     builder.set_workspace(names.workspace_name(context.workspace));
     builder.set_service(names.service_name(context.service));
     builder.set_class(context.class as u8);
@@ -182,8 +183,7 @@
         |text: capnp::text::Reader<'_>| text.to_string().map_err(|_| PeerHeaderError::Malformed);
     let class = Class::from_index(usize::from(reader.get_class()));
     let context = RequestContext {
-        request_id: Uuid::from_slice(reader.get_request_id()?)
-            .map_err(|_| PeerHeaderError::Malformed)?,
+        request_id: request_id_of(reader.get_request_id()?)?,
         workspace: names.workspace(&text(reader.get_workspace()?)?),
         key: KeyDigest(digest_of(reader.get_key_digest()?)?),
         service: names.service(&text(reader.get_service()?)?),
@@ -201,6 +201,11 @@
     })
 }
 
+fn request_id_of(bytes: &[u8]) -> Result<RequestId, PeerHeaderError> {
+    let text = std::str::from_utf8(bytes).map_err(|_| PeerHeaderError::Malformed)?;
+    RequestId::new(text).ok_or(PeerHeaderError::Malformed)
+}
+
 fn digest_of(bytes: &[u8]) -> Result<[u8; 32], PeerHeaderError> {
     bytes.try_into().map_err(|_| PeerHeaderError::Malformed)
 }
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -118,9 +118,11 @@
     };
     strip_internal(&mut parts.headers);
     strip_hop_by_hop(&mut parts.headers);
-    let path = parts.uri.into_parts().path_and_query;
+    let uri = parts.uri.into_parts();
+    let path = uri.path_and_query;
     Ok(Outbound {
         method: parts.method,
+        host: uri.authority.map(|authority| authority.to_string()),
         path: path.unwrap_or_else(|| PathAndQuery::from_static("/")),
         headers: parts.headers,
         body,
--- a/src/quota/mod.rs
+++ b/src/quota/mod.rs
@@ -3,6 +3,7 @@
 mod bank;
 mod banking;
 mod bucket;
+mod divided;
 mod gate;
 mod ledger;
 pub mod limits;
@@ -10,11 +11,13 @@
 mod owner;
 mod purse;
 mod route;
+mod share;
 mod violations;
 
 pub use {
     bank::{Bank, OwnerAsk},
     bucket::{Bucket, capacity},
+    divided::DividedQuota,
     gate::{LeasedQuota, QuotaInputs, Rates, spawn},
     messages::{
         BankRef, BorrowAnswer, BorrowAsk, Estate, EstateLease, LeaseAnswer, LeaseAsk, Process,
@@ -22,6 +25,7 @@
     owner::QuotaOwner,
     purse::Purse,
     route::banks,
+    share::{Share, ShareBucket},
     violations::{Violation, window_violations},
 };
 
--- a/src/target/mod.rs
+++ b/src/target/mod.rs
@@ -2,10 +2,12 @@
 
 mod exchange;
 mod pool;
+mod registration;
 mod serve;
 
 pub use {
-    exchange::exchange,
+    exchange::{TargetAnswer, exchange},
     pool::{Lease, PoolError, PoolTarget, TargetPool},
+    registration::{Registration, Standing},
     serve::serve_local,
 };
--- a/src/target/pool.rs
+++ b/src/target/pool.rs
@@ -9,7 +9,7 @@
     std::{
         net::{IpAddr, SocketAddr},
         sync::{Arc, Mutex, MutexGuard},
-        time::Duration,
+        time::{Duration, Instant},
     },
     tokio::task::AbortHandle,
 };
@@ -36,10 +36,19 @@
     Handshake(#[from] hyper::Error),
 }
 
+/// Age at which an idle connection is not used again where the target does not
+/// tell how long it keeps it.
+const DEFAULT_IDLE_LIMIT: Duration = Duration::from_secs(60);
+/// Taken off the time that the target tells. A request that is sent while the
+/// target closes the connection is lost, and nobody knows whether it ran.
+const IDLE_MARGIN: Duration = Duration::from_secs(1);
+
 /// A target as it announced itself to the pool.
 #[derives::value]
-#[derive(Copy, Eq)]
+#[derive(Eq)]
 pub struct PoolTarget {
+    /// Names the process; empty where targets have no identity.
+    pub instance_id: String,
     /// Port on the own address.
     pub port: u16,
     /// Start of its process, where it tells; 0 otherwise.
@@ -52,6 +61,7 @@
 struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    usable_until: Option<Instant>,
 }
 
 impl Drop for Connection {
@@ -91,8 +101,10 @@
     /// Takes over an announcement; returns whether the target (re)started.
     pub fn announce(&self, target: PoolTarget, now_ms: u64) -> bool {
         let mut state = self.locked();
-        let is_same = state.target.is_some_and(|known| {
-            known.port == target.port && known.started_unix_ms == target.started_unix_ms
+        let is_same = state.target.as_ref().is_some_and(|known| {
+            known.port == target.port
+                && known.started_unix_ms == target.started_unix_ms
+                && known.instance_id == target.instance_id
         });
         state.heard_ms = now_ms;
         state.target = Some(target);
@@ -118,7 +130,7 @@
     pub async fn lease(self: &Arc<Self>) -> Result<Lease, PoolError> {
         let (address, mut lease) = {
             let mut state = self.locked();
-            let target = state.target.ok_or(PoolError::NoTarget)?;
+            let target = state.target.clone().ok_or(PoolError::NoTarget)?;
             let idle = state.pop_idle();
             if idle.is_none() {
                 if state.open_count >= target.connection_count {
@@ -129,6 +141,7 @@
             let lease = Lease {
                 pool: Arc::clone(self),
                 generation: state.generation,
+                instance_id: target.instance_id,
                 connection: idle,
             };
             (SocketAddr::new(self.ip, target.port), lease)
@@ -154,7 +167,10 @@
 
     fn pop_idle(&mut self) -> Option<Connection> {
         while let Some(connection) = self.idle.pop() {
-            if !connection.sender.is_closed() {
+            let is_young = connection
+                .usable_until
+                .is_none_or(|until| Instant::now() < until);
+            if is_young && !connection.sender.is_closed() {
                 return Some(connection);
             }
             self.open_count -= 1;
@@ -174,6 +190,7 @@
     Ok(Connection {
         sender,
         task: task.abort_handle(),
+        usable_until: None,
     })
 }
 
@@ -186,10 +203,17 @@
 pub struct Lease {
     pool: Arc<TargetPool>,
     generation: u64,
+    instance_id: String,
     connection: Option<Connection>,
 }
 
 impl Lease {
+    /// Names the process of the target that the connection leads to.
+    #[must_use]
+    pub fn instance_id(&self) -> &str {
+        &self.instance_id
+    }
+
     /// Sends the request of this exchange.
     pub fn sender(&mut self) -> Option<&mut http1::SendRequest<Full<Bytes>>> {
         self.connection
@@ -197,8 +221,14 @@
             .map(|connection| &mut connection.sender)
     }
 
-    /// Gives the connection back after a whole answer.
-    pub fn keep(mut self) {
+    /// Gives the connection back after a whole answer; the target closes it
+    /// after `idle_limit`, if it told.
+    pub fn keep(mut self, idle_limit: Option<Duration>) {
+        let usable = idle_limit.unwrap_or(DEFAULT_IDLE_LIMIT);
+        if let Some(connection) = &mut self.connection {
+            let until = Instant::now() + usable.saturating_sub(IDLE_MARGIN);
+            connection.usable_until = Some(until);
+        }
         let pool = Arc::clone(&self.pool);
         let mut state = pool.locked();
         if state.generation == self.generation {
--- a/src/target/serve.rs
+++ b/src/target/serve.rs
@@ -1,18 +1,15 @@
 //! A request at the node of its target: admission, exchange, end.
 
 use {
-    super::{
-        Lease, exchange,
-        exchange::{is_shed, shed_refusal},
-    },
+    super::{Lease, TargetAnswer, exchange},
     crate::{
         admission::{Arrival, TargetResult},
+        dialect::TargetNotice,
         exchange::{Answer, AnswerBody, Collected, Outbound, collect, pump},
-        model::{MAX_DEPTH, Reason, Refusal, RequestContext},
+        model::{MAX_DEPTH, Outcome, Reason, Refusal, RequestContext},
         node::{CallHandle, InFlightCall, Node, Policies, Ticket, admit},
         retry::RetryPolicy,
     },
-    hyper::{Response, body::Incoming},
     std::{sync::Arc, time::Duration},
     tokio_util::sync::CancellationToken,
 };
@@ -117,23 +114,38 @@
     remaining_us: u64,
 ) -> (Result<Answer, Refusal>, u8) {
     let handle = running.call.handle();
-    let sent = exchange(&node.target, handle, outbound, remaining_us / 1000).await;
+    let remaining_ms = remaining_us / 1000;
+    let sent = exchange(&node.dialect, &node.target, handle, outbound, remaining_ms).await;
     match sent {
         Err(refusal) => running.fail(TargetResult::Failed, refusal),
-        Ok((response, lease)) => deliver(node, running, response, lease, remaining_us).await,
+        Ok(answer) => deliver(node, running, answer, remaining_us).await,
     }
 }
 
 async fn deliver<P: Policies>(
     node: &Node<P>,
     running: Running<P>,
-    response: Response<Incoming>,
-    lease: Lease,
+    answer: TargetAnswer,
     remaining_us: u64,
 ) -> (Result<Answer, Refusal>, u8) {
-    let shed = shed_refusal(&response);
+    let TargetAnswer {
+        response,
+        lease,
+        word,
+    } = answer;
+    if let Some(busy_ratio) = word.busy_ratio {
+        let received_us = node.timer.now_us();
+        let report = TargetNotice::load(busy_ratio, received_us);
+        node.admission().report(report);
+    }
+    if let Some(refusal) = word
+        .refusal
+        .filter(|refusal| refusal.outcome != Outcome::NotRun)
+    {
+        return running.fail(TargetResult::Failed, refusal);
+    }
     let (parts, mut body) = response.into_parts();
-    let result = if is_shed(parts.status) {
+    let result = if word.is_shed {
         TargetResult::Shed
     } else {
         TargetResult::Answered
@@ -141,8 +153,8 @@
     match collect(&mut body, node.settings.buffered_answer_bytes).await {
         Err(_) => running.fail(TargetResult::Failed, Refusal::unknown(Reason::BadAnswer)),
         Ok(Collected::Whole(bytes)) => {
-            lease.keep();
-            if let Some(refusal) = shed {
+            lease.keep(word.idle_limit);
+            if let Some(refusal) = word.refusal {
                 return running.fail(result, refusal);
             }
             let unspent = running.end(result);
@@ -151,19 +163,31 @@
         }
         Ok(Collected::Larger(head)) => {
             let limit = Duration::from_micros(remaining_us);
-            let body = pump(head, body, limit, (running, lease), end_stream);
+            let guard = Stream {
+                running,
+                lease,
+                idle_limit: word.idle_limit,
+            };
+            let body = pump(head, body, limit, guard, end_stream);
             // The call still runs and may spend its allotment.
             (Ok(Answer::new(parts.status, parts.headers, body)), 0)
         }
     }
 }
 
-fn end_stream<P: Policies>((running, lease): (Running<P>, Lease), is_whole: bool) {
+/// What a streamed answer holds until its end.
+struct Stream<P: Policies> {
+    running: Running<P>,
+    lease: Lease,
+    idle_limit: Option<Duration>,
+}
+
+fn end_stream<P: Policies>(stream: Stream<P>, is_whole: bool) {
     if is_whole {
-        lease.keep();
-        running.end(TargetResult::Answered);
+        stream.lease.keep(stream.idle_limit);
+        stream.running.end(TargetResult::Answered);
     } else {
-        drop(lease);
-        running.end(TargetResult::Failed);
+        drop(stream.lease);
+        stream.running.end(TargetResult::Failed);
     }
 }
--- a/src/timer.rs
+++ b/src/timer.rs
@@ -1,6 +1,7 @@
 //! Timer service: parts subscribe to ticks instead of reading clocks.
 
 use {
+    nix::time::{ClockId, clock_gettime},
     std::time::{Duration, Instant, SystemTime, UNIX_EPOCH},
     tokio::time::{Interval, MissedTickBehavior},
     tokio_util::sync::CancellationToken,
@@ -35,6 +36,7 @@
 #[derive(Debug, Clone)]
 pub struct Timer {
     started: Instant,
+    booted: Duration,
     shutdown: CancellationToken,
 }
 
@@ -44,6 +46,7 @@
     pub fn new(shutdown: CancellationToken) -> Self {
         Self {
             started: Instant::now(),
+            booted: since_boot(),
             shutdown,
         }
     }
@@ -51,7 +54,8 @@
     /// Time now, more precise than the last tick.
     #[must_use]
     pub fn now_us(&self) -> u64 {
-        elapsed_us(self.started)
+        let elapsed = since_boot().saturating_sub(self.booted);
+        u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX)
     }
 
     /// Time now in milliseconds.
@@ -95,8 +99,13 @@
     }
 }
 
-fn elapsed_us(started: Instant) -> u64 {
-    u64::try_from(started.elapsed().as_micros()).unwrap_or(u64::MAX)
+/// Time since the instance booted, the time that it was suspended included.
+///
+/// The usual monotonic clock stands still while an instance is suspended. A
+/// lease counted on it would outlive its time: a node that wakes up would go on
+/// honouring a key that was taken away meanwhile.
+fn since_boot() -> Duration {
+    clock_gettime(ClockId::CLOCK_BOOTTIME).map_or(Duration::ZERO, Duration::from)
 }
 
 /// Wall-clock time in milliseconds since the Unix epoch.
--- a/tests/local_mesh/mesh.rs
+++ b/tests/local_mesh/mesh.rs
@@ -9,6 +9,7 @@
     dogwoodbridge::{
         admission::AdmitAll,
         conf::{RouteRules, Running, ServiceRules, WorkspaceRules},
+        dialect::Native,
         freshness::{Freshness, Snapshot},
         keys::KeyDigest,
         membership::{Member, MemberPorts, MemberState, OwnState, View},
@@ -233,6 +234,7 @@
     let (own_state, _) = watch::channel(OwnState::default());
     let node = TestNode::new(NodeInputs {
         guard: LocalGuard::new(&settings.node_id, homes),
+        dialect: Native,
         settings,
         names,
         quota: LocalQuota::new(timer.clone()),
--- a/tests/peer_faults.rs
+++ b/tests/peer_faults.rs
@@ -7,7 +7,7 @@
 use {
     dogwoodbridge::{
         keys::KeyDigest,
-        model::{Class, Names, RequestContext},
+        model::{Class, Names, RequestContext, RequestId},
         peer::{ContentDigest, FleetAuth, ReceivedContext, decode_context, encode_context},
     },
     hyper::header::HeaderValue,
@@ -20,7 +20,6 @@
         io::{AsyncReadExt, AsyncWriteExt},
         net::TcpListener,
     },
-    uuid::Uuid,
 };
 
 const CALL_COUNT: usize = 30;
@@ -181,7 +180,7 @@
 
 fn context(names: &Names) -> RequestContext {
     RequestContext {
-        request_id: Uuid::from_u128(7),
+        request_id: RequestId::new("7").unwrap(),
         workspace: names.workspace("tally"),
         key: KeyDigest::of_key("tally-key-1"),
         service: names.service("orders"),
--- a/tests/peer_seams.rs
+++ b/tests/peer_seams.rs
@@ -7,7 +7,7 @@
     capnp::{message, serialize},
     dogwoodbridge::{
         keys::KeyDigest,
-        model::{Class, RequestContext},
+        model::{Class, RequestContext, RequestId},
         peer::{ContentDigest, FleetAuth, MAX_CONTEXT_AGE_MS, ReceivedContext, encode_context},
         schema::peer_capnp,
         timer::unix_ms,
@@ -17,7 +17,6 @@
         client::{self, Seen},
         mesh::{KEY, Mesh, SECRET, digest},
     },
-    uuid::Uuid,
 };
 
 const PATH: &str = "/once/echo";
@@ -35,7 +34,7 @@
 fn recorded(mesh: &Mesh, secret: &str, attempt_id: u64, sent_unix_ms: u64) -> Recorded {
     let names = &mesh[0].node.names;
     let context = RequestContext {
-        request_id: Uuid::from_u128(7),
+        request_id: RequestId::new("7").unwrap(),
         workspace: names.workspace("tally"),
         key: KeyDigest::of_key(KEY),
         service: names.service("a"),
--- a/tests/routing_zone.rs
+++ b/tests/routing_zone.rs
@@ -322,7 +322,10 @@
         failed_count += usize::from(result == AttemptResult::Failed);
         fixture.end(target, result, latency_us);
     }
-    assert!(failed_count <= 5, "{failed_count} attempts at a broken target");
+    assert!(
+        failed_count <= 5,
+        "{failed_count} attempts at a broken target"
+    );
     let changes = fixture.router.tick(fixture.now_us);
     assert_eq!(changes, [(fixture.targets[0], true)]);
 }
