--- a/benches/quota.rs
+++ b/benches/quota.rs
@@ -5,7 +5,7 @@
         freshness::{Freshness, Snapshot},
         guard::{Finish, GuardTable, GuardTime, History, KeyedRequest, StoredAnswer},
         membership::{Member, MemberPorts, MemberState, View},
-        model::{Names, WorkspaceKey},
+        model::{Class, Names, WorkspaceKey},
         quota::{self, QuotaGate, QuotaInputs, Rate, Rates},
         rpc,
         slices::{Observed, Planner, SliceIndex, SliceTable, Slot},
@@ -93,7 +93,7 @@
     let started = Instant::now();
     let mut admitted_count = 0;
     for _ in 0..ADMIT_COUNT {
-        admitted_count += u32::from(quota.admit(workspace, RATE).await.is_ok());
+        admitted_count += u32::from(quota.admit(workspace, RATE, Class::Standard).await.is_ok());
     }
     report(
         "admit, asks of the bank included",
--- a/src/daemon/hosted/configuration.rs
+++ b/src/daemon/hosted/configuration.rs
@@ -10,36 +10,24 @@
     },
     std::{fmt::Display, sync::Arc},
     tokio::sync::watch,
-    tokio_util::sync::CancellationToken,
 };
 
-/// Starts the task that decodes each new content and puts it into force.
-///
-/// Versions only rise: content that is older than what is in force is left
-/// alone, so that no request is decided by rules that were withdrawn.
-pub fn spawn<E: Display + Send + 'static>(
-    mut object: watch::Receiver<Option<StoredObject>>,
+/// Gives the function that decodes each new content and puts it into force,
+/// and what is in force.
+pub fn in_force<E: Display + Send + 'static>(
     decode: fn(&[u8]) -> Result<HostedConfiguration, E>,
     names: Names,
-    shutdown: &CancellationToken,
-) -> watch::Receiver<Arc<Running>> {
+) -> (
+    impl FnMut(&StoredObject) + Send + 'static,
+    watch::Receiver<Arc<Running>>,
+) {
     let (sender, receiver) = watch::channel(Arc::new(Running::default()));
-    let shutdown = shutdown.clone();
-    tokio::spawn(async move {
-        loop {
-            let content = object.borrow_and_update().clone();
-            if let Some(content) = content {
-                put_into_force(&sender, &content, decode, &names);
-            }
-            tokio::select! {
-                () = shutdown.cancelled() => return,
-                changed = object.changed() => if changed.is_err() { return },
-            }
-        }
-    });
-    receiver
+    let apply = move |object: &StoredObject| put_into_force(&sender, object, decode, &names);
+    (apply, receiver)
 }
 
+/// Versions only rise: content that is older than what is in force is left
+/// alone, so that no request is decided by rules that were withdrawn.
 fn put_into_force<E: Display>(
     sender: &watch::Sender<Arc<Running>>,
     object: &StoredObject,
--- a/src/daemon/hosted/discovery.rs
+++ b/src/daemon/hosted/discovery.rs
@@ -33,6 +33,9 @@
 #[derives::record]
 #[derive(Eq, Default)]
 struct SeedsRecord {
+    /// Nodes of the zone when it was written.
+    #[serde(default)]
+    member_count: usize,
     addresses: BTreeSet<SocketAddr>,
 }
 
@@ -44,9 +47,11 @@
     view: watch::Receiver<Arc<View>>,
     to_gossip: mpsc::Sender<Vec<SocketAddr>>,
     read_ms: Option<u64>,
+    expected_count: watch::Sender<usize>,
 }
 
-/// Starts reading and keeping the objects until `shutdown`.
+/// Starts reading and keeping the objects until `shutdown`; tells how many
+/// nodes they speak of.
 pub fn spawn<S: ObjectStore>(
     settings: &Settings,
     store: S,
@@ -54,7 +59,8 @@
     to_gossip: mpsc::Sender<Vec<SocketAddr>>,
     timer: &Timer,
     shutdown: CancellationToken,
-) {
+) -> watch::Receiver<usize> {
+    let (expected_count, expected) = watch::channel(1);
     let mut discovery = Discovery {
         node_id: settings.node_id.clone(),
         zone: settings.zone.clone(),
@@ -63,6 +69,7 @@
         view,
         to_gossip,
         read_ms: None,
+        expected_count,
     };
     let mut ticks = timer.subscribe(ALONE_PERIOD_MS);
     tokio::spawn(async move {
@@ -76,6 +83,7 @@
             }
         }
     });
+    expected
 }
 
 impl<S: ObjectStore> Discovery<S> {
@@ -99,6 +107,11 @@
                 return;
             }
         };
+        let counts = listing
+            .objects
+            .iter()
+            .map(|object| read(object).member_count);
+        self.expected_count.send_replace(counts.sum());
         let known: BTreeSet<SocketAddr> = listing
             .objects
             .iter()
@@ -121,8 +134,10 @@
     /// Writes the zone's addresses if they have changed.
     async fn keep(&self, object: Option<&StoredObject>) {
         let wanted = self.zone_addresses();
+        let member_count = wanted.len();
         let held = object.map(read).unwrap_or_default();
-        let is_kept = held.addresses.len() >= wanted.len().min(ADDRESSES_PER_ZONE)
+        let is_kept = held.member_count == member_count
+            && held.addresses.len() >= wanted.len().min(ADDRESSES_PER_ZONE)
             && held
                 .addresses
                 .iter()
@@ -134,7 +149,10 @@
         let condition = object.map_or(Condition::Absent, |object| {
             Condition::Revision(object.revision)
         });
-        let content = match serde_json::to_vec(&SeedsRecord { addresses }) {
+        let content = match serde_json::to_vec(&SeedsRecord {
+            member_count,
+            addresses,
+        }) {
             Ok(content) => content,
             Err(error) => {
                 log::error!(target: "dogwood", "seeds cannot be written: {error}");
--- a/src/daemon/hosted/mod.rs
+++ b/src/daemon/hosted/mod.rs
@@ -13,8 +13,9 @@
         membership::{Gossip, GossipInputs, OwnState},
         model::Names,
         node::{Node, NodeInputs, PolicySet, start},
-        objects::{FollowerBounds, ObjectStore, follow},
-        quota::DividedQuota,
+        objects::{FollowedName, FollowerBounds, ObjectStore, follow},
+        peer::FleetAuth,
+        quota::{DividedQuota, SharingInputs, spawn_sharing},
         retry::ChainBudget,
         routing::ZoneRouter,
         settings::Settings,
@@ -22,7 +23,7 @@
         timer::{Timer, unix_ms},
     },
     no_guard::NoGuard,
-    std::sync::Arc,
+    std::{net::SocketAddr, sync::Arc},
     tokio::sync::{mpsc, watch},
     tokio_util::sync::CancellationToken,
 };
@@ -47,10 +48,8 @@
     pub dialect: D,
     /// The deployment's object store.
     pub store: S,
-    /// Kind of the object that holds the configuration.
-    pub configuration_kind: String,
-    /// Its name.
-    pub configuration_name: String,
+    /// The object that holds the configuration.
+    pub configuration: FollowedName,
     /// Decodes its content.
     pub decode: fn(&[u8]) -> Result<HostedConfiguration, E>,
     /// How long after its removal a key may be honoured, in milliseconds.
@@ -83,7 +82,7 @@
         started_unix_ms: unix_ms(),
     };
     let gossip = Gossip::spawn(&settings, timer.clone(), gossip_inputs, shutdown.clone()).await?;
-    discovery::spawn(
+    let expected_count = discovery::spawn(
         &settings,
         parts.store.clone(),
         gossip.view.clone(),
@@ -97,24 +96,40 @@
             .revocation_limit_ms
             .saturating_sub(REVOCATION_MARGIN_MS),
     };
-    let followed = follow(
+    let (apply, running) = configuration::in_force(parts.decode, names.clone());
+    let freshness = follow(
         parts.store,
-        &parts.configuration_kind,
-        &parts.configuration_name,
+        parts.configuration,
         bounds,
+        apply,
         timer.clone(),
         shutdown.clone(),
     );
-    let running = configuration::spawn(followed.object, parts.decode, names.clone(), &shutdown);
+    let quota = DividedQuota::new(timer.clone());
+    let address = SocketAddr::new(settings.ip, settings.rpc_port);
+    let sharing = SharingInputs {
+        node_id: settings.node_id.clone(),
+        address,
+        port: settings.rpc_port,
+        auth: FleetAuth::new(&settings.fleet_secret),
+        timer: timer.clone(),
+        names: names.clone(),
+        view: gossip.view.clone(),
+        expected_count,
+        rates: super::inputs::rates(running.clone(), &shutdown),
+    };
+    spawn_sharing(sharing, quota.clone(), shutdown.clone())
+        .await
+        .map_err(|source| DaemonError::Rpc { address, source })?;
     let node = Node::<HostedPolicies<D>>::new(NodeInputs {
         settings,
         names,
-        quota: DividedQuota::new(timer.clone(), gossip.view.clone()),
+        quota,
         timer,
         running,
         view: gossip.view.clone(),
         own_state,
-        freshness: followed.freshness,
+        freshness,
         guard: NoGuard,
         dialect: parts.dialect,
     });
--- a/src/events.rs
+++ b/src/events.rs
@@ -44,6 +44,7 @@
     DrainStarted = 103, Info, "The node takes no new work; running work ends.";
     DrainEnded = 104, Info, "Running work has ended and the node leaves.";
     SettingRejected = 105, Error, "A setting is not valid; the node does not start.";
+    SettingsReloaded = 106, Info, "The settings file was read again.";
     ConfigurationInForce = 200, Info, "A revision of the configuration is in force on this node.";
     ConfigurationRejected = 201, Error, "A configuration could not be read and is ignored.";
     ConfigurationFromNeighbour = 202, Info, "The configuration came from another node.";
@@ -72,6 +73,7 @@
     BankChosen = 500, Debug, "Another node became the bank of a workspace.";
     SlicesMoved = 501, Info, "Slices of the slice table changed their owner.";
     SlotSuspected = 502, Warn, "A slot is marked as suspected in the slice table.";
+    DividerSilent = 504, Info, "The node that divides the quota does not answer; the next one is asked.";
     FreshnessChanged = 503, Warn, "The node's freshness state changed.";
     GuardUnsure = 510, Warn, "An idempotency key's history is not known; the request is not executed.";
     ControlRequest = 600, Info, "An operator's request was carried out.";
--- a/src/ingress/serve.rs
+++ b/src/ingress/serve.rs
@@ -166,7 +166,10 @@
         return Ok((node.names.workspace(ANONYMOUS), KeyDigest::NONE));
     };
     let rules = &tenant.rules;
-    let quota = node.quota.admit(rules.workspace, rules.rate).await;
+    let quota = node
+        .quota
+        .admit(rules.workspace, rules.rate, asked.class)
+        .await;
     quota.map_err(|refusal| Rejection::new(refusal, "the workspace is over its rate"))?;
     // Looks at the key again after waiting for body and quota: it may have
     // been revoked in the meantime.
--- a/src/objects/follower.rs
+++ b/src/objects/follower.rs
@@ -17,7 +17,7 @@
 const FIRST_BACKOFF_MS: u64 = 50;
 /// Longest pause after failed calls; a store that is back is noticed within
 /// it.
-const LONGEST_BACKOFF_MS: u64 = 400;
+const LONGEST_BACKOFF_MS: u64 = 800;
 
 /// Times by which the follower goes.
 #[derives::value]
@@ -31,38 +31,49 @@
     pub confirmed_ms: u64,
 }
 
-/// What is known of the object.
-#[derive(Debug, Clone)]
-pub struct Followed {
-    /// The object as it was last read; `None` until it was.
-    pub object: watch::Receiver<Option<StoredObject>>,
-    /// How far it may be relied on.
-    pub freshness: watch::Receiver<Snapshot>,
+/// The object that is followed.
+#[derives::value]
+#[derive(Eq)]
+pub struct FollowedName {
+    /// Kind.
+    pub kind: String,
+    /// Name within the kind.
+    pub name: String,
 }
 
-/// Follows an object until `shutdown`.
+/// Follows an object until `shutdown`; tells how far what `apply` was given may
+/// be relied on.
+///
+/// `apply` takes each new content before it is confirmed: were it put into
+/// force by another task, a request in between would be decided by the old
+/// content under the new confirmation, and a key that was taken away long ago
+/// would be honoured.
 ///
 /// A watch that tells nothing does not confirm anything: while the store drops
 /// its history, a watch hears nothing of changes, and a key that was taken
 /// away would go on being honoured. Only a plain read does, counted from when
 /// it was sent, since its answer may have been under way for long.
-pub fn follow<S: ObjectStore>(
+pub fn follow<S, A>(
     store: S,
-    kind: &str,
-    name: &str,
+    followed: FollowedName,
     bounds: FollowerBounds,
+    apply: A,
     timer: Timer,
     shutdown: CancellationToken,
-) -> Followed {
-    let (object_sender, object) = watch::channel(None);
+) -> watch::Receiver<Snapshot>
+where
+    S: ObjectStore,
+    A: FnMut(&StoredObject) + Send + 'static,
+{
     let (freshness_sender, freshness) = watch::channel(Snapshot::cut_off());
     let follower = Follower {
         store,
-        kind: kind.to_owned(),
-        name: name.to_owned(),
+        kind: followed.kind,
+        name: followed.name,
         bounds,
         timer,
-        object: object_sender,
+        applied_revision: 0,
+        apply,
         freshness: freshness_sender,
         is_lost: false,
     };
@@ -72,21 +83,22 @@
             () = follower.run() => {}
         }
     });
-    Followed { object, freshness }
+    freshness
 }
 
-struct Follower<S> {
+struct Follower<S, A> {
     store: S,
     kind: String,
     name: String,
     bounds: FollowerBounds,
     timer: Timer,
-    object: watch::Sender<Option<StoredObject>>,
+    applied_revision: u64,
+    apply: A,
     freshness: watch::Sender<Snapshot>,
     is_lost: bool,
 }
 
-impl<S: ObjectStore> Follower<S> {
+impl<S: ObjectStore, A: FnMut(&StoredObject)> Follower<S, A> {
     async fn run(mut self) {
         let mut backoff = Backoff::new(FIRST_BACKOFF_MS, LONGEST_BACKOFF_MS);
         loop {
@@ -100,11 +112,11 @@
     }
 
     /// One plain listing and one watch.
-    async fn turn(&self) -> Result<(), StoreError> {
+    async fn turn(&mut self) -> Result<(), StoreError> {
         let sent_ms = self.timer.now_ms();
         let listing = self.store.list(&self.kind).await?;
         for object in listing.objects {
-            self.take(object);
+            self.take(&object);
         }
         self.confirm(sent_ms);
         // A watch must go on from the listing's revision: the object's own may
@@ -115,7 +127,7 @@
             .await?;
         for change in changes.changes {
             match change {
-                Change::Put(object) => self.take(object),
+                Change::Put(object) => self.take(&object),
                 Change::Removed(_) => {}
             }
         }
@@ -124,19 +136,12 @@
 
     /// Takes over what is newer than what is held; a read that was overtaken
     /// by a watch must not bring the older content back.
-    fn take(&self, object: StoredObject) {
-        if object.name != self.name {
+    fn take(&mut self, object: &StoredObject) {
+        if object.name != self.name || object.revision <= self.applied_revision {
             return;
         }
-        self.object.send_if_modified(|held| {
-            let is_newer = held
-                .as_ref()
-                .is_none_or(|held| held.revision < object.revision);
-            if is_newer {
-                *held = Some(object);
-            }
-            is_newer
-        });
+        self.applied_revision = object.revision;
+        (self.apply)(object);
     }
 
     fn confirm(&self, sent_ms: u64) {
--- a/src/objects/mod.rs
+++ b/src/objects/mod.rs
@@ -6,7 +6,7 @@
 
 mod follower;
 
-pub use follower::{Followed, FollowerBounds, follow};
+pub use follower::{FollowedName, FollowerBounds, follow};
 
 use std::future::Future;
 
--- a/src/peer/headers.rs
+++ b/src/peer/headers.rs
@@ -123,6 +123,18 @@
         self.mac_of(parts).verify_slice(&tag).is_ok()
     }
 
+    /// Tag that proves a datagram.
+    #[must_use]
+    pub fn tag(&self, content: &[u8]) -> [u8; 32] {
+        self.mac_of(&[content]).finalize().into_bytes().into()
+    }
+
+    /// Whether the tag proves the datagram.
+    #[must_use]
+    pub fn is_tagged(&self, content: &[u8], tag: &[u8]) -> bool {
+        self.mac_of(&[content]).verify_slice(tag).is_ok()
+    }
+
     fn mac_of(&self, parts: &[&[u8]]) -> Hmac<Sha256> {
         let mut mac = self.mac.clone();
         for part in parts {
--- a/src/quota/divided.rs
+++ b/src/quota/divided.rs
@@ -1,74 +1,182 @@
-//! Quota by shares of the fleet's nodes, without calls on the request path.
+//! Quota of a node by its share of the fleet's rates, without calls on the
+//! request path.
 
 use {
-    super::{QuotaGate, Rate, Share, ShareBucket},
+    super::{Demand, LEASE_US, QuotaGate, Rate, Rates, Share, ShareBucket},
     crate::{
-        membership::{MemberState, View},
-        model::{Reason, Refusal, WorkspaceKey},
+        model::{Class, Names, Reason, Refusal, WorkspaceKey},
         timer::Timer,
     },
     std::{
         collections::HashMap,
-        sync::{Arc, Mutex},
+        sync::{Arc, Mutex, MutexGuard},
     },
-    tokio::sync::watch,
 };
 
 /// Longest time after which a caller over its rate is told to come back; by
 /// then shares have moved to where the demand is.
 const LONGEST_RETRY_MS: u32 = 1000;
 
+/// Level of its bucket, as a part of the burst, below which a workspace's
+/// requests of a class are refused. A workspace's own reads would otherwise
+/// use up the rate that its orders need.
+const RESERVED_RATIOS: [(Class, f64); 3] = [
+    (Class::Browse, 0.3),
+    (Class::Standard, 0.15),
+    (Class::Critical, 0.0),
+];
+
+/// A share that a divider granted.
+#[derive(Debug, Clone, Copy)]
+struct Grant {
+    share: Share,
+    until_us: u64,
+}
+
+#[derive(Debug)]
+struct Account {
+    rate: Rate,
+    grant: Option<Grant>,
+    bucket: ShareBucket,
+    demand: Demand,
+}
+
+#[derive(Debug)]
+struct State {
+    member_count: usize,
+    accounts: HashMap<WorkspaceKey, Account>,
+}
+
 /// Each node admits its share of a workspace's rate; clones share their state.
-#[derive(Clone)]
+#[derive(Debug, Clone)]
 pub struct DividedQuota {
     timer: Timer,
-    view: watch::Receiver<Arc<View>>,
-    buckets: Arc<Mutex<HashMap<WorkspaceKey, (Share, ShareBucket)>>>,
+    state: Arc<Mutex<State>>,
 }
 
 impl DividedQuota {
-    /// Quota of a node with these members beside it.
+    /// Quota of a node that knows of no other.
     #[must_use]
-    pub fn new(timer: Timer, view: watch::Receiver<Arc<View>>) -> Self {
+    pub fn new(timer: Timer) -> Self {
+        let state = State {
+            member_count: 1,
+            accounts: HashMap::new(),
+        };
         Self {
             timer,
-            view,
-            buckets: Arc::default(),
+            state: Arc::new(Mutex::new(state)),
+        }
+    }
+
+    /// Sets how many nodes share each rate.
+    pub fn set_member_count(&self, member_count: usize) {
+        self.lock().member_count = member_count.max(1);
+    }
+
+    /// Nodes that share each rate.
+    #[must_use]
+    pub fn member_count(&self) -> usize {
+        self.lock().member_count
+    }
+
+    /// Ends a period; demand for each workspace, by name.
+    #[must_use]
+    pub fn end_period(&self, period_ms: u64, names: &Names) -> HashMap<String, f64> {
+        let mut state = self.lock();
+        let accounts = state.accounts.iter_mut();
+        accounts
+            .map(|(workspace, account)| {
+                let demand_per_s = account.demand.end_period(period_ms);
+                (names.workspace_name(*workspace), demand_per_s)
+            })
+            .collect()
+    }
+
+    /// A divider granted a share in reply to a report that was sent then.
+    pub fn granted(&self, workspace: WorkspaceKey, share: Share, sent_us: u64) {
+        let now_us = self.timer.now_us();
+        if let Some(account) = self.lock().accounts.get_mut(&workspace) {
+            account.grant = Some(Grant {
+                share,
+                until_us: sent_us + LEASE_US,
+            });
+            account.bucket.set_share(share, now_us);
+        }
+    }
+
+    /// Follows changed rates; a lower one binds at once, before the next grant.
+    pub fn set_rates(&self, rates: &Rates) {
+        let now_us = self.timer.now_us();
+        let mut state = self.lock();
+        let member_count = state.member_count;
+        state
+            .accounts
+            .retain(|workspace, _| rates.contains_key(workspace));
+        for (workspace, account) in &mut state.accounts {
+            let Some(rate) = rates.get(workspace).filter(|rate| **rate != account.rate) else {
+                continue;
+            };
+            account.rate = *rate;
+            account.grant = None;
+            let share = even_share(*rate, member_count);
+            account.bucket.set_share(share, now_us);
         }
     }
 
-    fn share(&self, rate: Rate) -> Share {
-        let view = self.view.borrow();
-        let members = view
-            .members
-            .iter()
-            .filter(|member| member.state != MemberState::Left);
-        let part = 1.0 / members.count().max(1) as f64;
-        Share {
-            rate_per_s: f64::from(rate.rate_per_s) * part,
-            burst_count: f64::from(rate.burst_count) * part,
+    fn take(
+        &self,
+        workspace: WorkspaceKey,
+        rate: Rate,
+        class: Class,
+        now_us: u64,
+    ) -> Result<(), u32> {
+        let mut state = self.lock();
+        let even = even_share(rate, state.member_count);
+        let account = state.accounts.entry(workspace).or_insert_with(|| Account {
+            rate,
+            grant: None,
+            bucket: ShareBucket::new(even, now_us),
+            demand: Demand::default(),
+        });
+        account.demand.count();
+        if account.grant.is_some_and(|grant| now_us >= grant.until_us) {
+            account.grant = None;
         }
+        let share = account.grant.map_or(even, |grant| grant.share);
+        account.bucket.set_share(share, now_us);
+        account.bucket.take(reserved_ratio(class), now_us)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder of the lock panics")
     }
 }
 
 impl QuotaGate for DividedQuota {
-    async fn admit(&self, workspace: WorkspaceKey, rate: Rate) -> Result<(), Refusal> {
+    async fn admit(
+        &self,
+        workspace: WorkspaceKey,
+        rate: Rate,
+        class: Class,
+    ) -> Result<(), Refusal> {
         if rate.rate_per_s == 0 {
             return Ok(());
         }
-        let share = self.share(rate);
         let now_us = self.timer.now_us();
-        let mut buckets = self.buckets.lock().expect("no holder of the lock panics");
-        let (known, bucket) = buckets
-            .entry(workspace)
-            .or_insert_with(|| (share, ShareBucket::new(share, now_us)));
-        if *known != share {
-            *known = share;
-            bucket.set_share(share, now_us);
-        }
-        bucket.take(now_us).map_err(|wait_ms| {
-            let wait_ms = wait_ms.min(LONGEST_RETRY_MS);
-            Refusal::not_run(Reason::OverQuota).with_retry_after_ms(wait_ms)
-        })
+        self.take(workspace, rate, class, now_us)
+            .map_err(|wait_ms| {
+                let wait_ms = wait_ms.min(LONGEST_RETRY_MS);
+                Refusal::not_run(Reason::OverQuota).with_retry_after_ms(wait_ms)
+            })
     }
 }
+
+fn even_share(rate: Rate, member_count: usize) -> Share {
+    Share::of(rate, 1.0 / member_count.max(1) as f64)
+}
+
+fn reserved_ratio(class: Class) -> f64 {
+    let mut ratios = RESERVED_RATIOS.iter();
+    let ratio = ratios.find(|(other, _)| *other == class);
+    ratio.map_or(0.0, |(_, ratio)| *ratio)
+}
--- a/src/quota/gate.rs
+++ b/src/quota/gate.rs
@@ -7,7 +7,7 @@
     crate::{
         freshness::Snapshot,
         membership::View,
-        model::{Names, Reason, Refusal, WorkspaceKey},
+        model::{Class, Names, Reason, Refusal, WorkspaceKey},
         rpc::RpcClient,
         slices::{Section, SliceIndex, SliceTable, Slot},
         timer::Timer,
@@ -281,7 +281,12 @@
         !self.lock().owner_ids.is_empty()
     }
 
-    async fn admit(&self, workspace: WorkspaceKey, rate: Rate) -> Result<(), Refusal> {
+    async fn admit(
+        &self,
+        workspace: WorkspaceKey,
+        rate: Rate,
+        _class: Class,
+    ) -> Result<(), Refusal> {
         let is_admitted = match self.begin(workspace) {
             Local::Admitted => true,
             Local::Empty => false,
--- a/src/quota/mod.rs
+++ b/src/quota/mod.rs
@@ -3,7 +3,9 @@
 mod bank;
 mod banking;
 mod bucket;
+mod demand;
 mod divided;
+mod division;
 mod gate;
 mod ledger;
 pub mod limits;
@@ -12,12 +14,15 @@
 mod purse;
 mod route;
 mod share;
+mod sharing;
 mod violations;
 
 pub use {
     bank::{Bank, OwnerAsk},
     bucket::{Bucket, capacity},
+    demand::Demand,
     divided::DividedQuota,
+    division::{Division, LEASE_US},
     gate::{LeasedQuota, QuotaInputs, Rates, spawn},
     messages::{
         BankRef, BorrowAnswer, BorrowAsk, Estate, EstateLease, LeaseAnswer, LeaseAsk, Process,
@@ -26,10 +31,11 @@
     purse::Purse,
     route::banks,
     share::{Share, ShareBucket},
+    sharing::{SharingInputs, spawn_sharing},
     violations::{Violation, window_violations},
 };
 
-use crate::model::{Refusal, WorkspaceKey};
+use crate::model::{Class, Refusal, WorkspaceKey};
 
 /// Units of a bucket's level that make one token: a share of one slice accrues
 /// whole units in each microsecond, so that no sum of shares is ever rounded.
@@ -53,11 +59,12 @@
         true
     }
 
-    /// Admits one request or says when to come back. May ask a neighbour once,
+    /// Admits one request of a class or says when to come back. May ask a neighbour once,
     /// within a small time limit.
     fn admit(
         &self,
         workspace: WorkspaceKey,
         rate: Rate,
+        class: Class,
     ) -> impl Future<Output = Result<(), Refusal>> + Send;
 }
--- a/tests/local_mesh/alone.rs
+++ b/tests/local_mesh/alone.rs
@@ -3,7 +3,7 @@
 use {
     dogwoodbridge::{
         guard::{Begin, Finish, GuardKey, KeyedRequest, StoredAnswer},
-        model::{Reason, Refusal, WorkspaceKey},
+        model::{Class, Reason, Refusal, WorkspaceKey},
         node::{Home, KeyGuard},
         quota::{QuotaGate, Rate},
         timer::Timer,
@@ -62,7 +62,12 @@
 }
 
 impl QuotaGate for LocalQuota {
-    async fn admit(&self, workspace: WorkspaceKey, rate: Rate) -> Result<(), Refusal> {
+    async fn admit(
+        &self,
+        workspace: WorkspaceKey,
+        rate: Rate,
+        _class: Class,
+    ) -> Result<(), Refusal> {
         self.take(workspace, rate, self.timer.now_us())
     }
 }
--- a/tests/quota_fleet.rs
+++ b/tests/quota_fleet.rs
@@ -8,7 +8,7 @@
         freshness::{Freshness, Snapshot},
         guard::{Begin, Finish, GuardHome, KeyedRequest, StoredAnswer},
         membership::{Member, MemberPorts, MemberState, View},
-        model::{Names, Reason, WorkspaceKey},
+        model::{Class, Names, Reason, WorkspaceKey},
         quota::{self, LeasedQuota, QuotaGate, QuotaInputs, Rate, Rates},
         rpc::{self, CallKind, DocumentSource, NodeHandlers, RpcClient, RpcConfig},
         settings::Settings,
@@ -240,7 +240,7 @@
 }
 
 async fn admit_at_once(node: &TestNode, count: usize) -> usize {
-    let requests = (0..count).map(|_| node.quota.admit(node.workspace, RATE));
+    let requests = (0..count).map(|_| node.quota.admit(node.workspace, RATE, Class::Standard));
     let admitted = futures::future::join_all(requests).await;
     admitted.into_iter().filter(Result::is_ok).count()
 }
@@ -269,7 +269,11 @@
     let over = admit_at_once(node, 300).await;
     assert!(over < 200, "{over} more at once");
     let refusal = loop {
-        if let Err(refusal) = node.quota.admit(node.workspace, RATE).await {
+        if let Err(refusal) = node
+            .quota
+            .admit(node.workspace, RATE, Class::Standard)
+            .await
+        {
             break refusal;
         }
     };
@@ -300,9 +304,19 @@
     fleet.show_state(dead, MemberState::Dead);
     let node = &fleet.nodes[survivor];
     // Spends what the node has borrowed ahead.
-    while node.quota.admit(node.workspace, RATE).await.is_ok() {}
+    while node
+        .quota
+        .admit(node.workspace, RATE, Class::Standard)
+        .await
+        .is_ok()
+    {}
     let mut refused_count = 0;
-    while node.quota.admit(node.workspace, RATE).await.is_err() {
+    while node
+        .quota
+        .admit(node.workspace, RATE, Class::Standard)
+        .await
+        .is_err()
+    {
         refused_count += 1;
         tokio::time::sleep(Duration::from_millis(5)).await;
         assert!(refused_count < 6000, "no other bank serves");
