Read callers ahead, bound drains and retries as the platform asks

Cause: the HTTP library reads nothing while a request is answered and another waits in its buffer, so a caller's leaving stays unseen. A drained target's queue ran until 2.5 s after its notice, the platform allows 2 s. Retries without first attempts (10 a node and service) add up to 160 over 16 nodes, the platform allows 48.

Attempts refused before the target cost no retry.

--- a/src/daemon/hosted/mod.rs
+++ b/src/daemon/hosted/mod.rs
@@ -54,8 +54,6 @@
     pub decode: fn(&[u8]) -> Result<HostedConfiguration, E>,
     /// How long after its removal a key may be honoured, in milliseconds.
     pub revocation_limit_ms: u64,
-    /// Time that a node has for its planned stop, in milliseconds.
-    pub stop_limit_ms: u64,
 }
 
 /// Runs a hosted node until it has drained.
--- a/src/egress/attempts.rs
+++ b/src/egress/attempts.rs
@@ -88,7 +88,7 @@
         // retries of a service with little traffic, and callers would see
         // refusals although another target is idle. Nothing ran, so nothing
         // can multiply.
-        if never_reached(refusal) && free_pick_count < FREE_PICK_COUNT {
+        if never_reached(refusal) && !may_have_run && free_pick_count < FREE_PICK_COUNT {
             free_pick_count += 1;
             continue;
         }
@@ -104,9 +104,14 @@
     }
 }
 
-/// Whether no connection led to the target.
+/// Whether the attempt ended before the target: no connection led to it, or its
+/// node sends no more work there.
 fn never_reached(refusal: Refusal) -> bool {
-    refusal.outcome == Outcome::NotRun && refusal.reason == Reason::ConnectionLost
+    let is_before_target = matches!(
+        refusal.reason,
+        Reason::ConnectionLost | Reason::Draining | Reason::NoTarget
+    );
+    refusal.outcome == Outcome::NotRun && is_before_target
 }
 
 /// Whether sending again can help and cannot execute the request twice.
@@ -119,6 +124,7 @@
             | Reason::ConnectionLost
             | Reason::BadAnswer
             | Reason::TooManyConnections
+            | Reason::TargetShed
     );
     // A target that its own node has just lost: others may be left.
     let lost_target = refusal.reason == Reason::NoTarget;
--- a/src/events.rs
+++ b/src/events.rs
@@ -73,8 +73,8 @@
     BankChosen = 500, Debug, "Another node became the bank of a workspace.";
     SlicesMoved = 501, Info, "Slices of the slice table changed their owner.";
     SlotSuspected = 502, Warn, "A slot is marked as suspected in the slice table.";
-    DividerSilent = 504, Info, "The node that divides the quota does not answer; the next one is asked.";
     FreshnessChanged = 503, Warn, "The node's freshness state changed.";
+    DividerSilent = 504, Info, "The node that divides the quota does not answer; the next one is asked.";
     GuardUnsure = 510, Warn, "An idempotency key's history is not known; the request is not executed.";
     ControlRequest = 600, Info, "An operator's request was carried out.";
     ControlRejected = 601, Warn, "An operator's request was rejected.";
--- a/src/exchange/listener.rs
+++ b/src/exchange/listener.rs
@@ -1,7 +1,7 @@
 //! Accepting connections and serving them until the node drains.
 
 use {
-    super::{AnswerBody, refusal_response},
+    super::{AnswerBody, prefetch::prefetch, refusal_response},
     crate::model::{Reason, Refusal},
     http_body_util::BodyExt,
     hyper::{Request, Response, Version, body::Incoming, service::service_fn},
@@ -132,12 +132,19 @@
     let usage = Arc::new(Usage::default());
     let used = Arc::clone(&usage);
     let service = service_fn(move |request: Request<Incoming>| {
-        used.record(request.version());
+        let working = Working::new(&used, request.version());
         let answer = handle(request);
-        async move { Ok::<_, Infallible>(answer.await) }
+        async move {
+            let answer = answer.await;
+            drop(working);
+            Ok::<_, Infallible>(answer)
+        }
     });
     let builder = builder(limits);
+    let (stream, ahead) = prefetch(stream);
     let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    let mut caller_left = pin!(ahead.run());
+    let mut has_left = false;
     let mut first_request = pin!(tokio::time::sleep(limits.header_timeout));
     let mut end = pin!(end_of_requests(&closing, &usage));
     let mut is_checked = false;
@@ -145,6 +152,14 @@
     loop {
         tokio::select! {
             _ = connection.as_mut() => return,
+            () = caller_left.as_mut(), if !has_left => {
+                has_left = true;
+                // Nobody will read the answer. Dropping the connection cancels
+                // the request with all that is done for it.
+                if usage.working_count() > 0 {
+                    return;
+                }
+            }
             () = end.as_mut(), if !is_told => {
                 is_told = true;
                 connection.as_mut().graceful_shutdown();
@@ -183,6 +198,7 @@
 #[derive(Debug, Default)]
 struct Usage {
     requests: AtomicUsize,
+    working: AtomicUsize,
     is_http2: AtomicBool,
 }
 
@@ -196,6 +212,27 @@
     fn request_count(&self) -> usize {
         self.requests.load(Ordering::Relaxed)
     }
+
+    fn working_count(&self) -> usize {
+        self.working.load(Ordering::Relaxed)
+    }
+}
+
+/// Counts a request as worked on while it lives.
+struct Working(Arc<Usage>);
+
+impl Working {
+    fn new(usage: &Arc<Usage>, version: Version) -> Self {
+        usage.record(version);
+        usage.working.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(usage))
+    }
+}
+
+impl Drop for Working {
+    fn drop(&mut self) {
+        self.0.working.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 fn builder(limits: ListenerLimits) -> auto::Builder<TokioExecutor> {
--- a/src/exchange/mod.rs
+++ b/src/exchange/mod.rs
@@ -4,6 +4,7 @@
 mod body;
 mod headers;
 mod listener;
+mod prefetch;
 
 pub use {
     answer::{Answer, refusal_response, response_of},
--- a/src/model/outcome.rs
+++ b/src/model/outcome.rs
@@ -113,6 +113,8 @@
     Cancelled = 25, "cancelled", 499;
     /// Too many connections or streams.
     TooManyConnections = 26, "too-many-connections", 503;
+    /// The target itself refused the request untouched.
+    TargetShed = 27, "target-shed", 503;
 }
 
 impl fmt::Display for Reason {
--- a/src/node/admission_table.rs
+++ b/src/node/admission_table.rs
@@ -19,9 +19,9 @@
 /// already sent here, and callers would see refusals in a planned stop.
 pub const DRAIN_ANNOUNCE_US: u64 = 1_000_000;
 /// Time from the start of a drain in which queued work may still start. A
-/// departing target may get no new work after 3 s; what still waits is refused
+/// departing target may get no new work after 2 s; what still waits is refused
 /// as not run and sent elsewhere.
-const DRAIN_QUEUE_US: u64 = 2_500_000;
+const DRAIN_QUEUE_US: u64 = 1_500_000;
 
 type Verdict = Result<(), Refusal>;
 
@@ -140,6 +140,7 @@
     }
 
     fn arrive(&mut self, arrival: Arrival, now_us: u64) -> Result<Arrived, Refusal> {
+        self.go_on_draining(now_us);
         let Some(policy) = &mut self.policy else {
             return Err(Refusal::not_run(Reason::NoTarget));
         };
@@ -165,6 +166,9 @@
     }
 
     fn end(&mut self, ticket: TicketKey, result: TargetResult, now_us: u64) {
+        // After a suspension an end may come before the next tick; it would
+        // start work at a target that left long ago.
+        self.go_on_draining(now_us);
         self.with_policy(|policy, decisions| policy.end(ticket, result, now_us, decisions));
     }
 
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -29,7 +29,7 @@
         model::Names,
         peer::{Arrivals, FleetAuth},
         quota::QuotaGate,
-        retry::RetryPolicy,
+        retry::{RetryPolicy, ShareLimits},
         routing::RoutePolicy,
         settings::Settings,
         target::{Registration, TargetPool},
@@ -171,6 +171,10 @@
     #[must_use]
     pub fn new(inputs: NodeInputs<P::Quota, P::Guard, P::Dialect>) -> Arc<Self> {
         let auth = FleetAuth::new(&inputs.settings.fleet_secret);
+        let retries = P::Retry::new().with_share_limits(ShareLimits {
+            percent: inputs.settings.retry_percent,
+            floor_count: inputs.settings.retry_floor,
+        });
         Arc::new(Self {
             auth,
             arrivals: Arrivals::new(),
@@ -193,7 +197,7 @@
             freshness: inputs.freshness,
             admission: Mutex::new(AdmissionTable::new()),
             routes: Mutex::new(RouteTable::new()),
-            retries: Mutex::new(P::Retry::new()),
+            retries: Mutex::new(retries),
             calls: Mutex::new(CallTable::new()),
             registration: Mutex::new(Registration::new()),
             in_flight_count: AtomicUsize::new(0),
--- a/src/retry/chain_budget.rs
+++ b/src/retry/chain_budget.rs
@@ -1,7 +1,7 @@
 //! One budget of retries for the whole chain of an original request.
 
 use {
-    super::{CallKey, Loan, LoanKey, RetryPolicy, share::RetryShare},
+    super::{CallKey, Loan, LoanKey, RetryPolicy, ShareLimits, share::RetryShare},
     crate::{arena::Arena, model::ServiceKey},
 };
 
@@ -35,6 +35,7 @@
     calls: Arena<CallKey, Call>,
     loans: Arena<LoanKey, OpenLoan>,
     shares: Vec<RetryShare>,
+    limits: ShareLimits,
 }
 
 impl RetryPolicy for ChainBudget {
@@ -43,9 +44,15 @@
             calls: Arena::new(),
             loans: Arena::new(),
             shares: Vec::new(),
+            limits: ShareLimits::default(),
         }
     }
 
+    fn with_share_limits(mut self, limits: ShareLimits) -> Self {
+        self.limits = limits;
+        self
+    }
+
     fn open(&mut self, allotment: u8) -> CallKey {
         self.calls.insert(Call { held: allotment })
     }
@@ -108,7 +115,9 @@
     fn share(&mut self, service: ServiceKey) -> &mut RetryShare {
         let index = service.index();
         if index >= self.shares.len() {
-            self.shares.resize_with(index + 1, RetryShare::new);
+            let limits = self.limits;
+            self.shares
+                .resize_with(index + 1, || RetryShare::new(limits));
         }
         &mut self.shares[index]
     }
--- a/src/retry/mod.rs
+++ b/src/retry/mod.rs
@@ -7,7 +7,7 @@
 pub use {
     chain_budget::ChainBudget,
     naive::{NAIVE_RETRY_COUNT, NaiveRetry},
-    share::{RETRY_FLOOR_COUNT, RETRY_SHARE_PERCENT, SHARE_WINDOW_US},
+    share::{RETRY_FLOOR_COUNT, RETRY_SHARE_PERCENT, SHARE_WINDOW_US, ShareLimits},
 };
 
 use crate::{arena_key, model::ServiceKey};
@@ -37,10 +37,14 @@
 /// The allotment of a call is moved to a child call and comes back with the
 /// child's answer; it is never copied, so that the sum over the whole chain
 /// never grows.
-pub trait RetryPolicy: Send + 'static {
+pub trait RetryPolicy: Sized + Send + 'static {
     /// A policy without calls.
     fn new() -> Self;
 
+    /// Holds each destination to these limits.
+    #[must_use]
+    fn with_share_limits(self, limits: ShareLimits) -> Self;
+
     /// A call begins with the allotment that came with it.
     fn open(&mut self, allotment: u8) -> CallKey;
 
--- a/src/retry/naive.rs
+++ b/src/retry/naive.rs
@@ -1,7 +1,7 @@
 //! Baseline: the same number of retries at every hop.
 
 use {
-    super::{CallKey, Loan, LoanKey, RetryPolicy},
+    super::{CallKey, Loan, LoanKey, RetryPolicy, ShareLimits},
     crate::{arena::Arena, model::ServiceKey},
 };
 
@@ -25,6 +25,10 @@
         }
     }
 
+    fn with_share_limits(self, _limits: ShareLimits) -> Self {
+        self
+    }
+
     fn open(&mut self, _allotment: u8) -> CallKey {
         self.calls.insert(NAIVE_RETRY_COUNT)
     }
--- a/src/retry/share.rs
+++ b/src/retry/share.rs
@@ -18,17 +18,39 @@
     retry_count: u32,
 }
 
+/// Retries that a node may make at a destination in a window.
+#[derives::key]
+pub struct ShareLimits {
+    /// Retries per hundred first attempts.
+    pub percent: u32,
+    /// Retries that are allowed without first attempts.
+    pub floor_count: u32,
+}
+
+impl Default for ShareLimits {
+    fn default() -> Self {
+        Self {
+            percent: RETRY_SHARE_PERCENT,
+            floor_count: RETRY_FLOOR_COUNT,
+        }
+    }
+}
+
 /// First attempts and retries at one destination in a sliding window.
 #[derive(Debug, Default)]
 pub struct RetryShare {
+    limits: ShareLimits,
     buckets: [Bucket; BUCKET_COUNT],
 }
 
 impl RetryShare {
     /// A window without attempts.
     #[must_use]
-    pub fn new() -> Self {
-        Self::default()
+    pub fn new(limits: ShareLimits) -> Self {
+        Self {
+            limits,
+            ..Self::default()
+        }
     }
 
     /// Counts a first attempt.
@@ -39,7 +61,7 @@
     /// Counts a retry when it stays within the share.
     pub fn try_retry(&mut self, now_us: u64) -> bool {
         let (first_count, retry_count) = self.sums(now_us);
-        let allowed = RETRY_FLOOR_COUNT + first_count * RETRY_SHARE_PERCENT / 100;
+        let allowed = self.limits.floor_count + first_count * self.limits.percent / 100;
         if retry_count >= allowed {
             return false;
         }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of `dogwoodd`, from flags and environment variables.
 
 use {
+    crate::retry::{RETRY_FLOOR_COUNT, RETRY_SHARE_PERCENT},
     clap::{Parser, ValueEnum},
     std::net::{IpAddr, SocketAddr},
 };
@@ -132,6 +133,15 @@
     /// How failed attempts are repeated
     #[arg(long, env = "DOGWOOD_RETRY", value_enum, default_value = "budget")]
     pub retry: RetryChoice,
+    /// Retries at a service that this node may make for each hundred first attempts
+    #[arg(long, env = "DOGWOOD_RETRY_PERCENT", default_value_t = RETRY_SHARE_PERCENT)]
+    pub retry_percent: u32,
+    /// Retries at a service that this node may make in ten seconds without first attempts
+    #[arg(long, env = "DOGWOOD_RETRY_FLOOR", default_value_t = RETRY_FLOOR_COUNT)]
+    pub retry_floor: u32,
+    /// Time from the start of a drain in which callers are still accepted, in milliseconds
+    #[arg(long, env = "DOGWOOD_DRAIN_ACCEPT_MS", default_value_t = 1000)]
+    pub drain_accept_ms: u64,
     /// Lowest level of log lines: error, warn, info, debug or trace
     #[arg(long, env = "DOGWOOD_LOG_LEVEL", default_value = "info")]
     pub log_level: log::LevelFilter,
--- a/src/shutdown/mod.rs
+++ b/src/shutdown/mod.rs
@@ -31,19 +31,24 @@
     let started_ms = node.timer.now_ms();
     let now_us = node.timer.now_us();
     node.admission().drain(now_us);
-    tokio::time::sleep(Duration::from_micros(DRAIN_ANNOUNCE_US)).await;
+    let accept = Duration::from_millis(node.settings.drain_accept_ms);
+    tokio::time::sleep(accept.max(Duration::from_micros(DRAIN_ANNOUNCE_US))).await;
     node.closing.cancel();
     let limit = Duration::from_millis(node.settings.drain_limit_ms);
-    let is_done = until(&node, limit, Node::is_idle).await;
+    let left = |limit: Duration| {
+        let passed = Duration::from_millis(node.timer.now_ms() - started_ms);
+        limit.saturating_sub(passed)
+    };
+    let is_done = until(&node, left(limit), Node::is_idle).await;
     let cut_off = if is_done { 0 } else { node.in_flight_count() };
     node.own_state.send_modify(|own| own.left = true);
     tokio::time::sleep(FAREWELL_TIME).await;
     // What came in at the last moment.
-    until(&node, FAREWELL_LIMIT, Node::is_idle).await;
+    until(&node, FAREWELL_LIMIT.min(left(limit)), Node::is_idle).await;
     // Cut without GOAWAY, an attempt that arrives just now would end in an
     // unknown outcome at its sender instead of one that may be sent again.
     node.peers_closing.cancel();
-    until(&node, PEERS_LIMIT, |node| {
+    until(&node, PEERS_LIMIT.min(left(limit)), |node| {
         node.peer_connection_count.load(Ordering::Acquire) == 0
     })
     .await;
