Refuse requests for another service, know the fleet before admitting

A test of the follower found that a store without history was asked without a pause.

Change: a node refuses, as not run, what is meant for another service than its target's; quota admits nothing before the fleet's size is known, new buckets hold a fifth of their burst; a lost history is followed by a pause.

--- a/src/daemon/hosted/discovery.rs
+++ b/src/daemon/hosted/discovery.rs
@@ -47,7 +47,7 @@
     view: watch::Receiver<Arc<View>>,
     to_gossip: mpsc::Sender<Vec<SocketAddr>>,
     read_ms: Option<u64>,
-    expected_count: watch::Sender<usize>,
+    expected_count: watch::Sender<Option<usize>>,
 }
 
 /// Starts reading and keeping the objects until `shutdown`; tells how many
@@ -59,8 +59,8 @@
     to_gossip: mpsc::Sender<Vec<SocketAddr>>,
     timer: &Timer,
     shutdown: CancellationToken,
-) -> watch::Receiver<usize> {
-    let (expected_count, expected) = watch::channel(1);
+) -> watch::Receiver<Option<usize>> {
+    let (expected_count, expected) = watch::channel(None);
     let mut discovery = Discovery {
         node_id: settings.node_id.clone(),
         zone: settings.zone.clone(),
@@ -111,7 +111,12 @@
             .objects
             .iter()
             .map(|object| read(object).member_count);
-        self.expected_count.send_replace(counts.sum());
+        let expected_count = counts.sum();
+        self.expected_count.send_if_modified(|known| {
+            let has_changed = *known != Some(expected_count);
+            *known = Some(expected_count);
+            has_changed
+        });
         let known: BTreeSet<SocketAddr> = listing
             .objects
             .iter()
--- a/src/objects/follower.rs
+++ b/src/objects/follower.rs
@@ -105,7 +105,9 @@
             let result = self.turn().await;
             self.note(&result);
             match result {
-                Ok(()) | Err(StoreError::HistoryGone) => backoff.reset(),
+                Ok(()) => backoff.reset(),
+                // Also for a lost history: a store that has none at all would
+                // otherwise be asked without a pause.
                 Err(_) => backoff.wait().await,
             }
         }
--- a/src/quota/divided.rs
+++ b/src/quota/divided.rs
@@ -16,6 +16,9 @@
 /// Longest time after which a caller over its rate is told to come back; by
 /// then shares have moved to where the demand is.
 const LONGEST_RETRY_MS: u32 = 1000;
+/// When to come back to a node that does not know the fleet yet: about the time
+/// that its first read of the store takes.
+const NOT_READY_RETRY_MS: u32 = 200;
 
 /// Level of its bucket, as a part of the burst, below which a workspace's
 /// requests of a class are refused. A workspace's own reads would otherwise
@@ -43,7 +46,8 @@
 
 #[derive(Debug)]
 struct State {
-    member_count: usize,
+    /// `None` until the size of the fleet is known.
+    member_count: Option<usize>,
     accounts: HashMap<WorkspaceKey, Account>,
 }
 
@@ -55,11 +59,13 @@
 }
 
 impl DividedQuota {
-    /// Quota of a node that knows of no other.
+    /// Quota of a node that does not know the fleet yet. It admits nothing: a
+    /// fleet that was killed as a whole would otherwise admit each rate once
+    /// for every node.
     #[must_use]
     pub fn new(timer: Timer) -> Self {
         let state = State {
-            member_count: 1,
+            member_count: None,
             accounts: HashMap::new(),
         };
         Self {
@@ -70,13 +76,13 @@
 
     /// Sets how many nodes share each rate.
     pub fn set_member_count(&self, member_count: usize) {
-        self.lock().member_count = member_count.max(1);
+        self.lock().member_count = Some(member_count.max(1));
     }
 
     /// Nodes that share each rate.
     #[must_use]
     pub fn member_count(&self) -> usize {
-        self.lock().member_count
+        self.lock().member_count.unwrap_or(1)
     }
 
     /// Ends a period; demand for each workspace, by name.
@@ -108,7 +114,7 @@
     pub fn set_rates(&self, rates: &Rates) {
         let now_us = self.timer.now_us();
         let mut state = self.lock();
-        let member_count = state.member_count;
+        let member_count = state.member_count.unwrap_or(1);
         state
             .accounts
             .retain(|workspace, _| rates.contains_key(workspace));
@@ -129,9 +135,13 @@
         rate: Rate,
         class: Class,
         now_us: u64,
-    ) -> Result<(), u32> {
+    ) -> Result<(), Refusal> {
         let mut state = self.lock();
-        let even = even_share(rate, state.member_count);
+        let Some(member_count) = state.member_count else {
+            let refusal = Refusal::not_run(Reason::NotReady);
+            return Err(refusal.with_retry_after_ms(NOT_READY_RETRY_MS));
+        };
+        let even = even_share(rate, member_count);
         let account = state.accounts.entry(workspace).or_insert_with(|| Account {
             rate,
             grant: None,
@@ -144,7 +154,11 @@
         }
         let share = account.grant.map_or(even, |grant| grant.share);
         account.bucket.set_share(share, now_us);
-        account.bucket.take(reserved_ratio(class), now_us)
+        let taken = account.bucket.take(reserved_ratio(class), now_us);
+        taken.map_err(|wait_ms| {
+            let wait_ms = wait_ms.min(LONGEST_RETRY_MS);
+            Refusal::not_run(Reason::OverQuota).with_retry_after_ms(wait_ms)
+        })
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -153,6 +167,10 @@
 }
 
 impl QuotaGate for DividedQuota {
+    fn is_ready(&self) -> bool {
+        self.lock().member_count.is_some()
+    }
+
     async fn admit(
         &self,
         workspace: WorkspaceKey,
@@ -164,10 +182,6 @@
         }
         let now_us = self.timer.now_us();
         self.take(workspace, rate, class, now_us)
-            .map_err(|wait_ms| {
-                let wait_ms = wait_ms.min(LONGEST_RETRY_MS);
-                Refusal::not_run(Reason::OverQuota).with_retry_after_ms(wait_ms)
-            })
     }
 }
 
--- a/src/quota/share.rs
+++ b/src/quota/share.rs
@@ -4,7 +4,7 @@
 
 /// Part of its burst that a new bucket holds. A fleet that was killed as a
 /// whole would otherwise grant every workspace its burst a second time.
-const FIRST_LEVEL_RATIO: f64 = 0.5;
+const FIRST_LEVEL_RATIO: f64 = 0.2;
 
 /// Rate and burst that one node may admit by itself.
 #[derives::value]
--- a/src/quota/sharing.rs
+++ b/src/quota/sharing.rs
@@ -79,8 +79,8 @@
     /// Members.
     pub view: watch::Receiver<Arc<View>>,
     /// Nodes of the fleet as the platform was told; gossip may not have met
-    /// all of them yet.
-    pub expected_count: watch::Receiver<usize>,
+    /// all of them yet; `None` until it was asked.
+    pub expected_count: watch::Receiver<Option<usize>>,
     /// Rates in force.
     pub rates: watch::Receiver<Arc<Rates>>,
 }
@@ -131,6 +131,10 @@
                     Some(tick) => self.turn(tick.now_us).await,
                     None => return,
                 },
+                Ok(()) = self.inputs.expected_count.changed() => {
+                    let now_us = self.inputs.timer.now_us();
+                    self.turn(now_us).await;
+                }
                 received = self.socket.recv_from(&mut buffer) => {
                     // A send to a closed port comes back as an error of a
                     // later receive; it says nothing about this socket.
@@ -143,7 +147,9 @@
     }
 
     async fn turn(&mut self, now_us: u64) {
-        let member_count = self.count_members(now_us);
+        let Some(member_count) = self.count_members(now_us) else {
+            return;
+        };
         self.quota.set_member_count(member_count);
         let rates = self.rates();
         self.quota.set_rates(&rates);
@@ -232,7 +238,8 @@
     }
 
     /// Nodes that share each rate: all that may be admitting, seen or not.
-    fn count_members(&mut self, now_us: u64) -> usize {
+    /// `None` while nothing is known of them.
+    fn count_members(&mut self, now_us: u64) -> Option<usize> {
         let view = self.inputs.view.borrow().clone();
         let dead = |member: &&Member| member.state == MemberState::Dead;
         let present = view
@@ -251,10 +258,11 @@
         let seen_count = present + lately_dead.count();
         // Only until gossip has met the fleet: a node that starts alone would
         // take the whole rate for its own.
-        let is_new = now_us < DEAD_SHARE_US;
-        match is_new {
-            true => seen_count.max(*self.inputs.expected_count.borrow()),
-            false => seen_count,
+        let expected_count = *self.inputs.expected_count.borrow();
+        match expected_count {
+            Some(expected_count) if now_us < DEAD_SHARE_US => Some(seen_count.max(expected_count)),
+            None if seen_count < 2 => None,
+            Some(_) | None => Some(seen_count),
         }
     }
 
--- a/src/target/serve.rs
+++ b/src/target/serve.rs
@@ -6,7 +6,7 @@
         admission::{Arrival, TargetResult},
         dialect::TargetNotice,
         exchange::{Answer, AnswerBody, Collected, Outbound, collect, pump},
-        model::{MAX_DEPTH, Outcome, Reason, Refusal, RequestContext},
+        model::{MAX_DEPTH, Outcome, Reason, Refusal, RequestContext, ServiceKey},
         node::{CallHandle, InFlightCall, Node, Policies, Ticket, admit},
         retry::RetryPolicy,
     },
@@ -53,6 +53,9 @@
     if context.depth > MAX_DEPTH {
         return refused(Refusal::not_run(Reason::TooDeep));
     }
+    if !serves(node, context.service) {
+        return refused(Refusal::not_run(Reason::NoTarget));
+    }
     if is_revoked(node, context) {
         return refused(Refusal::not_run(Reason::RevokedKey));
     }
@@ -85,6 +88,18 @@
     }
 }
 
+/// Whether the own target serves the service.
+///
+/// The sender may know this address from an instance that is gone and whose
+/// address was given to another one. Its target would run an order that was
+/// meant for another service.
+fn serves<P: Policies>(node: &Node<P>, service: ServiceKey) -> bool {
+    let own = node.own_state.borrow();
+    own.target
+        .as_ref()
+        .is_some_and(|target| node.names.service(&target.service) == service)
+}
+
 fn is_revoked<P: Policies>(node: &Node<P>, context: &RequestContext) -> bool {
     node.running().revoked.contains(&context.key)
 }
