--- a/tests/callers.rs
+++ b/tests/callers.rs
@@ -11,6 +11,7 @@
         client,
         mesh::{KEY, Mesh},
     },
+    std::time::Duration,
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::TcpStream,
@@ -126,3 +127,33 @@
     assert_eq!(texts, ["a ran", "b ran", "a > b ran"]);
     let _: &http2::SendRequest<Full<Bytes>> = &sender;
 }
+
+/// A caller sends a second request behind the first and leaves before either is
+/// answered. Its target would go on working for nobody, and under overload such
+/// work keeps others out.
+#[tokio::test(flavor = "multi_thread")]
+async fn work_ends_when_its_caller_leaves_behind_a_second_request() {
+    let mesh = Mesh::start(&["a"]).await;
+    let mut stream = TcpStream::connect(mesh[0].caller_address()).await.unwrap();
+    let head = format!("HTTP/1.1\r\nhost: n\r\ndogwood-key: {KEY}\r\n\r\n");
+    let both = format!("GET /a/slow/2500 {head}GET /a/echo {head}");
+    stream.write_all(both.as_bytes()).await.unwrap();
+    becomes(&mesh, (1, 0)).await;
+    drop(stream);
+    becomes(&mesh, (0, 0)).await;
+    let executions = mesh[0].target.executions();
+    let ended: Vec<bool> = executions.iter().map(|execution| execution.ended).collect();
+    assert_eq!(ended, [false], "the target worked to the end");
+}
+
+/// Waits until so many requests run and wait.
+async fn becomes(mesh: &Mesh, counts: (usize, usize)) {
+    let waiting = async {
+        while mesh[0].node.admission().counts() != counts {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let result = tokio::time::timeout(Duration::from_secs(20), waiting).await;
+    let last = mesh[0].node.admission().counts();
+    assert!(result.is_ok(), "still {last:?}");
+}
--- a/tests/peer_faults.rs
+++ b/tests/peer_faults.rs
@@ -151,6 +151,22 @@
     }
 }
 
+/// An instance is gone for good and its address was given to one of another
+/// service, while others still know the old one there. The new target would run
+/// orders that were meant for a service that it knows nothing of.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_gets_no_request_for_another_service() {
+    let mesh = Mesh::start(&["a", "b"]).await;
+    let peer = SocketAddr::new(mesh[1].node.settings.ip, mesh[1].node.settings.peer_port);
+    mesh.add_stranger("gone", "x", peer).await;
+    for path in ["/x/echo", "/x/once/echo"] {
+        let seen = get(&mesh, path).await;
+        let (status, outcome, reason) = seen.summary();
+        assert_eq!((status, outcome), (503, "not-run"), "{path}: {reason}");
+    }
+    assert!(mesh[1].target.executions().is_empty());
+}
+
 /// A node that is gone but still known costs a retry, never an answer.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_order_that_never_left_is_sent_elsewhere() {
