--- a/src/egress/attempts.rs
+++ b/src/egress/attempts.rs
@@ -19,8 +19,11 @@
 };
 
 /// Taken off the time that a hop is given, so that its answer, which knows
-/// more, comes before this side's own timeout.
-const HOP_MARGIN_US: u64 = 2000;
+/// more, comes before this side's own timeout: a request that waited in vain
+/// is then told as not run, and its caller may send it again. Covers the way
+/// back over a zone's border (1 to 2 ms) and the turn of a thread that has part
+/// of a core (10 ms).
+const HOP_MARGIN_US: u64 = 15_000;
 /// The margin is at most this part of the remaining time.
 const HOP_MARGIN_PART: u64 = 10;
 
--- a/src/events.rs
+++ b/src/events.rs
@@ -63,12 +63,12 @@
     TargetLeaving = 312, Info, "The target told that it leaves and gets no new work.";
     NoticeOutdated = 313, Info, "A notice of the target is older than what is known, and is ignored.";
     NoticeRejected = 314, Warn, "A notice of the target could not be read.";
-    RoutePicked = 400, Debug, "A target was picked for a request.";
-    RouteRefused = 401, Debug, "No target could be picked for a request.";
+    RoutePicked = 400, Info, "A target was picked for a request.";
+    RouteRefused = 401, Info, "No target could be picked for a request.";
     TargetEjected = 402, Warn, "A target fails or is slow and gets no new work for a while.";
     TargetRestored = 403, Info, "An ejected target gets work again.";
-    RequestRefused = 410, Debug, "A request was refused or given up.";
-    RequestRetried = 411, Debug, "A request was sent again within its retry budget.";
+    RequestRefused = 410, Info, "A request was refused or given up.";
+    RequestRetried = 411, Info, "A request was sent again within its retry budget.";
     ContextForged = 420, Warn, "A context, handle or internal header came from someone who may not set it.";
     BankChosen = 500, Debug, "Another node became the bank of a workspace.";
     SlicesMoved = 501, Info, "Slices of the slice table changed their owner.";
