Let no node that has just started shrink the fleet in the store

A node that starts knows only itself, is its zone's first relay by its own view and wrote a zone of one node; the others read that and shared the rates by three or four instead of fourteen or sixteen. Ruled out: the first level of buckets (a fifth of the burst is inside the slack).

Change: a node changes what others wrote only after 5 s of running.

--- a/src/daemon/hosted/discovery.rs
+++ b/src/daemon/hosted/discovery.rs
@@ -8,7 +8,7 @@
     crate::{
         event,
         events::Event,
-        membership::{Member, View, relay_rank},
+        membership::{Member, SeedsRecord, View, relay_rank},
         objects::{Condition, ObjectStore, StoreError, StoredObject},
         settings::Settings,
         timer::Timer,
@@ -20,8 +20,6 @@
 
 /// Kind of the objects.
 const KIND: &str = "dogwood-seeds";
-/// Addresses kept for each zone.
-const ADDRESSES_PER_ZONE: usize = 4;
 /// Time between two reads by a node that knows nobody of its own zone or of
 /// others.
 const ALONE_PERIOD_MS: u64 = 500;
@@ -29,16 +27,6 @@
 /// is met again within it.
 const RELAY_PERIOD_MS: u64 = 4000;
 
-/// Content of an object.
-#[derives::record]
-#[derive(Eq, Default)]
-struct SeedsRecord {
-    /// Nodes of the zone when it was written.
-    #[serde(default)]
-    member_count: usize,
-    addresses: BTreeSet<SocketAddr>,
-}
-
 struct Discovery<S> {
     node_id: String,
     zone: String,
@@ -132,32 +120,21 @@
             .iter()
             .find(|object| object.name == self.zone);
         if is_first_relay {
-            self.keep(own_object).await;
+            self.keep(own_object, now_ms).await;
         }
     }
 
     /// Writes the zone's addresses if they have changed.
-    async fn keep(&self, object: Option<&StoredObject>) {
-        let wanted = self.zone_addresses();
-        let member_count = wanted.len();
-        let held = object.map(read).unwrap_or_default();
-        let is_kept = held.member_count == member_count
-            && held.addresses.len() >= wanted.len().min(ADDRESSES_PER_ZONE)
-            && held
-                .addresses
-                .iter()
-                .all(|address| wanted.contains(address));
-        if is_kept {
+    async fn keep(&self, object: Option<&StoredObject>, now_ms: u64) {
+        let held = object.map(read);
+        let present = self.zone_addresses();
+        let Some(record) = SeedsRecord::revised(held.as_ref(), &present, now_ms) else {
             return;
-        }
-        let addresses: BTreeSet<SocketAddr> = wanted.into_iter().take(ADDRESSES_PER_ZONE).collect();
+        };
         let condition = object.map_or(Condition::Absent, |object| {
             Condition::Revision(object.revision)
         });
-        let content = match serde_json::to_vec(&SeedsRecord {
-            member_count,
-            addresses,
-        }) {
+        let content = match serde_json::to_vec(&record) {
             Ok(content) => content,
             Err(error) => {
                 log::error!(target: "dogwood", "seeds cannot be written: {error}");
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -9,6 +9,7 @@
 mod packet;
 mod probing;
 mod relays;
+mod seeds;
 mod spreading;
 mod swim;
 mod table;
@@ -19,6 +20,7 @@
     member::{Announcement, Member, MemberPorts, MemberState, OwnState, PeerStamp, View},
     packet::{Liveness, Packet, PacketKind, Record},
     relays::{RELAY_COUNT, relay_rank, relays},
+    seeds::SeedsRecord,
     swim::{Outgoing, Swim, SwimEvent},
     table::MemberTable,
 };
