Hold new requests back while the calls of earlier ones fail

Nothing at the root knew of it.

Change: a node counts how the calls of its own target end and holds back a share of new requests, the least important first, each class down to a floor.

--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -3,6 +3,7 @@
 mod adaptive;
 mod admit_all;
 mod delay;
+mod downstream;
 mod limit;
 mod pressure;
 mod queue;
@@ -14,6 +15,7 @@
 pub use {
     adaptive::Adaptive,
     admit_all::AdmitAll,
+    downstream::Downstream,
     limit::{ConcurrencyLimit, MIN_LIMIT, REPORT_AGE_LIMIT_US},
     static_limit::StaticLimit,
 };
--- a/src/ingress/serve.rs
+++ b/src/ingress/serve.rs
@@ -154,9 +154,23 @@
     };
     let result = dispatch(node, &call, &outbound, asked.idempotency_key.as_deref()).await;
     drop(budget);
+    if asked.tenant.is_none() && P::Dialect::CALLS_LIKE_CALLERS {
+        note_call(node, &result);
+    }
     result.map_err(|refusal| Rejection::new(refusal, ""))
 }
 
+/// Notes how a call of the own target ended. One that it gave up by itself is
+/// not noted: the future is dropped before.
+fn note_call<P: Policies>(node: &Node<P>, result: &Result<Answer, Refusal>) {
+    let has_failed = match result {
+        Ok(answer) => answer.status.is_server_error(),
+        Err(_) => true,
+    };
+    let now_us = node.timer.now_us();
+    node.downstream().note(has_failed, now_us);
+}
+
 /// Workspace and key that the request runs for, within the workspace's rate.
 async fn admit_tenant<P: Policies>(
     node: &Node<P>,
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -18,7 +18,7 @@
 
 use {
     crate::{
-        admission::AdmissionPolicy,
+        admission::{AdmissionPolicy, Downstream},
         conf::Running,
         control::Metrics,
         dialect::{Dialect, Native},
@@ -159,6 +159,7 @@
     retries: Mutex<P::Retry>,
     calls: Mutex<CallTable>,
     registration: Mutex<Registration>,
+    downstream: Mutex<Downstream>,
     in_flight_count: AtomicUsize,
     /// Wakes the systems when the first request comes.
     work_begins: Notify,
@@ -200,6 +201,7 @@
             retries: Mutex::new(retries),
             calls: Mutex::new(CallTable::new()),
             registration: Mutex::new(Registration::new()),
+            downstream: Mutex::new(Downstream::new()),
             in_flight_count: AtomicUsize::new(0),
             work_begins: Notify::new(),
             cut_off_since_ms: AtomicU64::new(NOT_CUT_OFF),
@@ -303,6 +305,11 @@
         locked(&self.retries)
     }
 
+    /// How the calls of the own target fare.
+    pub fn downstream(&self) -> MutexGuard<'_, Downstream> {
+        locked(&self.downstream)
+    }
+
     /// Processes of the own target.
     pub fn registration(&self) -> MutexGuard<'_, Registration> {
         locked(&self.registration)
--- a/src/target/serve.rs
+++ b/src/target/serve.rs
@@ -6,6 +6,7 @@
         admission::{Arrival, TargetResult},
         dialect::TargetNotice,
         exchange::{Answer, AnswerBody, Collected, Outbound, collect, pump},
+        keys::KeyDigest,
         model::{MAX_DEPTH, Outcome, Reason, Refusal, RequestContext, ServiceKey},
         node::{CallHandle, InFlightCall, Node, Policies, Ticket, admit},
         retry::RetryPolicy,
@@ -14,6 +15,10 @@
     tokio_util::sync::CancellationToken,
 };
 
+/// When callers that were held back may come: shares move within a second; the
+/// width spreads them.
+const HELD_BACK_RETRY_MS: (u32, u32) = (400, 800);
+
 /// A request that the target works on. Dropping it cancels everything below.
 struct Running<P: Policies> {
     ticket: Ticket<P>,
@@ -59,6 +64,9 @@
     if is_revoked(node, context) {
         return refused(Refusal::not_run(Reason::RevokedKey));
     }
+    if let Some(refusal) = held_back(node, context) {
+        return refused(refusal);
+    }
     let deadline_us = node.timer.now_us() + context.remaining_us;
     let arrival = Arrival {
         class: context.class,
@@ -88,6 +96,26 @@
     }
 }
 
+/// Refuses a new request while the calls of those before it fail: its own would
+/// be lost as well, after work at every service above. Calls of requests that
+/// have begun pass.
+fn held_back<P: Policies>(node: &Node<P>, context: &RequestContext) -> Option<Refusal> {
+    let is_new = context.depth == 0 && context.key != KeyDigest::NONE;
+    let now_us = node.timer.now_us();
+    if !is_new
+        || node
+            .downstream()
+            .admits(context.class, rand::random(), now_us)
+    {
+        return None;
+    }
+    let (least_ms, width_ms) = HELD_BACK_RETRY_MS;
+    let retry_after_ms = least_ms + rand::random::<u32>() % width_ms;
+    let refusal = Refusal::not_run(Reason::Overloaded).with_retry_after_ms(retry_after_ms);
+    // Another target of the service would meet the same services below.
+    Some(refusal.with_exhausted())
+}
+
 /// Whether the own target serves the service.
 ///
 /// The sender may know this address from an instance that is gone and whose
--- /dev/null
+++ b/tests/admission_downstream.rs
@@ -0,0 +1,95 @@
+//! New requests are held back while the calls of those before them fail.
+
+use {
+    dogwoodbridge::{admission::Downstream, model::Class},
+    rand::{Rng, SeedableRng, rngs::StdRng},
+};
+
+const STEP_US: u64 = 1000;
+/// Calls that each request makes at the deepest service, one after the other,
+/// as browsing does on the users' sites.
+const CALLS: u32 = 8;
+/// Calls a second that the deepest service serves.
+const CAPACITY_PER_S: f64 = 800.0;
+/// Requests a second: twice what the deepest service has room for.
+const DEMAND_PER_S: f64 = 200.0;
+
+/// Requests a second that are served whole. The deepest service refuses calls
+/// at random beyond its capacity; a request ends at its first refused call.
+fn served_per_s(downstream: &mut Downstream, seconds: u64) -> f64 {
+    let mut rng = StdRng::seed_from_u64(5);
+    let mut called_per_s = 0.0;
+    let mut served_count = 0;
+    for step in 0..seconds * 1000 {
+        let now_us = step * STEP_US;
+        let mut called_count = 0;
+        if rng.random::<f64>() < DEMAND_PER_S / 1000.0
+            && downstream.admits(Class::Browse, rng.random(), now_us)
+        {
+            let refused_ratio = 1.0 - (CAPACITY_PER_S / f64::max(called_per_s, 1.0)).min(1.0);
+            let mut is_whole = true;
+            for _ in 0..CALLS {
+                called_count += 1;
+                let is_refused = rng.random::<f64>() < refused_ratio;
+                downstream.note(is_refused, now_us);
+                if is_refused {
+                    is_whole = false;
+                    break;
+                }
+            }
+            served_count += u32::from(is_whole);
+        }
+        // Calls a second over about the last fifth of a second.
+        called_per_s += (f64::from(called_count) * 1000.0 - called_per_s) / 200.0;
+    }
+    f64::from(served_count) / seconds as f64
+}
+
+/// Twice as many requests come as the deepest service has room for. All begin,
+/// nearly all lose one of their calls, and users get failures from a system that
+/// works at full load.
+#[test]
+fn fewer_requests_that_begin_are_more_that_are_served() {
+    let held_back = served_per_s(&mut Downstream::new(), 60);
+    let room_per_s = CAPACITY_PER_S / f64::from(CALLS);
+    println!("{held_back} of {room_per_s} requests a second");
+    assert!(held_back > 0.55 * room_per_s, "{held_back}");
+}
+
+#[test]
+fn classes_step_down_in_order_and_no_lower_than_their_floors() {
+    let mut downstream = Downstream::new();
+    let mut last_us = 0;
+    let mut shares = Vec::new();
+    for window in 1..30 {
+        for _ in 0..20 {
+            last_us = window * 200_000;
+            downstream.note(true, last_us);
+        }
+        shares.push(Class::ALL.map(|class| downstream.share(class)));
+    }
+    for pair in shares.windows(2) {
+        assert!(pair[1][0] <= pair[0][0]);
+    }
+    let [browse, standard, critical] = Class::ALL.map(|class| downstream.share(class));
+    assert!(browse >= 0.25 && browse < standard && standard < critical);
+    let first_critical = shares.iter().position(|share| share[2] < 1.0).unwrap();
+    assert!(shares[first_critical][0] < 0.31 && shares[first_critical][1] < 0.51);
+    // And all come back once calls succeed.
+    for window in 1..60 {
+        for _ in 0..20 {
+            downstream.note(false, last_us + window * 200_000);
+        }
+    }
+    assert_eq!(Class::ALL.map(|class| downstream.share(class)), [1.0; 3]);
+}
+
+/// One target error in a hundred calls says nothing of load.
+#[test]
+fn few_failures_hold_nothing_back() {
+    let mut downstream = Downstream::new();
+    for index in 0..2000_u64 {
+        downstream.note(index.is_multiple_of(100), index * 5000);
+    }
+    assert_eq!(downstream.share(Class::Browse), 1.0);
+}
