--- a/src/admission/downstream.rs
+++ b/src/admission/downstream.rs
@@ -19,11 +19,11 @@
 const MIN_CALL_COUNT: u32 = 8;
 /// Part of failed calls above which less is admitted. Targets fail about one
 /// request in 250 by themselves.
-const HIGH_RATIO: f64 = 0.05;
+const HIGH_RATIO: f64 = 0.2;
 /// Part of failed calls below which more is admitted.
-const LOW_RATIO: f64 = 0.02;
+const LOW_RATIO: f64 = 0.1;
 /// Factor of a step down.
-const DECREASE: f64 = 0.7;
+const DECREASE: f64 = 0.9;
 /// Size of a step up: from the floor to all takes about three seconds.
 const INCREASE: f64 = 0.05;
 /// Least share of each class, from the first to be shed to the last. Users hold
