Log refused attempts at the target's node and ids of rejected requests

Cause: a request whose key was rejected had no id in its line, and the node that refused an attempt wrote nothing, so that a failure could not be followed from the caller's id.

Change: the id is read before the request is; E412 AttemptRefused tells class, reason, what runs and waits and the share admitted.

--- a/src/dialect/mod.rs
+++ b/src/dialect/mod.rs
@@ -19,7 +19,7 @@
         conf::Running,
         exchange::{Answer, AnswerBody},
         ingress::Rejection,
-        model::Refusal,
+        model::{Refusal, RequestId},
     },
     bytes::Bytes,
     http_body_util::Full,
@@ -32,6 +32,10 @@
     /// like any caller, instead of to a port of their own with a handle.
     const CALLS_LIKE_CALLERS: bool;
 
+    /// Identity that the caller gave its request, readable also where the
+    /// request itself is not.
+    fn request_id(&self, headers: &HeaderMap) -> Option<RequestId>;
+
     /// Reads what a caller asks for.
     fn read_request(&self, running: &Running, head: &Parts) -> Result<Asked, Rejection>;
 
--- a/src/dialect/native.rs
+++ b/src/dialect/native.rs
@@ -55,6 +55,10 @@
 impl Dialect for Native {
     const CALLS_LIKE_CALLERS: bool = false;
 
+    fn request_id(&self, _headers: &HeaderMap) -> Option<RequestId> {
+        None
+    }
+
     fn read_request(&self, running: &Running, head: &Parts) -> Result<Asked, Rejection> {
         let tenant = tenant_of(running, &head.headers)?;
         if head.method == Method::CONNECT {
--- a/src/events.rs
+++ b/src/events.rs
@@ -69,6 +69,7 @@
     TargetRestored = 403, Info, "An ejected target gets work again.";
     RequestRefused = 410, Info, "A request was refused or given up.";
     RequestRetried = 411, Info, "A request was sent again within its retry budget.";
+    AttemptRefused = 412, Info, "The target's node ended an attempt without the target's answer.";
     ContextForged = 420, Warn, "A context, handle or internal header came from someone who may not set it.";
     BankChosen = 500, Debug, "Another node became the bank of a workspace.";
     SlicesMoved = 501, Info, "Slices of the slice table changed their owner.";
--- a/src/ingress/serve.rs
+++ b/src/ingress/serve.rs
@@ -111,6 +111,7 @@
     body: &mut Incoming,
     seen: &mut Seen,
 ) -> Result<Answer, Rejection> {
+    seen.request_id = node.dialect.request_id(&head.headers);
     let running = node.running();
     if running.revision == 0 {
         let refusal = Refusal::not_run(Reason::NotReady);
--- a/src/target/serve.rs
+++ b/src/target/serve.rs
@@ -5,6 +5,8 @@
     crate::{
         admission::{Arrival, TargetResult},
         dialect::TargetNotice,
+        event,
+        events::Event,
         exchange::{Answer, AnswerBody, Collected, Outbound, collect, pump},
         keys::KeyDigest,
         model::{MAX_DEPTH, Outcome, Reason, Refusal, RequestContext, ServiceKey},
@@ -53,6 +55,30 @@
     node: &Arc<Node<P>>,
     context: &RequestContext,
     outbound: &Outbound,
+) -> (Result<Answer, Refusal>, u8) {
+    let end = serve(node, context, outbound).await;
+    if let Err(refusal) = &end.0 {
+        log_refused(node, context, *refusal);
+    }
+    end
+}
+
+fn log_refused<P: Policies>(node: &Node<P>, context: &RequestContext, refusal: Refusal) {
+    let (running, waiting) = node.admission().counts();
+    let share = node.downstream().share(context.class);
+    let (id, class) = (context.request_id, context.class.name());
+    let (outcome, reason) = (refusal.outcome.name(), refusal.reason);
+    let remaining_ms = context.remaining_us / 1000;
+    event!(
+        Event::AttemptRefused,
+        "request={id} class={class} outcome={outcome} reason={reason} running={running} waiting={waiting} share={share:.2} remaining_ms={remaining_ms}"
+    );
+}
+
+async fn serve<P: Policies>(
+    node: &Arc<Node<P>>,
+    context: &RequestContext,
+    outbound: &Outbound,
 ) -> (Result<Answer, Refusal>, u8) {
     let refused = |refusal| (Err(refusal), context.retry_allotment);
     if context.depth > MAX_DEPTH {
