Look for log lines in their new form in the lab's tests

Cause: two tests searched for lines as text (E202 ConfigurationFromNeighbour, header=… dropped, port=peer); lines are JSON objects now. Replaced by checks of the same event and field.

--- a/lab/tests/configuration.rs
+++ b/lab/tests/configuration.rs
@@ -349,17 +349,19 @@
     };
     admin.set_platform_faults(down).await.expect("faults");
     node(&mut fixture, 0).restart().expect("restarted");
-    let has_line = |fixture: &Fixture, event: &str, after: usize| {
+    let has_line = |fixture: &Fixture, event: &str, text: &str, after: usize| {
+        let event = format!("\"event\":\"{event}\"");
         let log = fixture.mesh.instances[0]
             .node
             .as_ref()
             .expect("a node")
             .log();
-        log.get(after..).is_some_and(|log| log.contains(event))
+        let mut lines = log.get(after..).unwrap_or("").lines();
+        lines.any(|line| line.contains(&event) && line.contains(text))
     };
     let ready = fixture.mesh.instances[0].node_admin();
     let taken = wait_until("the neighbour's configuration", GENEROUS_LIMIT, || async {
-        let is_said = has_line(&fixture, "E202 ConfigurationFromNeighbour", 0);
+        let is_said = has_line(&fixture, "E202", "ConfigurationFromNeighbour", 0);
         (is_said && ready.is_ok("/readyz").await).then_some(())
     });
     taken.await.expect("served from a neighbour");
@@ -374,12 +376,7 @@
         "the node says what it waits for",
         GENEROUS_LIMIT,
         || async {
-            has_line(
-                &fixture,
-                "E102 NodeNotReady waits for a configuration",
-                log_length,
-            )
-            .then_some(())
+            has_line(&fixture, "E102", "waits for a configuration", log_length).then_some(())
         },
     );
     waits.await.expect("a line in the log");
--- a/lab/tests/seams.rs
+++ b/lab/tests/seams.rs
@@ -20,7 +20,7 @@
 const WORKSPACE: &str = "second-shelf";
 const OTHER_WORKSPACE: &str = "northwind-dealers";
 const FORGED: &str = "forged-by-a-stranger";
-const FORGED_EVENT: &str = "port=peer";
+const FORGED_EVENT: &str = r#""port":"peer""#;
 
 const CARDS: &str = r#"service = "cards"
 retries = 0
@@ -119,7 +119,7 @@
     assert!(!journal.contains(FORGED) && !journal.contains(&key));
     let log = log_of(&mesh.instances[0]);
     for case in &FORGED_CASES {
-        let dropped = format!("header={} dropped", case.headers[0].0);
+        let dropped = format!("\"header\":\"{} dropped\"", case.headers[0].0);
         assert!(log.contains(&dropped), "{}: {log}", case.name);
     }
 }
