Hold new requests back by the load below, with the slots as the limit

Change: where announced slots are exact they are the limit. Classes whose requests do not fail along with the calls are not held back.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -20,6 +20,7 @@
 const SIZE: TargetSize = TargetSize {
     slot_count: 150,
     connection_count: 1000,
+    is_exact: false,
 };
 
 fn main() {
--- a/src/admission/adaptive.rs
+++ b/src/admission/adaptive.rs
@@ -163,6 +163,7 @@
         AdmissionLevel {
             lowest_class: self.pressure.lowest_class(),
             load_percent: u16::try_from(load_percent).unwrap_or(u16::MAX),
+            below_percent: 0,
             draining: self.draining,
         }
     }
--- a/src/admission/admit_all.rs
+++ b/src/admission/admit_all.rs
@@ -67,6 +67,7 @@
 
     fn level(&self, _now_us: u64) -> AdmissionLevel {
         AdmissionLevel {
+            below_percent: 0,
             draining: self.draining,
             ..AdmissionLevel::idle()
         }
--- a/src/admission/limit.rs
+++ b/src/admission/limit.rs
@@ -86,9 +86,15 @@
 }
 
 /// Concurrency limit that follows what the target can really work on.
+///
+/// Where the announced slots are exact, they are the limit. Latency says
+/// nothing there: it holds the calls that the target makes, and a limit that
+/// follows it down refuses work at an idle service because a deeper one is
+/// slow, and takes seconds to come back.
 #[derive(Debug)]
 pub struct ConcurrencyLimit {
     slot_count: u32,
+    is_exact: bool,
     limit: f64,
     floor_us: Option<f64>,
     phase: Phase,
@@ -103,9 +109,14 @@
     #[must_use]
     pub fn new(size: TargetSize) -> Self {
         let slot_count = size.slot_count.max(1);
+        let limit = match size.is_exact {
+            true => f64::from(slot_count),
+            false => slow_start_limit(slot_count),
+        };
         Self {
             slot_count,
-            limit: slow_start_limit(slot_count),
+            is_exact: size.is_exact,
+            limit,
             floor_us: None,
             phase: Phase::SlowStart,
             window: Window::default(),
@@ -123,6 +134,9 @@
             self.next_trial_us = now_us + TRIAL_PERIOD_US;
         } else {
             self.slot_count = size.slot_count.max(1);
+            if self.is_exact {
+                self.limit = f64::from(self.slot_count);
+            }
             self.set_limit(self.limit);
         }
     }
@@ -143,7 +157,7 @@
     pub fn ended(&mut self, started_us: u64, cut_short: bool, now_us: u64) {
         // Requests from before the window ran under another limit; in a
         // trial they would hide that latency falls.
-        if started_us < self.window.opened_us {
+        if self.is_exact || started_us < self.window.opened_us {
             return;
         }
         self.window
@@ -160,6 +174,9 @@
 
     /// Closes windows that are short of samples.
     pub fn tick(&mut self, now_us: u64) {
+        if self.is_exact {
+            return;
+        }
         let age_us = now_us.saturating_sub(self.window.opened_us);
         if age_us <= WINDOW_AGE_US.max(self.patience_us()) {
             return;
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -83,6 +83,9 @@
     pub slot_count: u32,
     /// Connections that it accepts.
     pub connection_count: u32,
+    /// Whether the number of slots can be relied on: the target works on just
+    /// so many requests, and nobody else sends it any.
+    pub is_exact: bool,
 }
 
 /// Decides over the requests of one target.
--- a/src/admission/static_limit.rs
+++ b/src/admission/static_limit.rs
@@ -119,6 +119,7 @@
         AdmissionLevel {
             lowest_class: Class::Browse,
             load_percent: u16::try_from(load_percent).unwrap_or(u16::MAX),
+            below_percent: 0,
             draining: self.draining,
         }
     }
--- a/src/dialect/mod.rs
+++ b/src/dialect/mod.rs
@@ -31,6 +31,8 @@
     /// Whether targets send their downstream calls to the port for callers,
     /// like any caller, instead of to a port of their own with a handle.
     const CALLS_LIKE_CALLERS: bool;
+    /// Whether targets work on just as many requests as they announce slots.
+    const SLOTS_ARE_EXACT: bool;
 
     /// Identity that the caller gave its request, readable also where the
     /// request itself is not.
--- a/src/dialect/native.rs
+++ b/src/dialect/native.rs
@@ -55,6 +55,7 @@
 
 impl Dialect for Native {
     const CALLS_LIKE_CALLERS: bool = false;
+    const SLOTS_ARE_EXACT: bool = false;
 
     fn request_id(&self, _headers: &HeaderMap) -> Option<RequestId> {
         None
--- a/src/egress/announce.rs
+++ b/src/egress/announce.rs
@@ -87,6 +87,7 @@
     let size = TargetSize {
         slot_count,
         connection_count,
+        is_exact: P::Dialect::SLOTS_ARE_EXACT,
     };
     let is_draining = state == TargetState::Draining;
     {
--- a/src/egress/attempts.rs
+++ b/src/egress/attempts.rs
@@ -2,12 +2,13 @@
 
 use {
     crate::{
+        dialect::Dialect,
         event,
         events::Event,
         exchange::{Answer, Outbound},
         keys::KeyDigest,
         model::{AdmissionLevel, Class, Outcome, Reason, Refusal, RequestContext, RequestId},
-        model::{ServiceKey, WorkspaceKey},
+        model::{ServiceKey, WorkspaceKey, begins_chain},
         node::{Node, Place, Policies},
         peer::{self, Attempt, HopEnd, PeerLink},
         retry::CallKey,
@@ -55,6 +56,14 @@
     pub retry: CallKey,
 }
 
+impl Call {
+    /// Whether it begins a chain: a caller with a key sent it, not a target.
+    #[must_use]
+    pub fn is_new(&self) -> bool {
+        begins_chain(self.depth, self.key)
+    }
+}
+
 /// Sends a request until it is answered, refused for good or out of budget.
 pub async fn run_attempts<P: Policies>(
     node: &Arc<Node<P>>,
@@ -169,11 +178,10 @@
     let end = match place {
         Place::Own => {
             let (result, unspent) = serve_local(node, &context, outbound).await;
-            let level = node.admission().level(node.timer.now_us());
             HopEnd {
                 result,
                 unspent,
-                level: Some(level),
+                level: Some(node.level()),
             }
         }
         Place::Peer(link) => {
@@ -188,6 +196,12 @@
         }
     };
     node.retries().give_back(loan.key, end.unspent);
+    if let Some(level) = end
+        .level
+        .filter(|_| P::Dialect::CALLS_LIKE_CALLERS && !call.is_new())
+    {
+        node.downstream().note_level(level, node.timer.now_us());
+    }
     outstanding.end(result_of(&end.result), end.level);
     end.result
 }
--- a/src/model/context.rs
+++ b/src/model/context.rs
@@ -35,3 +35,10 @@
     /// Whether the request may be executed again after an unknown outcome.
     pub repeatable: bool,
 }
+
+/// Whether a request of this depth and key begins a chain of calls: a caller
+/// with a key sent it, not a target.
+#[must_use]
+pub fn begins_chain(depth: u8, key: KeyDigest) -> bool {
+    depth == 0 && key != KeyDigest::NONE
+}
--- a/src/model/outcome.rs
+++ b/src/model/outcome.rs
@@ -183,6 +183,8 @@
     pub lowest_class: Class,
     /// Running and queued work over the limit, in percent.
     pub load_percent: u16,
+    /// Load that the calls of its target meet, in percent.
+    pub below_percent: u16,
     /// The node takes no new work.
     pub draining: bool,
 }
@@ -194,6 +196,7 @@
         Self {
             lowest_class: Class::Browse,
             load_percent: 0,
+            below_percent: 0,
             draining: false,
         }
     }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -26,7 +26,7 @@
         events::Event,
         freshness::{Freshness, Snapshot},
         membership::{OwnState, View},
-        model::Names,
+        model::{AdmissionLevel, Names},
         peer::{Arrivals, FleetAuth},
         quota::QuotaGate,
         retry::{RetryPolicy, ShareLimits},
@@ -295,6 +295,17 @@
         locked(&self.admission)
     }
 
+    /// Level that answers of this node carry.
+    #[must_use]
+    pub fn level(&self) -> AdmissionLevel {
+        let level = self.admission().level(self.timer.now_us());
+        AdmissionLevel {
+            below_percent: self.downstream().load_percent(),
+            draining: level.draining || self.is_draining(),
+            ..level
+        }
+    }
+
     /// Targets and their choice.
     pub fn routes(&self) -> MutexGuard<'_, RouteTable<P::Routing>> {
         locked(&self.routes)
--- a/src/peer/headers.rs
+++ b/src/peer/headers.rs
@@ -237,6 +237,7 @@
     builder.set_unspent(answer.unspent);
     builder.set_lowest_class(answer.level.lowest_class as u8);
     builder.set_load_percent(answer.level.load_percent);
+    builder.set_below_percent(answer.level.below_percent);
     builder.set_draining(answer.level.draining);
     to_header(&message)
 }
@@ -269,6 +270,7 @@
         level: AdmissionLevel {
             lowest_class: lowest_class.ok_or(PeerHeaderError::Malformed)?,
             load_percent: reader.get_load_percent(),
+            below_percent: reader.get_below_percent(),
             draining: reader.get_draining(),
         },
     })
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -58,8 +58,7 @@
         Ok(outbound) => serve_local(&node, &received.context, &outbound).await,
         Err(refusal) => (Err(refusal), received.context.retry_allotment),
     };
-    let mut level = node.admission().level(node.timer.now_us());
-    level.draining |= node.is_draining();
+    let level = node.level();
     let told = AttemptAnswer {
         attempt_id: received.attempt_id,
         refusal: result.as_ref().err().copied(),
--- a/src/schema/peer.capnp
+++ b/src/schema/peer.capnp
@@ -39,4 +39,6 @@
   draining @8 :Bool;
   # Attempt that this answers.
   attemptId @9 :UInt64;
+  # Load that the calls of its target meet, in percent.
+  belowPercent @10 :UInt16;
 }
--- a/src/target/serve.rs
+++ b/src/target/serve.rs
@@ -7,8 +7,9 @@
         event,
         events::Event,
         exchange::{Answer, AnswerBody, Collected, Outbound, collect, pump},
-        keys::KeyDigest,
-        model::{MAX_DEPTH, Outcome, Reason, Refusal, RequestContext, ServiceKey},
+        model::{
+            Class, MAX_DEPTH, Outcome, Reason, Refusal, RequestContext, ServiceKey, begins_chain,
+        },
         node::{CallHandle, InFlightCall, Node, Policies, Ticket, admit},
         retry::RetryPolicy,
     },
@@ -24,6 +25,8 @@
 struct Running<P: Policies> {
     ticket: Ticket<P>,
     call: CallHandle<P>,
+    /// Class of a request that begins a chain.
+    new_class: Option<Class>,
 }
 
 impl<P: Policies> Running<P> {
@@ -112,7 +115,12 @@
         return refused(Refusal::not_run(Reason::TooLate));
     }
     let call = CallHandle::new(node, in_flight_call(node, context, deadline_us));
-    let running = Running { ticket, call };
+    let new_class = begins_chain(context.depth, context.key).then_some(context.class);
+    let running = Running {
+        ticket,
+        call,
+        new_class,
+    };
     let work = work(node, running, outbound, remaining_us);
     let limit = Duration::from_micros(remaining_us);
     match tokio::time::timeout(limit, work).await {
@@ -125,9 +133,8 @@
 /// be lost as well, after work at every service above. Calls of requests that
 /// have begun pass.
 fn held_back<P: Policies>(node: &Node<P>, context: &RequestContext) -> Option<Refusal> {
-    let is_new = context.depth == 0 && context.key != KeyDigest::NONE;
     let now_us = node.timer.now_us();
-    if !is_new
+    if !begins_chain(context.depth, context.key)
         || node
             .downstream()
             .admits(context.class, rand::random(), now_us)
@@ -220,6 +227,10 @@
     } else {
         TargetResult::Answered
     };
+    if let Some(class) = running.new_class.filter(|_| word.refusal.is_none()) {
+        let has_failed = parts.status.is_server_error();
+        node.downstream().note_end(class, has_failed);
+    }
     match collect(&mut body, node.settings.buffered_answer_bytes).await {
         Err(_) => running.fail(TargetResult::Failed, Refusal::unknown(Reason::BadAnswer)),
         Ok(Collected::Whole(bytes)) => {
--- a/tests/admission_drain.rs
+++ b/tests/admission_drain.rs
@@ -11,6 +11,7 @@
 const SIZE: TargetSize = TargetSize {
     slot_count: 2,
     connection_count: 8,
+    is_exact: false,
 };
 const FAR_US: u64 = 60_000_000;
 
--- a/tests/admission_properties.rs
+++ b/tests/admission_properties.rs
@@ -18,6 +18,7 @@
 const SIZE: TargetSize = TargetSize {
     slot_count: 8,
     connection_count: 80,
+    is_exact: false,
 };
 /// Operations are bytes: what to do, with what, after how long.
 type Step = (u8, u8, u8);
--- a/tests/admission_queue.rs
+++ b/tests/admission_queue.rs
@@ -101,6 +101,7 @@
     TargetSize {
         slot_count: SLOT_COUNT,
         connection_count: 400,
+        is_exact: false,
     }
 }
 
--- a/tests/admission_support/mod.rs
+++ b/tests/admission_support/mod.rs
@@ -169,6 +169,7 @@
     let size = TargetSize {
         slot_count: scenario.announced_slots,
         connection_count: scenario.announced_slots * 10,
+        is_exact: false,
     };
     let mut simulation = Simulation {
         policy: P::new(size),
--- a/tests/routing_properties.rs
+++ b/tests/routing_properties.rs
@@ -137,6 +137,7 @@
         let level = AdmissionLevel {
             lowest_class: Class::ALL[usize::from(choice / 4) % 3],
             load_percent: u16::from(choice),
+            below_percent: 0,
             draining: choice > 250,
         };
         let result = RESULTS[usize::from(choice) % 4];
--- a/tests/routing_zone.rs
+++ b/tests/routing_zone.rs
@@ -101,6 +101,7 @@
     AdmissionLevel {
         lowest_class,
         load_percent,
+        below_percent: 0,
         draining: false,
     }
 }
