Close connections of refused callers where hundreds are open

Ruled out: requests in flight, about 100 a node.

Change: a node with more than 256 open connections of callers closes those that it refuses.

--- a/src/ingress/serve.rs
+++ b/src/ingress/serve.rs
@@ -22,13 +22,24 @@
         header::{CONNECTION, HeaderValue},
         http::request::Parts,
     },
-    std::{sync::Arc, time::Duration},
+    std::{
+        sync::{Arc, atomic::Ordering},
+        time::Duration,
+    },
     tokio::net::TcpListener,
 };
 
 const STREAM_COUNT: u32 = 256;
 /// Workspace that requests on open routes are counted for.
 const ANONYMOUS: &str = "";
+/// Open connections of callers above which refused ones are closed.
+///
+/// Callers come back on new connections and leave the old ones open until they
+/// are idle for long. In a storm of refusals thousands pile up, with 16 KB each:
+/// one would notice memory of four times the usual, and descriptors that run
+/// out, so that callers within their rate are not accepted. The users' busiest
+/// node has 100 to 200 connections of callers at work.
+const KEPT_CONNECTION_COUNT: usize = 256;
 /// When to come back to a node that cannot confirm keys: about the time that a
 /// short outage of the platform lasts.
 const UNCONFIRMED_RETRY_MS: u32 = 1000;
@@ -78,7 +89,9 @@
             node.dialect.refusal(refusal, detail, &head.headers)
         }
     };
-    if is_http1 && node.is_draining() {
+    let open_count = node.caller_connection_count.load(Ordering::Relaxed);
+    let is_surplus = ended.is_some() && open_count > KEPT_CONNECTION_COUNT;
+    if is_http1 && (node.is_draining() || is_surplus) {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
