--- a/tests/admission_downstream.rs
+++ b/tests/admission_downstream.rs
@@ -1,7 +1,10 @@
 //! New requests are held back while the calls of those before them fail.
 
 use {
-    dogwoodbridge::{admission::Downstream, model::Class},
+    dogwoodbridge::{
+        admission::Downstream,
+        model::{AdmissionLevel, Class},
+    },
     rand::{Rng, SeedableRng, rngs::StdRng},
 };
 
@@ -93,3 +96,131 @@
     }
     assert_eq!(downstream.share(Class::Browse), 1.0);
 }
+
+const fn told(load_percent: u16, below_percent: u16) -> AdmissionLevel {
+    AdmissionLevel {
+        load_percent,
+        below_percent,
+        ..AdmissionLevel::idle()
+    }
+}
+
+/// A burst fills the deepest service. Calls still succeed, only later and
+/// later; once they fail, the requests that made them have used slots of every
+/// service above for nothing, and users get failures.
+#[test]
+fn a_full_service_below_holds_back_before_calls_fail() {
+    struct Case {
+        name: &'static str,
+        level: AdmissionLevel,
+        share: f64,
+    }
+    let cases = [
+        Case {
+            name: "called service has room",
+            level: told(90, 40),
+            share: 1.0,
+        },
+        Case {
+            name: "called service is full",
+            level: told(250, 0),
+            share: 0.5,
+        },
+        Case {
+            name: "a service below it is full",
+            level: told(40, 250),
+            share: 0.5,
+        },
+        Case {
+            name: "far beyond its slots",
+            level: told(40, 900),
+            share: 0.31,
+        },
+    ];
+    for case in cases {
+        let mut downstream = Downstream::new();
+        // A second and a half: fifty calls in each fifth.
+        for call in 0..400 {
+            let now_us = 200_000 + call * 4000;
+            downstream.note(false, now_us);
+            downstream.note_level(case.level, now_us);
+        }
+        let share = downstream.share(Class::Browse);
+        assert!(
+            (share - case.share).abs() < 0.1,
+            "{}: {share} instead of {}",
+            case.name,
+            case.share
+        );
+        assert_eq!(downstream.share(Class::Critical), 1.0, "{}", case.name);
+        // The next node above sees it as well.
+        let met = case.level.load_percent.max(case.level.below_percent);
+        assert!(downstream.load_percent() >= met * 9 / 10, "{}", case.name);
+    }
+}
+
+/// The deep service has room again. As long as requests are held back, its
+/// slots idle and users are refused for nothing.
+#[test]
+fn what_was_held_back_returns_within_two_seconds() {
+    let mut downstream = Downstream::new();
+    let mut now_us = 0;
+    for _ in 0..1000 {
+        now_us += 4000;
+        downstream.note_level(told(900, 0), now_us);
+    }
+    assert!(downstream.share(Class::Browse) < 0.31);
+    let since_us = now_us;
+    while downstream.share(Class::Browse) < 1.0 {
+        now_us += 4000;
+        downstream.note_level(told(30, 0), now_us);
+    }
+    // Three steps until the load that is remembered has fallen, and one class
+    // after the other from its floor.
+    let took_us = now_us - since_us;
+    assert!(took_us < 4_500_000, "{took_us}");
+}
+
+/// A price change makes no calls, but reads of the same service do, and these
+/// fail. Held back along with them, price changes would be refused although
+/// nothing that they need is full, and a shop sells at the old price.
+#[test]
+fn a_class_without_calls_is_not_held_back_for_others() {
+    struct Case {
+        name: &'static str,
+        /// Part of critical requests that fail while half of the calls do.
+        failed_ratio: f64,
+        is_held_back: bool,
+    }
+    let cases = [
+        Case {
+            name: "makes no calls",
+            failed_ratio: 0.0,
+            is_held_back: false,
+        },
+        Case {
+            name: "its target errs now and then",
+            failed_ratio: 0.01,
+            is_held_back: false,
+        },
+        Case {
+            name: "makes calls",
+            failed_ratio: 0.9,
+            is_held_back: true,
+        },
+    ];
+    for case in cases {
+        let mut rng = StdRng::seed_from_u64(3);
+        let mut downstream = Downstream::new();
+        for step in 0..4000_u64 {
+            let now_us = step * 2000;
+            downstream.note(rng.random::<bool>(), now_us);
+            if step.is_multiple_of(8) {
+                let has_failed = rng.random::<f64>() < case.failed_ratio;
+                downstream.note_end(Class::Critical, has_failed);
+            }
+        }
+        let is_held_back = downstream.share(Class::Critical) < 1.0;
+        assert_eq!(is_held_back, case.is_held_back, "{}", case.name);
+    }
+}
--- a/tests/admission_limit.rs
+++ b/tests/admission_limit.rs
@@ -292,3 +292,38 @@
         }
     }
 }
+
+/// A target's calls become ten times slower, and its requests with them, or it
+/// sheds some itself. Its own slots are as many as before. A limit that follows
+/// latency down refuses work at a service that has room, for seconds after the
+/// deeper one has recovered.
+#[test]
+fn exact_slots_are_the_limit_whatever_latency_says() {
+    let exact = TargetSize {
+        slot_count: 197,
+        connection_count: 1282,
+        is_exact: true,
+    };
+    let mut limit = ConcurrencyLimit::new(exact);
+    // From the first request on, without slow start.
+    assert_eq!(limit.count(), 197);
+    let mut now_us = 0;
+    for step in 0..4000_u64 {
+        now_us = step * 5000;
+        let latency_us = if step < 2000 { 50_000 } else { 500_000 };
+        limit.started(197);
+        limit.ended(now_us.saturating_sub(latency_us), step % 3 == 0, now_us);
+        if step % 10 == 0 {
+            limit.shed();
+        }
+        limit.tick(now_us);
+        assert_eq!(limit.count(), 197, "after {now_us} us");
+    }
+    // It follows the target's own word alone.
+    let smaller = TargetSize {
+        slot_count: 100,
+        ..exact
+    };
+    limit.set_size(smaller, false, now_us);
+    assert_eq!(limit.count(), 100);
+}
