Tell a late thread as load

Ruled out: the deepest service, which had room (41 of 44 at one target, less at the others).

Change: the mean lag of ticks while requests are in flight counts as load of the node, beside that of its target. Routers then prefer others, and new requests are held back above.

--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -3,6 +3,7 @@
 mod admission_table;
 mod calls;
 mod guarded;
+mod loop_lag;
 mod route_table;
 mod start;
 mod systems;
@@ -11,6 +12,7 @@
     admission_table::{AdmissionTable, DRAIN_ANNOUNCE_US, Ticket, admit},
     calls::{CallHandle, CallTable, InFlightCall},
     guarded::{Home, KeyGuard, dispatch, serve_at_home},
+    loop_lag::LoopLag,
     route_table::{Place, RouteTable},
     start::{StartError, start},
     systems::{follow_members, run_ticks},
@@ -160,6 +162,7 @@
     calls: Mutex<CallTable>,
     registration: Mutex<Registration>,
     downstream: Mutex<Downstream>,
+    loop_lag: Mutex<LoopLag>,
     in_flight_count: AtomicUsize,
     /// Wakes the systems when the first request comes.
     work_begins: Notify,
@@ -202,6 +205,7 @@
             calls: Mutex::new(CallTable::new()),
             registration: Mutex::new(Registration::new()),
             downstream: Mutex::new(Downstream::new()),
+            loop_lag: Mutex::new(LoopLag::new()),
             in_flight_count: AtomicUsize::new(0),
             work_begins: Notify::new(),
             cut_off_since_ms: AtomicU64::new(NOT_CUT_OFF),
@@ -300,6 +304,7 @@
     pub fn level(&self) -> AdmissionLevel {
         let level = self.admission().level(self.timer.now_us());
         AdmissionLevel {
+            load_percent: level.load_percent.max(self.loop_lag().load_percent()),
             below_percent: self.downstream().load_percent(),
             draining: level.draining || self.is_draining(),
             ..level
@@ -321,6 +326,11 @@
         locked(&self.downstream)
     }
 
+    /// How late this node's thread is.
+    pub fn loop_lag(&self) -> MutexGuard<'_, LoopLag> {
+        locked(&self.loop_lag)
+    }
+
     /// Processes of the own target.
     pub fn registration(&self) -> MutexGuard<'_, Registration> {
         locked(&self.registration)
--- a/src/node/systems.rs
+++ b/src/node/systems.rs
@@ -32,6 +32,11 @@
         let Some(tick) = tick else {
             return;
         };
+        if node.has_nothing_to_do() {
+            node.loop_lag().pause();
+        } else {
+            node.loop_lag().note(tick.now_us);
+        }
         node.admission().tick(tick.now_us);
         node.routes().tick(tick.now_us);
         lose_silent_target(&node, tick.now_ms());
