--- a/src/admission/adaptive.rs
+++ b/src/admission/adaptive.rs
@@ -4,7 +4,7 @@
     super::{
         AdmissionPolicy, Arrival, Decision, LoadReport, TargetResult, TargetSize, TicketKey,
         delay::SustainedDelay, limit::ConcurrencyLimit, pressure::Pressure, queue::ClassQueue,
-        reserve::Reserve, service_time::ServiceTime,
+        reserve::Reserve, retry_after::retry_after_ms, service_time::ServiceTime,
     },
     crate::{
         arena::{Arena, ArenaKey},
@@ -22,10 +22,6 @@
 const MAX_WAIT_US: [u64; CLASS_COUNT] = [1_000_000, 1_000_000, 5_000_000];
 /// Remaining time over the mean service time below which work is hopeless.
 const HOPELESS_RATIO: f64 = 0.5;
-/// Bounds of the time after which refused callers are told to come back.
-const RETRY_AFTER_MS: (u32, u32) = (50, 10_000);
-/// Steps over which that time is spread, up to twice its base.
-const RETRY_SPREAD_COUNT: u32 = 64;
 
 /// A request that waits or runs.
 #[derive(Debug, Clone, Copy)]
@@ -393,10 +389,7 @@
     fn refusal(&self, ticket: TicketKey, reason: Reason, now_us: u64) -> Refusal {
         let backlog = self.waiting_count() as f64 / f64::from(self.limit.count());
         let backlog_ms = backlog * self.service_time.mean_us(now_us) / 1000.0;
-        let (least_ms, most_ms) = RETRY_AFTER_MS;
-        let base_ms = (backlog_ms as u32).clamp(least_ms, most_ms);
         let step = (ticket.index() as u32).wrapping_add(ticket.generation().wrapping_mul(31));
-        let spread_ms = base_ms * (step % RETRY_SPREAD_COUNT) / RETRY_SPREAD_COUNT;
-        Refusal::not_run(reason).with_retry_after_ms(base_ms + spread_ms)
+        Refusal::not_run(reason).with_retry_after_ms(retry_after_ms(backlog_ms, step))
     }
 }
--- a/src/admission/limit.rs
+++ b/src/admission/limit.rs
@@ -8,7 +8,7 @@
 //! one window; latency that falls along came from waiting, latency that stays
 //! is the service time.
 
-use super::{LoadReport, TargetSize, window::Window};
+use super::{LoadReport, TargetSize, trial::waiting_fell, window::Window};
 
 /// Smallest limit, unless the target announced fewer slots.
 pub const MIN_LIMIT: f64 = 4.0;
@@ -22,12 +22,6 @@
 const RISE_TOLERANCE: f64 = 1.5;
 /// Share of the limit that a trial keeps.
 const TRIAL_SHARE: f64 = 0.7;
-/// Latency in the trial over latency before it, below which requests were
-/// waiting inside the target. Nearer to "stayed" than to "fell along", since
-/// latency that is cut off at deadlines falls less than the waiting does.
-const WAITING_RATIO: f64 = 0.92;
-/// Standard errors by which it must have fallen.
-const TRIAL_ERROR_COUNT: f64 = 2.5;
 /// Windows without growth after which a trial begins.
 const HELD_WINDOW_COUNT: u32 = 8;
 /// Time between routine trials, which find a floor that was measured too high.
@@ -50,8 +44,6 @@
 const MIN_SAMPLE_COUNT: u32 = 32;
 /// Most samples of a window that are waited for.
 const MAX_SAMPLE_COUNT: u32 = 128;
-/// Share of requests given up while running from which the share is compared.
-const CUT_SHORT_RATIO: f64 = 0.2;
 /// Samples of a window for each request of the limit.
 const SAMPLES_PER_SLOT: f64 = 2.0;
 /// Age at which a window with the fewest samples is closed.
@@ -362,43 +354,6 @@
     }
 }
 
-/// Whether latency, or the share of requests whose callers gave up, fell along
-/// with the limit, beyond what chance does.
-///
-/// The share matters where requests wait in the target for longer than their
-/// callers do: latency is then cut off at the deadline with and without trial.
-///
-/// In doubt it did not: a wrong "fell" takes capacity from users at once, a
-/// wrong "stayed" leaves some waiting in the target until the next trial.
-fn waiting_fell(before: &Window, after: &Window) -> bool {
-    let latency = Fall {
-        before: before.mean_us(),
-        after: after.mean_us(),
-        variance: before.mean_variance() + after.mean_variance(),
-    };
-    let cut_short = Fall {
-        before: before.cut_short_ratio(),
-        after: after.cut_short_ratio(),
-        variance: before.cut_short_variance() + after.cut_short_variance(),
-    };
-    latency.is_sure() || (cut_short.before >= CUT_SHORT_RATIO && cut_short.is_sure())
-}
-
-/// A figure before and in a trial.
-struct Fall {
-    before: f64,
-    after: f64,
-    variance: f64,
-}
-
-impl Fall {
-    fn is_sure(&self) -> bool {
-        let error = self.variance.sqrt();
-        self.after < self.before * WAITING_RATIO
-            && self.before - self.after > error * TRIAL_ERROR_COUNT
-    }
-}
-
 fn slow_start_limit(slot_count: u32) -> f64 {
     let slot_count = f64::from(slot_count);
     (slot_count * SLOW_START_SHARE).max(MIN_LIMIT.min(slot_count))
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -8,8 +8,10 @@
 mod pressure;
 mod queue;
 mod reserve;
+mod retry_after;
 mod service_time;
 mod static_limit;
+mod trial;
 mod window;
 
 pub use {
--- a/src/target/serve.rs
+++ b/src/target/serve.rs
@@ -67,13 +67,16 @@
 
 fn log_refused<P: Policies>(node: &Node<P>, context: &RequestContext, refusal: Refusal) {
     let (running, waiting) = node.admission().counts();
-    let share = node.downstream().share(context.class);
+    let (share, below) = {
+        let downstream = node.downstream();
+        (downstream.share(context.class), downstream.load_percent())
+    };
     let (id, class) = (context.request_id, context.class.name());
     let (outcome, reason) = (refusal.outcome.name(), refusal.reason);
     let remaining_ms = context.remaining_us / 1000;
     event!(
         Event::AttemptRefused,
-        "request={id} class={class} outcome={outcome} reason={reason} running={running} waiting={waiting} share={share:.2} remaining_ms={remaining_ms}"
+        "request={id} class={class} outcome={outcome} reason={reason} running={running} waiting={waiting} share={share:.2} below_percent={below} remaining_ms={remaining_ms}"
     );
 }
 
