Let new processes bring their first tokens to every workspace

Cause: a new process stopped counting as new with its first reply, before any request of a workspace had come, so that each bucket began empty: requests far inside their rate were refused as the fleet started, and a workspace that had paused had no burst. Ruled out: the wait of 40 ms, which a busy machine might exceed. Beside it: the last node of a fleet had no divider while it left.

Change: the divider remembers which processes came to it as new, buckets refill for the time in which shares were lent and nobody asked, and a node without any other candidate divides for itself.

--- a/src/quota/division.rs
+++ b/src/quota/division.rs
@@ -73,7 +73,7 @@
 #[derive(Debug, Clone)]
 struct Account {
     bucket: RefillBucket,
-    /// Processes that have brought their first tokens.
+    /// Processes that have asked for tokens; new ones brought some.
     known: HashSet<u64>,
 }
 
@@ -82,6 +82,10 @@
 pub struct Division {
     reporters: BTreeMap<String, Reporter>,
     accounts: HashMap<String, Account>,
+    /// Since when shares have been lent without a pause.
+    lent_since_us: u64,
+    /// Processes that were granted nothing by anyone before they came here.
+    new_processes: HashSet<u64>,
 }
 
 /// Who reports.
@@ -111,6 +115,12 @@
     ) {
         self.reporters
             .retain(|_, reporter| now_us < reporter.received_us + LEASE_US);
+        if self.reporters.is_empty() {
+            self.lent_since_us = now_us;
+        }
+        if from.is_new {
+            self.new_processes.insert(from.process_id);
+        }
         let ahead_counts = needs
             .iter()
             .map(|(workspace, need)| (workspace.clone(), need.ahead_counts.iter().sum()));
@@ -141,16 +151,21 @@
         let reporter_count = self.reporter_count(now_us).max(1);
         let lent_ratio = reporter_count as f64 / member_count.max(reporter_count) as f64;
         let ahead_total = self.ahead_total(workspace, now_us);
+        // A workspace that nobody asked for refills as well: its first requests
+        // after a pause may be as many as its burst.
+        let lent_since_us = self.lent_since_us;
         let account = self
             .accounts
             .entry(workspace.to_owned())
             .or_insert_with(|| Account {
-                bucket: RefillBucket::new(now_us),
+                bucket: RefillBucket::new(lent_since_us),
                 known: HashSet::new(),
             });
         let bucket = &mut account.bucket;
+        bucket.skip_to(lent_since_us);
         bucket.advance(rate, lent_ratio, now_us);
-        if account.known.insert(from.process_id) && from.is_new {
+        let is_new = self.new_processes.contains(&from.process_id);
+        if account.known.insert(from.process_id) && is_new {
             bucket.add(first_tokens(rate) / member_count.max(1) as f64);
         }
         bucket.add(f64::from(need.returned_count));
--- a/src/quota/refill.rs
+++ b/src/quota/refill.rs
@@ -35,6 +35,13 @@
         self.add(elapsed_s * self.rate_per_s);
     }
 
+    /// Does not refill for the time before.
+    pub const fn skip_to(&mut self, since_us: u64) {
+        if self.updated_us < since_us {
+            self.updated_us = since_us;
+        }
+    }
+
     /// Takes everything out.
     pub const fn clear(&mut self) {
         self.level = 0.0;
--- a/src/quota/sharing.rs
+++ b/src/quota/sharing.rs
@@ -177,9 +177,7 @@
 
     /// Tells the divider what this node needs.
     async fn report(&mut self, now_us: u64) {
-        let Some((node_id, address)) = self.divider(now_us) else {
-            return;
-        };
+        let (node_id, address) = self.divider(now_us);
         let report = Report {
             node_id: self.inputs.node_id.clone(),
             process_id: self.outstanding.process_id(),
@@ -305,7 +303,7 @@
     }
 
     /// The node to report to.
-    fn divider(&mut self, now_us: u64) -> Option<(String, SocketAddr)> {
+    fn divider(&mut self, now_us: u64) -> (String, SocketAddr) {
         let view = self.inputs.view.borrow();
         let mut candidates: Vec<&Member> = view
             .members
@@ -314,9 +312,13 @@
             .collect();
         candidates.sort_by_cached_key(|member| xxh3_64(member.node_id.as_bytes()));
         let place = self.choice.place(candidates.len(), now_us);
-        let member = candidates.get(place)?;
+        // The last node of a fleet divides for itself also while it leaves;
+        // its callers would be refused until the end of its stop.
+        let Some(member) = candidates.get(place) else {
+            return (self.inputs.node_id.clone(), self.inputs.address);
+        };
         let address = SocketAddr::new(member.ip, self.inputs.port);
-        Some((member.node_id.clone(), address))
+        (member.node_id.clone(), address)
     }
 
     async fn send(&self, message: &Message, to: SocketAddr) {
--- a/tests/quota_division.rs
+++ b/tests/quota_division.rs
@@ -280,6 +280,59 @@
     assert!(most <= WINDOW_LIMIT, "{most} of {WINDOW_LIMIT}");
 }
 
+/// A workspace's first requests come seconds after the fleet has started, or
+/// after a pause. Its bucket must not begin empty then: callers far inside their
+/// rate would be refused.
+#[test]
+fn the_first_requests_after_a_pause_are_served() {
+    struct Case {
+        name: &'static str,
+        pause_s: u64,
+        least_count: usize,
+    }
+    let cases = [
+        Case {
+            name: "as the fleet starts",
+            pause_s: 0,
+            least_count: 60,
+        },
+        Case {
+            name: "after half a second of its rate",
+            pause_s: 1,
+            least_count: 150,
+        },
+        Case {
+            name: "when the bucket has filled",
+            pause_s: 10,
+            least_count: 195,
+        },
+    ];
+    for case in cases {
+        let mut fleet = Fleet::new();
+        let mut division = Division::new();
+        for place in 0..NODE_COUNT {
+            let from = ReportFrom {
+                node_id: &place.to_string(),
+                process_id: place as u64,
+                is_new: true,
+            };
+            division.report(from, &HashMap::new(), fleet.now_us);
+        }
+        for place in 0..NODE_COUNT {
+            fleet.nodes[place].is_new = false;
+            fleet.nodes[place].lent_until_us = LEASE_US;
+        }
+        fleet.nodes[0].division = division;
+        fleet.run(case.pause_s, |_| 0.0, together);
+        for request in 0..200 {
+            fleet.ask(request % NODE_COUNT, &together);
+        }
+        let (name, count) = (case.name, fleet.admitted_count);
+        assert!(count >= case.least_count, "{name}: {count}");
+        assert!(count <= 200, "{name}: {count}");
+    }
+}
+
 /// Requests of a workspace come while the node holds no token, the most
 /// important ones last. Served in the order of arrival, reads would take the
 /// tokens of orders.
