--- a/src/membership/swim.rs
+++ b/src/membership/swim.rs
@@ -8,7 +8,7 @@
     },
     crate::{documents::Versions, keys::KeyDigest},
     rand::Rng,
-    std::{collections::HashMap, net::SocketAddr},
+    std::{collections::BTreeMap, net::SocketAddr},
 };
 
 /// Parts of synchronisations that a tick sends at most.
@@ -74,7 +74,7 @@
     pub(super) state: OwnState,
     pub(super) table: MemberTable,
     pub(super) seeds: Vec<SocketAddr>,
-    pub(super) probes: HashMap<u64, Probe>,
+    pub(super) probes: BTreeMap<u64, Probe>,
     pub(super) next_sequence: u64,
     pub(super) round: u64,
     pub(super) next_round_ms: u64,
@@ -98,7 +98,7 @@
             state: OwnState::default(),
             table,
             seeds,
-            probes: HashMap::new(),
+            probes: BTreeMap::new(),
             next_sequence: 1,
             round: 0,
             next_round_ms: 0,
