--- a/tests/admission_downstream.rs
+++ b/tests/admission_downstream.rs
@@ -162,7 +162,7 @@
 /// The deep service has room again. As long as requests are held back, its
 /// slots idle and users are refused for nothing.
 #[test]
-fn what_was_held_back_returns_within_two_seconds() {
+fn what_was_held_back_returns_within_five_seconds() {
     let mut downstream = Downstream::new();
     let mut now_us = 0;
     for _ in 0..1000 {
