Let relays ask the store for their zone in the platform's form too

Cause: each node listed the configuration and watched it for 3.3 s, 0.6 calls a second and node, and all nodes of a fleet that starts read the seeds, wrote them and read again.

Ruled out: fewer, longer watches alone (the listings remain and grow with the fleet); StaleOk for watches (seconds old, changes are due within two seconds); one watching relay (a change under its death would be late).

Change: the hosted form uses the follower of the product's own form. DocumentOrigin is where documents come from: the platform's object API or one object of an ObjectStore. LookBounds says who looks and when: two relays a zone by the age of the newest confirmation, other members by a rate for the whole zone where no relay of any zone tells of a look. Ages ride on gossip's replies, counted by the receiver from its probe; content comes from members by rpc, from the own zone first. A fleet's first start spreads its first calls. A node that alone is shut out now serves keyed requests by its neighbours' word.

--- a/src/daemon/hosted/configuration.rs
+++ b/src/daemon/hosted/configuration.rs
@@ -3,10 +3,10 @@
 use {
     crate::{
         conf::{HostedConfiguration, Running, compile_hosted},
+        documents::Document,
         event,
         events::Event,
         model::Names,
-        objects::StoredObject,
     },
     std::{fmt::Display, sync::Arc},
     tokio::sync::watch,
@@ -18,11 +18,11 @@
     decode: fn(&[u8]) -> Result<HostedConfiguration, E>,
     names: Names,
 ) -> (
-    impl FnMut(&StoredObject) + Send + 'static,
+    impl FnMut(&Document) + Send + 'static,
     watch::Receiver<Arc<Running>>,
 ) {
     let (sender, receiver) = watch::channel(Arc::new(Running::default()));
-    let apply = move |object: &StoredObject| put_into_force(&sender, object, decode, &names);
+    let apply = move |document: &Document| put_into_force(&sender, document, decode, &names);
     (apply, receiver)
 }
 
@@ -30,12 +30,12 @@
 /// alone, so that no request is decided by rules that were withdrawn.
 fn put_into_force<E: Display>(
     sender: &watch::Sender<Arc<Running>>,
-    object: &StoredObject,
+    document: &Document,
     decode: fn(&[u8]) -> Result<HostedConfiguration, E>,
     names: &Names,
 ) {
-    let revision = object.revision;
-    let configuration = match decode(&object.content) {
+    let revision = document.version;
+    let configuration = match decode(&document.content) {
         Ok(configuration) => configuration,
         Err(error) => {
             event!(
--- a/src/daemon/hosted/discovery.rs
+++ b/src/daemon/hosted/discovery.rs
@@ -13,7 +13,8 @@
         settings::Settings,
         timer::Timer,
     },
-    std::{collections::BTreeSet, net::SocketAddr, sync::Arc},
+    rand::Rng,
+    std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration},
     tokio::sync::{mpsc, watch},
     tokio_util::sync::CancellationToken,
 };
@@ -39,9 +40,10 @@
 }
 
 /// Starts reading and keeping the objects until `shutdown`; tells how many
-/// nodes they speak of.
+/// nodes they speak of. The first read waits for a random part of the spread.
 pub fn spawn<S: ObjectStore>(
     settings: &Settings,
+    start_spread_ms: u64,
     store: S,
     view: watch::Receiver<Arc<View>>,
     to_gossip: mpsc::Sender<Vec<SocketAddr>>,
@@ -60,7 +62,9 @@
         expected_count,
     };
     let mut ticks = timer.subscribe(ALONE_PERIOD_MS);
+    let start_delay_ms = rand::rng().random_range(0..=start_spread_ms);
     tokio::spawn(async move {
+        tokio::time::sleep(Duration::from_millis(start_delay_ms)).await;
         loop {
             tokio::select! {
                 () = shutdown.cancelled() => return,
--- a/src/daemon/hosted/mod.rs
+++ b/src/daemon/hosted/mod.rs
@@ -3,26 +3,30 @@
 mod configuration;
 mod discovery;
 mod no_guard;
+mod relayed;
 
 use {
-    super::DaemonError,
+    super::{DaemonError, neighbours::RpcNeighbours},
     crate::{
         admission::Adaptive,
         conf::HostedConfiguration,
         dialect::Dialect,
+        documents::{DocumentStore, LookBounds, OtherLooks},
         membership::{Gossip, GossipInputs, OwnState},
         model::Names,
         node::{Node, NodeInputs, PolicySet, start},
-        objects::{FollowedName, FollowerBounds, ObjectStore, follow},
+        objects::{FollowParts, FollowedName, FollowerBounds, ObjectStore, follow},
         peer::FleetAuth,
         quota::{DividedQuota, SharingInputs, spawn_sharing},
         retry::ChainBudget,
         routing::ZoneRouter,
+        rpc::{self, RpcConfig},
         settings::Settings,
         shutdown,
         timer::{Timer, unix_ms},
     },
     no_guard::NoGuard,
+    relayed::DocumentHandlers,
     std::{net::SocketAddr, sync::Arc},
     tokio::sync::{mpsc, watch},
     tokio_util::sync::CancellationToken,
@@ -30,9 +34,27 @@
 
 /// Messages that wait between parts.
 const CHANNEL_LENGTH: usize = 256;
-/// Wait of one watch of the configuration, in milliseconds. With the read that
-/// follows each, a node makes less than one call a second.
-const WATCH_MS: u64 = 3300;
+/// Wait of one watch of the configuration, in milliseconds.
+const WATCH_MS: u64 = 10_000;
+/// When nodes ask the store. Calls are paid for, and a key has to be refused
+/// once no confirmation has come for the time that the platform allows.
+const LOOK_BOUNDS: LookBounds = LookBounds {
+    period_ms: 200,
+    start_delay_ms: 0,
+    first_relay_age_ms: 1500,
+    second_relay_age_ms: 2000,
+    ask_relays_age_ms: Some(2400),
+    others: Some(OtherLooks {
+        age_ms: 3000,
+        rate_per_s: 2.0,
+    }),
+    first_backoff_ms: 100,
+    longest_backoff_ms: 1600,
+};
+/// Time over which nodes of a fleet that never ran spread their first read of
+/// the seeds. Nearly all find what another one wrote, and meet before they look
+/// for the configuration.
+const FIRST_START_SPREAD_MS: u64 = 800;
 /// Taken off the time for which keys may be honoured after their removal:
 /// covers the time that a request takes from its caller to this node.
 const REVOCATION_MARGIN_MS: u64 = 500;
@@ -54,6 +76,8 @@
     pub decode: fn(&[u8]) -> Result<HostedConfiguration, E>,
     /// How long after its removal a key may be honoured, in milliseconds.
     pub revocation_limit_ms: u64,
+    /// The whole fleet starts for the first time; nothing is served yet.
+    pub is_first_start: bool,
 }
 
 /// Runs a hosted node until it has drained.
@@ -69,19 +93,24 @@
     let names = Names::new();
     let (own_state, _) = watch::channel(OwnState::default());
     let (seed_sender, seeds) = mpsc::channel(CHANNEL_LENGTH);
-    // Keys and documents come from the store alone; gossip carries members.
+    // Keys are part of the configuration; none is revoked apart from it.
     let (_revocation_sender, revocations) = mpsc::channel(1);
-    let (hints, _hint_receiver) = mpsc::channel(1);
+    let (hint_sender, hints) = mpsc::channel(CHANNEL_LENGTH);
     let gossip_inputs = GossipInputs {
         own: own_state.subscribe(),
         revocations,
         seeds,
-        hints,
+        hints: hint_sender,
         started_unix_ms: unix_ms(),
     };
     let gossip = Gossip::spawn(&settings, timer.clone(), gossip_inputs, shutdown.clone()).await?;
+    let start_spread_ms = match parts.is_first_start {
+        true => FIRST_START_SPREAD_MS,
+        false => 0,
+    };
     let expected_count = discovery::spawn(
         &settings,
+        start_spread_ms,
         parts.store.clone(),
         gossip.view.clone(),
         seed_sender,
@@ -93,18 +122,39 @@
         confirmed_ms: parts
             .revocation_limit_ms
             .saturating_sub(REVOCATION_MARGIN_MS),
+        looks: LookBounds {
+            start_delay_ms: 2 * start_spread_ms,
+            ..LOOK_BOUNDS
+        },
     };
     let (apply, running) = configuration::in_force(parts.decode, names.clone());
+    let documents = DocumentStore::new();
+    let (client, calls) = rpc::channel();
     let freshness = follow(
-        parts.store,
-        parts.configuration,
-        bounds,
+        FollowParts {
+            node_id: settings.node_id.clone(),
+            zone: settings.zone.clone(),
+            store: parts.store,
+            followed: parts.configuration,
+            bounds,
+            documents: documents.clone(),
+            neighbours: RpcNeighbours::new(client, gossip.view.clone()),
+            own_state: own_state.clone(),
+            view: gossip.view.clone(),
+            probes: gossip.probes.clone(),
+            stamps: gossip.stamps.subscribe(),
+            hints,
+            timer: timer.clone(),
+            shutdown: shutdown.clone(),
+        },
         apply,
-        timer.clone(),
-        shutdown.clone(),
     );
-    let quota = DividedQuota::new(timer.clone());
     let address = SocketAddr::new(settings.ip, settings.rpc_port);
+    let rpc_config = RpcConfig::new(&settings, names.clone());
+    let handlers = Arc::new(DocumentHandlers::new(documents));
+    rpc::spawn(rpc_config, calls, handlers, shutdown.clone())
+        .map_err(|source| DaemonError::Rpc { address, source })?;
+    let quota = DividedQuota::new(timer.clone());
     let sharing = SharingInputs {
         node_id: settings.node_id.clone(),
         address,
--- a/src/documents/follower.rs
+++ b/src/documents/follower.rs
@@ -1,21 +1,20 @@
-//! Follows the platform's documents, directly or through other members.
+//! Follows documents, directly or through other members.
 //!
-//! Two relays in each availability zone watch the platform and confirm their
-//! look about once a second; the other members learn of higher versions from
-//! gossip, as hints and as replies to their own probes, and fetch them from the
-//! member that has them.
+//! Two relays in each availability zone watch the documents' origin and confirm
+//! their look; the other members learn of higher versions from gossip, as hints
+//! and as replies to their own probes, and fetch them from the member that has
+//! them.
 
 use {
     super::{
-        Document, DocumentKind, DocumentStore, KIND_COUNT, Versions,
+        Document, DocumentKind, DocumentOrigin, DocumentStore, KIND_COUNT, LookBounds, Versions,
         look::{LookTask, WatchTask},
     },
     crate::{
         backoff::Backoff,
         event,
         events::Event,
-        membership::{PeerStamp, View, relay_rank},
-        platform::Platform,
+        membership::{MemberProbes, PeerStamp, View, relay_rank},
         timer::Timer,
     },
     rand::Rng,
@@ -29,8 +28,10 @@
 
 const FETCH_LIMIT: Duration = Duration::from_millis(1_000);
 const FETCH_ATTEMPTS: usize = 4;
+/// Wait for a member of the own availability zone to bring what one of another
+/// zone holds: traffic between zones is slower and paid for.
+const OTHER_ZONE_DELAY: Duration = Duration::from_millis(150);
 const NOT_READY_REPORT_MS: u64 = 3_000;
-const START_DELAY_MS: u64 = 300;
 
 /// Calls to other members.
 pub trait Neighbours: Clone + Send + Sync + 'static {
@@ -54,19 +55,23 @@
 }
 
 /// What the follower works with.
-pub struct FollowerParts<N> {
+pub struct FollowerParts<O, N> {
     /// This node.
     pub node_id: String,
     /// Its availability zone.
     pub zone: String,
     /// Where documents go.
     pub store: DocumentStore,
-    /// The platform.
-    pub platform: Platform,
+    /// Where operators write them.
+    pub origin: O,
+    /// When to look there.
+    pub bounds: LookBounds,
     /// Calls to other members.
     pub neighbours: N,
     /// Members.
     pub view: watch::Receiver<Arc<View>>,
+    /// Questions to single members.
+    pub probes: MemberProbes,
     /// Replies to own probes.
     pub stamps: broadcast::Receiver<PeerStamp>,
     /// Hints from gossip.
@@ -79,21 +84,40 @@
 
 /// State that the follower's tasks share.
 #[derive(Debug, Clone)]
-pub(super) struct Shared {
+pub(super) struct Shared<O> {
     pub(super) node_id: String,
     pub(super) zone: String,
     pub(super) store: DocumentStore,
-    pub(super) platform: Platform,
+    pub(super) origin: O,
+    pub(super) bounds: LookBounds,
     pub(super) view: watch::Receiver<Arc<View>>,
     pub(super) timer: Timer,
     pub(super) seen: Arc<watch::Sender<Option<u64>>>,
 }
 
-impl Shared {
+impl<O> Shared<O> {
     pub(super) fn rank(&self) -> Option<usize> {
         relay_rank(&self.view.borrow(), &self.zone, &self.node_id)
     }
 
+    pub(super) fn zone_member_count(&self) -> usize {
+        let view = self.view.borrow();
+        let members = view.members.iter();
+        members
+            .filter(|member| member.zone == self.zone && member.is_usable())
+            .count()
+    }
+
+    fn is_in_zone(&self, node_id: &str) -> bool {
+        let view = self.view.borrow();
+        let member = view.member(node_id);
+        member.is_none_or(|member| member.zone == self.zone)
+    }
+
+    pub(super) const fn backoff(&self) -> Backoff {
+        Backoff::new(self.bounds.first_backoff_ms, self.bounds.longest_backoff_ms)
+    }
+
     /// Takes over a confirmed look, if this node holds all that it saw.
     // A look says: these were the newest versions at that time. A node that
     // holds less and took the time alone would call itself fresh while it
@@ -128,28 +152,32 @@
 /// the timer's clock, taken by this node or by a member whose documents it has
 /// caught up with.
 #[must_use]
-pub fn spawn_follower<N: Neighbours>(parts: FollowerParts<N>) -> watch::Receiver<Option<u64>> {
+pub fn spawn_follower<O: DocumentOrigin, N: Neighbours>(
+    parts: FollowerParts<O, N>,
+) -> watch::Receiver<Option<u64>> {
     let (seen, receiver) = watch::channel(None);
     let shared = Shared {
         node_id: parts.node_id,
         zone: parts.zone,
         store: parts.store,
-        platform: parts.platform,
+        origin: parts.origin,
+        bounds: parts.bounds,
         view: parts.view,
         timer: parts.timer,
         seen: Arc::new(seen),
     };
     let shutdown = parts.shutdown;
+    let start_delay_ms = shared.bounds.start_delay_ms;
     let wanted = std::array::from_fn(|_| watch::channel(None).0);
-    for kind in DocumentKind::ALL {
+    for kind in O::KINDS.iter().copied() {
         let watching = WatchTask::new(shared.clone(), kind).run();
-        spawn_until(&shutdown, after_start_delay(watching));
+        spawn_until(&shutdown, after_start_delay(start_delay_ms, watching));
         let wanted = wanted[kind.index()].subscribe();
         let fetching = fetch_wanted(shared.clone(), parts.neighbours.clone(), kind, wanted);
         spawn_until(&shutdown, fetching);
     }
-    let looking = LookTask::new(shared.clone()).run();
-    spawn_until(&shutdown, after_start_delay(looking));
+    let looking = LookTask::new(shared.clone(), parts.probes).run();
+    spawn_until(&shutdown, after_start_delay(start_delay_ms, looking));
     spawn_until(&shutdown, report_not_ready(shared.clone()));
     spawn_until(&shutdown, listen(shared, parts.stamps, parts.hints, wanted));
     receiver
@@ -158,9 +186,9 @@
 // A node that knows no other member yet takes itself for its zone's relay. A
 // fleet that starts as a whole would meet the platform with calls from every
 // node at the same time; by the end of the delay most have met.
-async fn after_start_delay(task: impl Future<Output = ()>) {
-    let jitter_ms = rand::rng().random_range(0..START_DELAY_MS);
-    tokio::time::sleep(Duration::from_millis(START_DELAY_MS + jitter_ms)).await;
+async fn after_start_delay(delay_ms: u64, task: impl Future<Output = ()>) {
+    let delay_ms = rand::rng().random_range(delay_ms / 2..=delay_ms);
+    tokio::time::sleep(Duration::from_millis(delay_ms)).await;
     task.await;
 }
 
@@ -174,8 +202,8 @@
     });
 }
 
-async fn listen(
-    shared: Shared,
+async fn listen<O: DocumentOrigin>(
+    shared: Shared<O>,
     mut stamps: broadcast::Receiver<PeerStamp>,
     mut hints: mpsc::Receiver<Hint>,
     wanted: [watch::Sender<Option<Wanted>>; KIND_COUNT],
@@ -201,8 +229,8 @@
     }
 }
 
-fn want(
-    shared: &Shared,
+fn want<O: DocumentOrigin>(
+    shared: &Shared<O>,
     node_id: &str,
     versions: Versions,
     wanted: &[watch::Sender<Option<Wanted>>; KIND_COUNT],
@@ -210,7 +238,7 @@
     let held = shared.store.versions();
     for kind in DocumentKind::ALL {
         let version = versions.of(kind);
-        if version <= held.of(kind) {
+        if version <= held.of(kind) || !O::KINDS.contains(&kind) {
             continue;
         }
         wanted[kind.index()].send_replace(Some(Wanted {
@@ -220,8 +248,8 @@
     }
 }
 
-async fn fetch_wanted<N: Neighbours>(
-    shared: Shared,
+async fn fetch_wanted<O: DocumentOrigin, N: Neighbours>(
+    shared: Shared<O>,
     neighbours: N,
     kind: DocumentKind,
     mut wanted: watch::Receiver<Option<Wanted>>,
@@ -230,6 +258,9 @@
         let Some(next) = wanted.borrow_and_update().clone() else {
             continue;
         };
+        if !shared.is_in_zone(&next.node_id) {
+            tokio::time::sleep(OTHER_ZONE_DELAY).await;
+        }
         let mut backoff = Backoff::new(50, 500);
         for _ in 0..FETCH_ATTEMPTS {
             let held_version = shared.store.versions().of(kind);
@@ -248,7 +279,12 @@
     }
 }
 
-fn take_from_neighbour(shared: &Shared, node_id: &str, kind: DocumentKind, document: Document) {
+fn take_from_neighbour<O: DocumentOrigin>(
+    shared: &Shared<O>,
+    node_id: &str,
+    kind: DocumentKind,
+    document: Document,
+) {
     let version = document.version;
     let is_newer = document.kind == kind && shared.store.offer(document);
     if is_newer && kind == DocumentKind::Configuration {
@@ -259,7 +295,7 @@
     }
 }
 
-async fn report_not_ready(shared: Shared) {
+async fn report_not_ready<O: DocumentOrigin>(shared: Shared<O>) {
     let mut configuration = shared.store.subscribe(DocumentKind::Configuration);
     let mut ticks = shared.timer.subscribe(NOT_READY_REPORT_MS);
     loop {
--- a/src/documents/mod.rs
+++ b/src/documents/mod.rs
@@ -2,10 +2,14 @@
 
 mod follower;
 mod look;
+mod origin;
+mod schedule;
 mod store;
 
 pub use {
     follower::{FollowerParts, Hint, Neighbours, spawn_follower},
+    origin::DocumentOrigin,
+    schedule::{LookBounds, LookRole, OtherLooks},
     store::DocumentStore,
 };
 
--- /dev/null
+++ b/src/documents/schedule.rs
@@ -0,0 +1,71 @@
+//! Who looks at the documents' origin, and when.
+
+/// Times by which the members of an availability zone share the looks.
+///
+/// Ages are those of the newest confirmed look, own or told.
+#[derives::value]
+#[derive(Copy)]
+pub struct LookBounds {
+    /// Time between two decisions, in milliseconds.
+    pub period_ms: u64,
+    /// Longest wait before the first look, in milliseconds; drawn at random.
+    pub start_delay_ms: u64,
+    /// Age at which the first relay looks, in milliseconds.
+    pub first_relay_age_ms: u64,
+    /// Age at which the second relay looks, in milliseconds.
+    pub second_relay_age_ms: u64,
+    /// Age at which other members ask the relays, in milliseconds.
+    pub ask_relays_age_ms: Option<u64>,
+    /// When other members look themselves.
+    pub others: Option<OtherLooks>,
+    /// First pause after a failed call, in milliseconds.
+    pub first_backoff_ms: u64,
+    /// Longest pause after failed calls, in milliseconds.
+    pub longest_backoff_ms: u64,
+}
+
+/// Looks by members that are no relays.
+///
+/// The origin may turn away both relays of a zone and serve the others.
+#[derives::value]
+#[derive(Copy)]
+pub struct OtherLooks {
+    /// Age from which they look, in milliseconds.
+    pub age_ms: u64,
+    /// Looks of all of them together, per second.
+    pub rate_per_s: f64,
+}
+
+/// A member's part in the looks of its availability zone.
+#[derives::value]
+#[derive(Copy)]
+pub struct LookRole {
+    /// Rank among the relays, 0 first; `None` for other members.
+    pub rank: Option<usize>,
+    /// Members of the zone.
+    pub member_count: usize,
+}
+
+impl LookBounds {
+    /// Whether a member looks now.
+    ///
+    /// `age_ms` is `None` while there is no confirmed look. `draw` lies in 0..1
+    /// and decides among members that are no relays.
+    #[must_use]
+    pub fn is_due(&self, role: LookRole, age_ms: Option<u64>, draw: f64) -> bool {
+        let is_older_than = |limit_ms| age_ms.is_none_or(|age_ms| age_ms >= limit_ms);
+        match role.rank {
+            Some(0) => is_older_than(self.first_relay_age_ms),
+            Some(_) => is_older_than(self.second_relay_age_ms),
+            None => self.others.is_some_and(|others| {
+                is_older_than(others.age_ms) && draw < self.share(others, role.member_count)
+            }),
+        }
+    }
+
+    /// Chance of a look by one of so many members in a period.
+    fn share(&self, others: OtherLooks, member_count: usize) -> f64 {
+        let period_s = self.period_ms as f64 / 1000.0;
+        others.rate_per_s * period_s / member_count.max(1) as f64
+    }
+}
--- a/src/objects/follower.rs
+++ b/src/objects/follower.rs
@@ -1,34 +1,33 @@
 //! Follows one object and tells how long what is known of it may be relied on.
 
 use {
-    super::{Change, ObjectStore, StoreError, StoredObject},
+    super::{ObjectOrigin, ObjectStore},
     crate::{
-        backoff::Backoff,
-        event,
-        events::Event,
+        documents::{
+            Document, DocumentKind, DocumentStore, FollowerParts, Hint, LookBounds, Neighbours,
+            Versions, spawn_follower,
+        },
         freshness::{Freshness, Snapshot},
+        membership::{MemberProbes, OwnState, PeerStamp, View},
         timer::Timer,
     },
-    tokio::sync::watch,
+    std::sync::Arc,
+    tokio::sync::{broadcast, mpsc, watch},
     tokio_util::sync::CancellationToken,
 };
 
-/// First pause after a failed call.
-const FIRST_BACKOFF_MS: u64 = 50;
-/// Longest pause after failed calls; a store that is back is noticed within
-/// it.
-const LONGEST_BACKOFF_MS: u64 = 800;
-
 /// Times by which the follower goes.
 #[derives::value]
 #[derive(Copy)]
 pub struct FollowerBounds {
-    /// Wait of one watch, in milliseconds. A read follows each watch, so that
-    /// a change that the watch missed is known about this much later.
+    /// Wait of one watch, in milliseconds.
     pub watch_ms: u64,
-    /// How long a confirmed read speaks for the present, in milliseconds from
-    /// when it was sent.
+    /// How long a confirmed look speaks for the present, in milliseconds from
+    /// when the store was asked.
     pub confirmed_ms: u64,
+    /// Who looks, and when. A change that a watch missed is known after the
+    /// first relay's age.
+    pub looks: LookBounds,
 }
 
 /// The object that is followed.
@@ -41,6 +40,39 @@
     pub name: String,
 }
 
+/// What the follower works with.
+pub struct FollowParts<S, N> {
+    /// This node.
+    pub node_id: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// The store.
+    pub store: S,
+    /// The object in it.
+    pub followed: FollowedName,
+    /// Times.
+    pub bounds: FollowerBounds,
+    /// Where the newest content is held for other members.
+    pub documents: DocumentStore,
+    /// Calls to other members.
+    pub neighbours: N,
+    /// What this node tells other members; the follower writes the versions and
+    /// the time of the last confirmed look.
+    pub own_state: watch::Sender<OwnState>,
+    /// Members.
+    pub view: watch::Receiver<Arc<View>>,
+    /// Questions to single members.
+    pub probes: MemberProbes,
+    /// Replies to own probes.
+    pub stamps: broadcast::Receiver<PeerStamp>,
+    /// Hints from gossip.
+    pub hints: mpsc::Receiver<Hint>,
+    /// Time.
+    pub timer: Timer,
+    /// Ends the follower.
+    pub shutdown: CancellationToken,
+}
+
 /// Follows an object until `shutdown`; tells how far what `apply` was given may
 /// be relied on.
 ///
@@ -53,127 +85,99 @@
 /// its history, a watch hears nothing of changes, and a key that was taken
 /// away would go on being honoured. Only a plain read does, counted from when
 /// it was sent, since its answer may have been under way for long.
-pub fn follow<S, A>(
-    store: S,
-    followed: FollowedName,
-    bounds: FollowerBounds,
-    apply: A,
-    timer: Timer,
-    shutdown: CancellationToken,
-) -> watch::Receiver<Snapshot>
+pub fn follow<S, N, A>(parts: FollowParts<S, N>, apply: A) -> watch::Receiver<Snapshot>
 where
     S: ObjectStore,
-    A: FnMut(&StoredObject) + Send + 'static,
+    N: Neighbours,
+    A: FnMut(&Document) + Send + 'static,
 {
     let (freshness_sender, freshness) = watch::channel(Snapshot::cut_off());
-    let follower = Follower {
-        store,
-        kind: followed.kind,
-        name: followed.name,
-        bounds,
-        timer,
-        applied_revision: 0,
+    let origin = ObjectOrigin::new(parts.store, parts.followed, parts.bounds.watch_ms);
+    let seen = spawn_follower(FollowerParts {
+        node_id: parts.node_id,
+        zone: parts.zone,
+        store: parts.documents.clone(),
+        origin,
+        bounds: parts.bounds.looks,
+        neighbours: parts.neighbours,
+        view: parts.view,
+        probes: parts.probes,
+        stamps: parts.stamps,
+        hints: parts.hints,
+        timer: parts.timer,
+        shutdown: parts.shutdown.clone(),
+    });
+    let enforcement = Enforcement {
+        documents: parts.documents,
+        seen,
+        confirmed_ms: parts.bounds.confirmed_ms,
+        applied_version: 0,
         apply,
+        own_state: parts.own_state,
         freshness: freshness_sender,
-        is_lost: false,
     };
     tokio::spawn(async move {
         tokio::select! {
-            () = shutdown.cancelled() => {}
-            () = follower.run() => {}
+            () = parts.shutdown.cancelled() => {}
+            () = enforcement.run() => {}
         }
     });
     freshness
 }
 
-struct Follower<S, A> {
-    store: S,
-    kind: String,
-    name: String,
-    bounds: FollowerBounds,
-    timer: Timer,
-    applied_revision: u64,
+/// Puts content into force and tells how long it holds.
+struct Enforcement<A> {
+    documents: DocumentStore,
+    seen: watch::Receiver<Option<u64>>,
+    confirmed_ms: u64,
+    applied_version: u64,
     apply: A,
+    own_state: watch::Sender<OwnState>,
     freshness: watch::Sender<Snapshot>,
-    is_lost: bool,
 }
 
-impl<S: ObjectStore, A: FnMut(&StoredObject)> Follower<S, A> {
+impl<A: FnMut(&Document)> Enforcement<A> {
     async fn run(mut self) {
-        let mut backoff = Backoff::new(FIRST_BACKOFF_MS, LONGEST_BACKOFF_MS);
+        let mut newest = self.documents.subscribe(DocumentKind::Configuration);
         loop {
-            let result = self.turn().await;
-            self.note(&result);
-            match result {
-                Ok(()) => backoff.reset(),
-                // Also for a lost history: a store that has none at all would
-                // otherwise be asked without a pause.
-                Err(_) => backoff.wait().await,
+            // A look is told of once this node holds all that it saw, so what is
+            // held after its time was read covers it.
+            let seen_ms = *self.seen.borrow_and_update();
+            let document = newest.borrow_and_update().clone();
+            if let Some(document) = document {
+                self.take(&document);
             }
-        }
-    }
-
-    /// One plain listing and one watch.
-    async fn turn(&mut self) -> Result<(), StoreError> {
-        let sent_ms = self.timer.now_ms();
-        let listing = self.store.list(&self.kind).await?;
-        for object in listing.objects {
-            self.take(&object);
-        }
-        self.confirm(sent_ms);
-        // A watch must go on from the listing's revision: the object's own may
-        // lie before the history that the store keeps.
-        let changes = self
-            .store
-            .watch(&self.kind, listing.as_of, self.bounds.watch_ms)
-            .await?;
-        for change in changes.changes {
-            match change {
-                Change::Put(object) => self.take(&object),
-                Change::Removed(_) => {}
+            self.tell(seen_ms);
+            tokio::select! {
+                changed = newest.changed() => if changed.is_err() { return },
+                changed = self.seen.changed() => if changed.is_err() { return },
             }
         }
-        Ok(())
     }
 
-    /// Takes over what is newer than what is held; a read that was overtaken
-    /// by a watch must not bring the older content back.
-    fn take(&mut self, object: &StoredObject) {
-        if object.name != self.name || object.revision <= self.applied_revision {
-            return;
+    fn take(&mut self, document: &Document) {
+        if document.version > self.applied_version {
+            self.applied_version = document.version;
+            (self.apply)(document);
         }
-        self.applied_revision = object.revision;
-        (self.apply)(object);
     }
 
-    fn confirm(&self, sent_ms: u64) {
-        let until_ms = sent_ms + self.bounds.confirmed_ms;
-        self.freshness.send_replace(Snapshot {
-            freshness: Freshness::Fresh,
-            valid_until_ms: until_ms,
-            quota_until_ms: until_ms,
+    fn tell(&self, seen_ms: Option<u64>) {
+        let mut versions = Versions::default();
+        versions.0[DocumentKind::Configuration.index()] = self.applied_version;
+        self.own_state.send_if_modified(|own| {
+            let is_changed = own.versions != versions || own.platform_seen_ms != seen_ms;
+            own.versions = versions;
+            own.platform_seen_ms = seen_ms;
+            is_changed
         });
-    }
-
-    fn note(&mut self, result: &Result<(), StoreError>) {
-        match result {
-            Ok(()) | Err(StoreError::HistoryGone) if self.is_lost => {
-                self.is_lost = false;
-                event!(Event::PlatformReached, "object={}/{}", self.kind, self.name);
-            }
-            Err(StoreError::HistoryGone) => {
-                event!(Event::HistoryLost, "object={}/{}", self.kind, self.name);
-            }
-            Err(error) if !self.is_lost => {
-                self.is_lost = true;
-                event!(
-                    Event::PlatformLost,
-                    "object={}/{} error={error}",
-                    self.kind,
-                    self.name
-                );
-            }
-            _ => {}
+        if let Some(seen_ms) = seen_ms {
+            let until_ms = seen_ms + self.confirmed_ms;
+            self.freshness.send_replace(Snapshot {
+                freshness: Freshness::Fresh,
+                valid_until_ms: until_ms,
+                quota_until_ms: until_ms,
+            });
         }
     }
 }
--- a/src/objects/mod.rs
+++ b/src/objects/mod.rs
@@ -5,8 +5,12 @@
 //! repeat and what to believe is decided here.
 
 mod follower;
+mod origin;
 
-pub use follower::{FollowedName, FollowerBounds, follow};
+pub use {
+    follower::{FollowParts, FollowedName, FollowerBounds, follow},
+    origin::ObjectOrigin,
+};
 
 use std::future::Future;
 
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -7,6 +7,7 @@
 
 mod client;
 mod exchange;
+mod origin;
 mod outcome;
 
 pub use {
--- /dev/null
+++ b/src/platform/origin.rs
@@ -0,0 +1,66 @@
+//! The platform as where documents come from.
+
+use {
+    super::{Object, Platform, PlatformError, Watched},
+    crate::documents::{
+        Document, DocumentKind, DocumentOrigin, DocumentStore, LookBounds, Versions,
+    },
+    futures::future::try_join_all,
+};
+
+/// Wait of one watch.
+const WATCH_WAIT_MS: u64 = 20_000;
+
+impl Platform {
+    /// When members look at the platform.
+    pub const LOOK_BOUNDS: LookBounds = LookBounds {
+        period_ms: 1000,
+        start_delay_ms: 600,
+        first_relay_age_ms: 0,
+        second_relay_age_ms: 2500,
+        ask_relays_age_ms: None,
+        others: None,
+        first_backoff_ms: 200,
+        longest_backoff_ms: 4000,
+    };
+}
+
+impl DocumentOrigin for Platform {
+    type Error = PlatformError;
+
+    const KINDS: &'static [DocumentKind] = &DocumentKind::ALL;
+
+    async fn look(&self, store: &DocumentStore) -> Result<Versions, PlatformError> {
+        let looks = DocumentKind::ALL.map(|kind| self.current_version(kind.name()));
+        let versions = try_join_all(looks).await?;
+        let mut current = Versions::default();
+        for (kind, version) in DocumentKind::ALL.into_iter().zip(versions) {
+            current.0[kind.index()] = version;
+            if store.versions().of(kind) < version {
+                let object = self.read_at_least(kind.name(), version).await?;
+                store.offer(document(kind, object));
+            }
+        }
+        Ok(current)
+    }
+
+    async fn watch(
+        &self,
+        kind: DocumentKind,
+        held_version: u64,
+    ) -> Result<Option<Document>, PlatformError> {
+        let watched = Self::watch(self, kind.name(), held_version, WATCH_WAIT_MS).await?;
+        Ok(match watched {
+            Watched::Changed(object) => Some(document(kind, object)),
+            Watched::Unchanged => None,
+        })
+    }
+}
+
+fn document(kind: DocumentKind, object: Object) -> Document {
+    Document {
+        kind,
+        version: object.version,
+        content: object.content.into(),
+    }
+}
--- /dev/null
+++ b/tests/documents_schedule.rs
@@ -0,0 +1,128 @@
+//! Who looks at the documents' origin, without network and clock.
+
+use {
+    dogwoodbridge::documents::{LookBounds, LookRole, OtherLooks},
+    rand::{Rng, SeedableRng, rngs::StdRng},
+};
+
+const BOUNDS: LookBounds = LookBounds {
+    period_ms: 200,
+    start_delay_ms: 0,
+    first_relay_age_ms: 1500,
+    second_relay_age_ms: 2000,
+    ask_relays_age_ms: Some(2400),
+    others: Some(OtherLooks {
+        age_ms: 3000,
+        rate_per_s: 2.0,
+    }),
+    first_backoff_ms: 100,
+    longest_backoff_ms: 1600,
+};
+
+const fn role(rank: Option<usize>, member_count: usize) -> LookRole {
+    LookRole { rank, member_count }
+}
+
+#[test]
+fn members_look_in_turn_as_the_last_look_ages() {
+    struct Case {
+        name: &'static str,
+        role: LookRole,
+        age_ms: Option<u64>,
+        draw: f64,
+        is_due: bool,
+    }
+    let cases = [
+        Case {
+            name: "first relay, still young",
+            role: role(Some(0), 16),
+            age_ms: Some(1499),
+            draw: 0.0,
+            is_due: false,
+        },
+        Case {
+            name: "first relay",
+            role: role(Some(0), 16),
+            age_ms: Some(1500),
+            draw: 0.99,
+            is_due: true,
+        },
+        Case {
+            name: "second relay waits for the first",
+            role: role(Some(1), 16),
+            age_ms: Some(1999),
+            draw: 0.0,
+            is_due: false,
+        },
+        Case {
+            name: "second relay",
+            role: role(Some(1), 16),
+            age_ms: Some(2000),
+            draw: 0.99,
+            is_due: true,
+        },
+        Case {
+            name: "another member leaves it to the relays",
+            role: role(None, 16),
+            age_ms: Some(2999),
+            draw: 0.0,
+            is_due: false,
+        },
+        Case {
+            name: "another member whose turn it is",
+            role: role(None, 16),
+            age_ms: Some(3000),
+            draw: 0.0,
+            is_due: true,
+        },
+        Case {
+            name: "another member whose turn it is not",
+            role: role(None, 16),
+            age_ms: Some(3000),
+            draw: 0.5,
+            is_due: false,
+        },
+        Case {
+            name: "nothing confirmed yet",
+            role: role(Some(0), 1),
+            age_ms: None,
+            draw: 0.99,
+            is_due: true,
+        },
+    ];
+    for case in cases {
+        let is_due = BOUNDS.is_due(case.role, case.age_ms, case.draw);
+        assert_eq!(is_due, case.is_due, "{}", case.name);
+    }
+}
+
+#[test]
+fn without_looks_by_others_only_relays_look() {
+    let bounds = LookBounds {
+        others: None,
+        ..BOUNDS
+    };
+    assert!(!bounds.is_due(role(None, 1), None, 0.0));
+    assert!(bounds.is_due(role(Some(1), 1), None, 0.0));
+}
+
+/// The store is down for all. Were every node to ask again and again, the
+/// calls of a large fleet would keep it down.
+#[test]
+fn an_outage_draws_as_many_calls_from_large_zones_as_from_small_ones() {
+    const OUTAGE_MS: u64 = 60_000;
+    let mut rng = StdRng::seed_from_u64(3);
+    for member_count in [3, 16, 97] {
+        let mut call_count = 0;
+        for _ in 0..OUTAGE_MS / BOUNDS.period_ms {
+            for _ in 0..member_count {
+                let draw = rng.random();
+                let is_due = BOUNDS.is_due(role(None, member_count), Some(3000), draw);
+                call_count += u64::from(is_due);
+            }
+        }
+        let per_minute = 2.0 * (OUTAGE_MS / 1000) as f64;
+        let ratio = call_count as f64 / per_minute;
+        assert!((0.5..2.0).contains(&ratio), "{member_count}: {call_count}");
+    }
+}
--- /dev/null
+++ b/tests/objects_fleet.rs
@@ -0,0 +1,123 @@
+//! Many nodes that follow one object through a few that ask the store.
+
+mod objects_support;
+
+use {
+    dogwoodbridge::objects::FollowerBounds,
+    objects_support::{BOUNDS, Fleet, Mood},
+    rand::{Rng, SeedableRng, rngs::StdRng},
+    std::time::Duration,
+};
+
+/// Members that are no relays never look.
+const RELAYS_ONLY: FollowerBounds = {
+    let mut bounds = BOUNDS;
+    bounds.looks.others = None;
+    bounds
+};
+
+/// Were every node to ask the store, its calls would grow with the fleet and a
+/// large one would be refused.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_fleet_follows_by_the_calls_of_its_relays() {
+    let mut fleet = Fleet::new(2, 12, RELAYS_ONLY);
+    for _ in 0..3 {
+        let revision = fleet.put();
+        assert!(fleet.all_apply(revision).await);
+        let now_ms = fleet.timer.now_ms();
+        assert!(fleet.all_confirmed_after(now_ms).await);
+    }
+    let relays = fleet.relays();
+    assert_eq!(relays.len(), 4);
+    for node in 0..fleet.nodes.len() {
+        let has_called = fleet.store.call_count(node) > 0;
+        assert!(!has_called || relays.contains(&node), "node {node}");
+    }
+}
+
+/// The store turns away both relays of a zone and serves the others. Without
+/// looks by other members, keys would be refused in the whole zone.
+#[tokio::test(flavor = "multi_thread")]
+async fn others_look_when_the_store_shuts_out_the_relays() {
+    for mood in [Mood::Down, Mood::Silent] {
+        let mut fleet = Fleet::new(1, 6, BOUNDS);
+        assert!(fleet.all_apply(1).await);
+        for relay in fleet.relays() {
+            fleet.store.set(relay, mood);
+        }
+        let revision = fleet.put();
+        let shut_out_ms = fleet.timer.now_ms();
+        assert!(fleet.all_apply(revision).await, "{mood:?}");
+        assert!(fleet.all_confirmed_after(shut_out_ms).await, "{mood:?}");
+    }
+}
+
+/// One zone has no way to the store. Its nodes go on with what the other zones
+/// confirm.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_zone_without_the_store_learns_from_the_others() {
+    let mut fleet = Fleet::new(2, 4, BOUNDS);
+    assert!(fleet.all_apply(1).await);
+    for node in 0..4 {
+        fleet.store.set(node, Mood::Down);
+    }
+    let revision = fleet.put();
+    let shut_out_ms = fleet.timer.now_ms();
+    assert!(fleet.all_apply(revision).await);
+    assert!(fleet.all_confirmed_after(shut_out_ms).await);
+}
+
+/// Nobody reaches the store. Nodes that went on confirming to each other what
+/// none of them asked for would honour a removed key for good.
+#[tokio::test(flavor = "multi_thread")]
+async fn members_do_not_keep_an_old_confirmation_alive() {
+    let mut fleet = Fleet::new(2, 4, BOUNDS);
+    assert!(fleet.all_apply(1).await);
+    assert!(fleet.all_become(true).await);
+    fleet.set_all(Mood::Down);
+    assert!(fleet.all_become(false).await);
+    let revision = fleet.put();
+    fleet.set_all(Mood::Well);
+    assert!(fleet.all_apply(revision).await);
+    assert!(fleet.all_become(true).await);
+}
+
+/// A key is removed while the store forgets, delays and refuses, towards each
+/// node in another way. It must not be honoured anywhere for longer than the
+/// bound, whoever told the node what.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_node_relies_on_what_was_replaced_longer_than_the_bound() {
+    const MOODS: [Mood; 6] = [
+        Mood::Well,
+        Mood::Deaf,
+        Mood::Forgetful,
+        Mood::Down,
+        Mood::Silent,
+        Mood::Late,
+    ];
+    let mut rng = StdRng::seed_from_u64(24);
+    let fleet = Fleet::new(2, 4, BOUNDS);
+    let mut fresh_count = 0;
+    for step in 0..600 {
+        if step % 20 == 0 {
+            for node in 0..fleet.nodes.len() {
+                fleet
+                    .store
+                    .set(node, MOODS[rng.random_range(0..MOODS.len())]);
+            }
+            fleet.put();
+        }
+        for (node, known) in fleet.nodes.iter().enumerate() {
+            let now_ms = fleet.timer.now_ms();
+            let owed = now_ms.saturating_sub(BOUNDS.confirmed_ms);
+            let owed_revision = fleet.store.revision_at(owed);
+            if fleet.is_fresh(node) {
+                fresh_count += 1;
+                let applied = *known.applied.borrow();
+                assert!(applied >= owed_revision, "node {node} at {now_ms} ms");
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    assert!(fresh_count > 0, "some node was in touch");
+}
--- a/tests/objects_follower.rs
+++ b/tests/objects_follower.rs
@@ -1,187 +1,19 @@
 //! Following the configuration in a store that is slow, silent, forgetful or
 //! down.
 
+mod objects_support;
+
 use {
     dogwoodbridge::{
-        freshness::{Freshness, Snapshot},
-        objects::{
-            Change, Changes, Condition, FollowedName, FollowerBounds, Listing, ObjectStore,
-            StoreError, StoredObject, follow,
-        },
-        timer::Timer,
-    },
-    std::{
-        sync::{
-            Arc, Mutex,
-            atomic::{AtomicU64, AtomicUsize, Ordering},
-        },
-        time::Duration,
+        documents::{Document, DocumentKind, DocumentOrigin, DocumentStore},
+        freshness::Freshness,
+        objects::{ObjectOrigin, StoreError},
     },
-    tokio::{sync::watch, time::timeout},
-    tokio_util::sync::CancellationToken,
+    objects_support::{BOUNDS, Fleet, LIMIT, Mood, followed},
+    std::time::Duration,
+    tokio::time::timeout,
 };
 
-const BOUNDS: FollowerBounds = FollowerBounds {
-    watch_ms: 40,
-    confirmed_ms: 400,
-};
-/// Far longer than any of these things takes on a busy machine.
-const LIMIT: Duration = Duration::from_secs(20);
-
-/// How a store behaves.
-#[derive(Clone, Copy, PartialEq)]
-enum Mood {
-    Well,
-    /// Watches hear nothing of changes.
-    Deaf,
-    /// Watches find their history gone.
-    Forgetful,
-    /// All calls are refused.
-    Down,
-    /// No call is answered.
-    Silent,
-}
-
-#[derive(Clone)]
-struct FakeStore {
-    revision: Arc<AtomicU64>,
-    mood: Arc<Mutex<Mood>>,
-    list_count: Arc<AtomicUsize>,
-}
-
-impl FakeStore {
-    fn new(mood: Mood) -> Self {
-        Self {
-            revision: Arc::new(AtomicU64::new(1)),
-            mood: Arc::new(Mutex::new(mood)),
-            list_count: Arc::default(),
-        }
-    }
-
-    fn set(&self, mood: Mood) {
-        *self.mood.lock().unwrap() = mood;
-    }
-
-    fn object(&self) -> StoredObject {
-        let revision = self.revision.load(Ordering::SeqCst);
-        StoredObject {
-            name: "main".to_owned(),
-            revision,
-            content: revision.to_string().into_bytes(),
-        }
-    }
-
-    async fn checked(&self) -> Result<Mood, StoreError> {
-        let mood = *self.mood.lock().unwrap();
-        match mood {
-            Mood::Down => Err(StoreError::Busy { status: 503 }),
-            Mood::Silent => {
-                tokio::time::sleep(Duration::from_millis(100)).await;
-                Err(StoreError::TimedOut { limit_ms: 100 })
-            }
-            mood => Ok(mood),
-        }
-    }
-}
-
-impl ObjectStore for FakeStore {
-    async fn list(&self, _kind: &str) -> Result<Listing, StoreError> {
-        self.list_count.fetch_add(1, Ordering::SeqCst);
-        self.checked().await.map(|_| Listing {
-            objects: vec![self.object()],
-            as_of: self.revision.load(Ordering::SeqCst),
-        })
-    }
-
-    async fn watch(&self, _kind: &str, after: u64, wait_ms: u64) -> Result<Changes, StoreError> {
-        let mood = self.checked().await?;
-        if mood == Mood::Forgetful {
-            return Err(StoreError::HistoryGone);
-        }
-        tokio::time::sleep(Duration::from_millis(wait_ms)).await;
-        let as_of = self.revision.load(Ordering::SeqCst);
-        let has_news = as_of > after && mood == Mood::Well;
-        Ok(Changes {
-            changes: match has_news {
-                true => vec![Change::Put(self.object())],
-                false => Vec::new(),
-            },
-            as_of,
-        })
-    }
-
-    async fn write(
-        &self,
-        _kind: &str,
-        _name: &str,
-        _condition: Condition,
-        _content: Vec<u8>,
-    ) -> Result<u64, StoreError> {
-        Err(StoreError::Conflict)
-    }
-}
-
-struct Fixture {
-    store: FakeStore,
-    timer: Timer,
-    applied: watch::Receiver<u64>,
-    freshness: watch::Receiver<Snapshot>,
-    shutdown: CancellationToken,
-}
-
-impl Fixture {
-    fn new(mood: Mood) -> Self {
-        let store = FakeStore::new(mood);
-        let shutdown = CancellationToken::new();
-        let timer = Timer::new(shutdown.clone());
-        let (sender, applied) = watch::channel(0);
-        let freshness = follow(
-            store.clone(),
-            FollowedName {
-                kind: "rules".to_owned(),
-                name: "main".to_owned(),
-            },
-            BOUNDS,
-            move |object: &StoredObject| {
-                sender.send_replace(object.revision);
-            },
-            timer.clone(),
-            shutdown.clone(),
-        );
-        Self {
-            store,
-            timer,
-            applied,
-            freshness,
-            shutdown,
-        }
-    }
-
-    async fn applies(&mut self, revision: u64) -> bool {
-        let applied = self.applied.wait_for(|applied| *applied >= revision);
-        timeout(LIMIT, applied).await.is_ok()
-    }
-
-    fn is_fresh(&self) -> bool {
-        self.freshness.borrow().at(self.timer.now_ms()) == Freshness::Fresh
-    }
-
-    async fn becomes(&self, is_fresh: bool) -> bool {
-        let waiting = async {
-            while self.is_fresh() != is_fresh {
-                tokio::time::sleep(Duration::from_millis(5)).await;
-            }
-        };
-        timeout(LIMIT, waiting).await.is_ok()
-    }
-}
-
-impl Drop for Fixture {
-    fn drop(&mut self) {
-        self.shutdown.cancel();
-    }
-}
-
 /// Operators change the configuration while the store's watches work, hear
 /// nothing, or find their history dropped. Users would be served by withdrawn
 /// rules for as long as the node relied on a watch alone.
@@ -204,15 +36,19 @@
             name: "dropped history",
             mood: Mood::Forgetful,
         },
+        Case {
+            name: "late answers",
+            mood: Mood::Late,
+        },
     ];
     for case in cases {
-        let mut fixture = Fixture::new(case.mood);
+        let mut fleet = Fleet::with_mood(1, 1, BOUNDS, case.mood);
         for revision in 1..4 {
-            assert!(fixture.applies(revision).await, "{}", case.name);
-            fixture.store.revision.store(revision + 1, Ordering::SeqCst);
+            assert!(fleet.all_apply(revision).await, "{}", case.name);
+            fleet.put();
         }
-        assert!(fixture.applies(4).await, "{}", case.name);
-        assert!(fixture.becomes(true).await, "{}", case.name);
+        assert!(fleet.all_apply(4).await, "{}", case.name);
+        assert!(fleet.all_become(true).await, "{}", case.name);
     }
 }
 
@@ -221,13 +57,13 @@
 #[tokio::test]
 async fn what_cannot_be_confirmed_is_not_relied_on() {
     for mood in [Mood::Down, Mood::Silent] {
-        let mut fixture = Fixture::new(Mood::Well);
-        assert!(fixture.applies(1).await);
-        assert!(fixture.becomes(true).await);
-        fixture.store.set(mood);
-        assert!(fixture.becomes(false).await);
-        fixture.store.set(Mood::Well);
-        assert!(fixture.becomes(true).await);
+        let mut fleet = Fleet::new(1, 1, BOUNDS);
+        assert!(fleet.all_apply(1).await);
+        assert!(fleet.all_become(true).await);
+        fleet.set_all(mood);
+        assert!(fleet.all_become(false).await);
+        fleet.set_all(Mood::Well);
+        assert!(fleet.all_become(true).await);
     }
 }
 
@@ -236,29 +72,30 @@
 /// fresh; one request in that moment is enough.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn nothing_is_confirmed_before_it_is_applied() {
-    let store = FakeStore::new(Mood::Down);
-    store.revision.store(7, Ordering::SeqCst);
-    let shutdown = CancellationToken::new();
-    let timer = Timer::new(shutdown.clone());
-    let (sender, applied) = watch::channel(0);
-    let mut freshness = follow(
-        store.clone(),
-        FollowedName {
-            kind: "rules".to_owned(),
-            name: "main".to_owned(),
-        },
-        BOUNDS,
-        move |object: &StoredObject| {
-            // As long as a large configuration takes to be put into force.
-            std::thread::sleep(Duration::from_millis(100));
-            sender.send_replace(object.revision);
-        },
-        timer.clone(),
-        shutdown.clone(),
-    );
-    store.set(Mood::Well);
+    let fleet = Fleet::with_mood(1, 1, BOUNDS, Mood::Down);
+    for _ in 1..7 {
+        fleet.put();
+    }
+    // As long as a large configuration takes to be put into force.
+    let apply = |_: &Document| std::thread::sleep(Duration::from_millis(100));
+    let node = fleet.restart_alone(apply);
+    fleet.set_all(Mood::Well);
+    let mut freshness = node.freshness.clone();
     let fresh = freshness.wait_for(|snapshot| snapshot.freshness == Freshness::Fresh);
     assert!(timeout(LIMIT, fresh).await.is_ok());
-    assert_eq!(*applied.borrow(), 7);
-    shutdown.cancel();
+    assert_eq!(*node.applied.borrow(), 7);
+}
+
+/// A store without any history answers each watch at once. Asked without a
+/// pause it would be called hundreds of times a second.
+#[tokio::test]
+async fn a_watch_without_history_is_an_error_each_time() {
+    let fleet = Fleet::with_mood(1, 1, BOUNDS, Mood::Forgetful);
+    let origin = ObjectOrigin::new(fleet.store.clone(), followed(), BOUNDS.watch_ms);
+    let documents = DocumentStore::new();
+    origin.look(&documents).await.expect("a listing works");
+    for _ in 0..3 {
+        let watched = origin.watch(DocumentKind::Configuration, 1).await;
+        assert!(matches!(watched, Err(StoreError::HistoryGone)));
+    }
 }
