Shorten life checks and the headers between nodes

Ruled out: fewer questions (a node that swallows packets would be noticed later); counting other words of the node (it may be heard and not hear).

Change: a question whether a member lives and its answer are a mark and a number, 17 to 27 bytes with the tag; questions for a stamp remain gossip packets. Contexts and answers between nodes are packed, their proofs are 16 bytes of the HMAC, and the digest of no content is not sent.

--- a/benches/gossip.rs
+++ b/benches/gossip.rs
@@ -8,7 +8,8 @@
     dogwoodbridge::{
         documents::Versions,
         membership::{
-            Announcement, Liveness, MemberPorts, Outgoing, OwnState, PacketCodec, Record, Swim,
+            Announcement, Datagram, Liveness, MemberPorts, Outgoing, OwnState, PacketCodec, Record,
+            Swim,
         },
     },
     rand::{SeedableRng, rngs::StdRng},
@@ -100,7 +101,10 @@
             self.cost.byte_count += datagram.len() as u64;
             let from = self.sources[from];
             let to = self.addresses[&outgoing.to];
-            let packet = self.codec.decode(&datagram).expect("own packets are valid");
+            let decoded = self.codec.decode(&datagram);
+            let Ok(Datagram::Packet(packet)) = decoded else {
+                panic!("own packets are valid");
+            };
             let mut replies = Vec::new();
             let (rng, events) = (&mut self.rng, &mut Vec::new());
             self.nodes[to].receive(&packet, from, self.now_ms, rng, &mut replies, events);
--- a/src/documents/look.rs
+++ b/src/documents/look.rs
@@ -85,7 +85,7 @@
         let view = self.shared.view.borrow();
         for relay in relays(&view, &self.shared.zone) {
             if relay.node_id != self.shared.node_id {
-                self.probes.ask(&relay.node_id);
+                self.probes.ask_stamp(&relay.node_id);
             }
         }
     }
--- a/src/membership/codec.rs
+++ b/src/membership/codec.rs
@@ -1,7 +1,10 @@
 //! Cap'n Proto form of gossip packets, authenticated with the fleet secret.
 
 use {
-    super::{Announcement, Liveness, MemberPorts, Packet, PacketKind, Record},
+    super::{
+        Announcement, Liveness, MemberPorts, Packet, PacketKind, Record,
+        life_check::{LIFE_CHECK_MARK, LifeCheck},
+    },
     crate::{
         documents::{KIND_COUNT, Versions},
         keys::KeyDigest,
@@ -37,6 +40,9 @@
     /// It is not a Cap'n Proto message of this schema.
     #[error("the datagram is malformed: {0}")]
     Malformed(#[from] capnp::Error),
+    /// It is not a life check.
+    #[error("the life check is malformed: {0}")]
+    BadLifeCheck(#[from] postcard::Error),
     /// A text is not UTF-8.
     #[error("a text in the datagram is not UTF-8")]
     NotText,
@@ -81,20 +87,45 @@
         datagram
     }
 
-    /// The packet in a datagram.
-    pub fn decode(&self, datagram: &[u8]) -> Result<Packet, CodecError> {
+    /// Bytes of a life check's datagram.
+    #[must_use]
+    pub fn encode_life_check(&self, check: LifeCheck) -> Vec<u8> {
+        let body = postcard::to_extend(&check, vec![LIFE_CHECK_MARK]);
+        self.tagged(&body.expect("a Vec accepts all writes"))
+    }
+
+    /// What a datagram says.
+    pub fn decode(&self, datagram: &[u8]) -> Result<Datagram, CodecError> {
         let (tag, body) = datagram
             .split_at_checked(TAG_BYTES)
             .ok_or(CodecError::NotAuthentic)?;
         let mac = self.mac.clone().chain_update(body);
         mac.verify_truncated_left(tag)
             .map_err(|_| CodecError::NotAuthentic)?;
-        let options = *ReaderOptions::new().traversal_limit_in_words(Some(TRAVERSAL_LIMIT_WORDS));
-        let message = serialize_packed::read_message(body, options)?;
-        read_packet(message.get_root()?)
+        match body.split_first() {
+            Some((&LIFE_CHECK_MARK, check)) => {
+                Ok(Datagram::LifeCheck(postcard::from_bytes(check)?))
+            }
+            _ => decode_packet(body).map(|packet| Datagram::Packet(Box::new(packet))),
+        }
     }
 }
 
+/// An authentic datagram.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Datagram {
+    /// Gossip.
+    Packet(Box<Packet>),
+    /// A question whether this node lives, or the answer to one.
+    LifeCheck(LifeCheck),
+}
+
+fn decode_packet(body: &[u8]) -> Result<Packet, CodecError> {
+    let options = *ReaderOptions::new().traversal_limit_in_words(Some(TRAVERSAL_LIMIT_WORDS));
+    let message = serialize_packed::read_message(body, options)?;
+    read_packet(message.get_root()?)
+}
+
 fn write_packet(packet: &Packet, mut builder: packet::Builder<'_>) {
     write_record(&packet.sender, builder.reborrow().init_sender());
     builder.set_sequence(packet.sequence);
--- a/src/membership/gossip.rs
+++ b/src/membership/gossip.rs
@@ -2,8 +2,9 @@
 
 use {
     super::{
-        CodecError, MemberPorts, MemberProbes, OwnState, PacketCodec, PeerStamp, Record, Swim,
-        SwimEvent, View, codec::MAX_DATAGRAM_BYTES, packet::Liveness, swim::Outgoing,
+        CodecError, Datagram, LifeCheck, LifeChecks, MemberPorts, MemberProbes, MemberQuestion,
+        OwnState, PacketCodec, PeerStamp, Record, Swim, SwimEvent, View, codec::MAX_DATAGRAM_BYTES,
+        packet::Liveness, swim::Outgoing,
     },
     crate::{
         documents::Hint, event, events::Event, keys::KeyDigest, settings::Settings, timer::Timer,
@@ -113,6 +114,7 @@
             codec: PacketCodec::new(&settings.fleet_secret),
             swim,
             timer,
+            life_checks: LifeChecks::new(rand::random()),
             rng: StdRng::from_os_rng(),
             view: view_sender,
             gossip: gossip.clone(),
@@ -148,6 +150,7 @@
     codec: PacketCodec,
     swim: Swim,
     timer: Timer,
+    life_checks: LifeChecks,
     rng: StdRng,
     view: watch::Sender<Arc<View>>,
     gossip: Gossip,
@@ -158,7 +161,7 @@
     async fn run(
         mut self,
         mut inputs: GossipInputs,
-        mut questions: mpsc::Receiver<String>,
+        mut questions: mpsc::Receiver<MemberQuestion>,
         shutdown: CancellationToken,
     ) {
         let mut ticks = self.timer.subscribe(GOSSIP_TICK_MS);
@@ -179,14 +182,12 @@
                     self.swim.revoke(&digests, self.timer.now_ms(), &mut self.rng, &mut out);
                 }
                 Some(seeds) = inputs.seeds.recv() => self.swim.add_seeds(&seeds),
-                Some(node_id) = questions.recv() => {
-                    self.swim.ask(&node_id, self.timer.now_ms(), &mut out);
-                }
+                Some(question) = questions.recv() => self.ask(question, &mut out).await,
                 received = self.socket.recv_from(&mut buffer) => {
                     // A send to a closed port comes back as an error of a
                     // later receive; it says nothing about this socket.
                     if let Ok((length, from)) = received {
-                        self.receive(&buffer[..length], from, &mut out, &mut events);
+                        self.receive(&buffer[..length], from, &mut out, &mut events).await;
                     }
                 }
             }
@@ -195,7 +196,20 @@
         }
     }
 
-    fn receive(
+    async fn ask(&mut self, question: MemberQuestion, out: &mut Vec<Outgoing>) {
+        let now_ms = self.timer.now_ms();
+        match question {
+            MemberQuestion::Lives(node_id) => {
+                if let Some(to) = self.swim.gossip_address(&node_id) {
+                    let check = self.life_checks.ask(node_id, now_ms);
+                    self.send_life_check(check, to).await;
+                }
+            }
+            MemberQuestion::Stamp(node_id) => self.swim.ask_stamp(&node_id, now_ms, out),
+        }
+    }
+
+    async fn receive(
         &mut self,
         datagram: &[u8],
         from: SocketAddr,
@@ -203,7 +217,15 @@
         events: &mut Vec<SwimEvent>,
     ) {
         match self.codec.decode(datagram) {
-            Ok(packet) => {
+            Ok(Datagram::LifeCheck(LifeCheck::Question(number))) => {
+                self.send_life_check(LifeCheck::Answer(number), from).await;
+            }
+            Ok(Datagram::LifeCheck(LifeCheck::Answer(number))) => {
+                if let Some(node_id) = self.life_checks.answered(number) {
+                    self.gossip.probes.answered(node_id);
+                }
+            }
+            Ok(Datagram::Packet(packet)) => {
                 let now_ms = self.timer.now_ms();
                 self.swim
                     .receive(&packet, from, now_ms, &mut self.rng, out, events);
@@ -232,7 +254,6 @@
                 SwimEvent::Left(node_id) => event!(Event::MemberLeft, "node={node_id}"),
                 // Without subscribers there is nobody to tell.
                 SwimEvent::Stamp(stamp) => drop(self.gossip.stamps.send(stamp)),
-                SwimEvent::Answered(node_id) => self.gossip.probes.answered(node_id),
                 SwimEvent::Revoked(digests) => drop(self.gossip.revoked.send(digests)),
                 // A hint that finds no room comes again with the next packet.
                 SwimEvent::Newer { node_id, versions } => {
@@ -248,17 +269,26 @@
     async fn send(&self, out: &mut Vec<Outgoing>) {
         for outgoing in out.drain(..) {
             let datagram = self.codec.encode(&outgoing.packet);
-            let byte_count = u64::try_from(datagram.len()).unwrap_or(u64::MAX);
-            self.gossip
-                .traffic
-                .sent_count
-                .fetch_add(1, Ordering::Relaxed);
-            self.gossip
-                .traffic
-                .sent_bytes
-                .fetch_add(byte_count, Ordering::Relaxed);
-            // A lost datagram is what the protocol is made for.
-            let _ = self.socket.send_to(&datagram, outgoing.to).await;
+            self.send_datagram(&datagram, outgoing.to).await;
         }
     }
+
+    async fn send_life_check(&self, check: LifeCheck, to: SocketAddr) {
+        let datagram = self.codec.encode_life_check(check);
+        self.send_datagram(&datagram, to).await;
+    }
+
+    async fn send_datagram(&self, datagram: &[u8], to: SocketAddr) {
+        let byte_count = u64::try_from(datagram.len()).unwrap_or(u64::MAX);
+        self.gossip
+            .traffic
+            .sent_count
+            .fetch_add(1, Ordering::Relaxed);
+        self.gossip
+            .traffic
+            .sent_bytes
+            .fetch_add(byte_count, Ordering::Relaxed);
+        // A lost datagram is what the protocol is made for.
+        let _ = self.socket.send_to(datagram, to).await;
+    }
 }
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -6,6 +6,7 @@
 mod codec;
 mod gossip;
 mod joining;
+mod life_check;
 mod member;
 mod packet;
 mod probes;
@@ -17,11 +18,12 @@
 mod table;
 
 pub use {
-    codec::{CodecError, PacketCodec},
+    codec::{CodecError, Datagram, PacketCodec},
     gossip::{Gossip, GossipError, GossipInputs, GossipTraffic},
+    life_check::{LifeCheck, LifeChecks},
     member::{Announcement, Member, MemberPorts, MemberState, OwnState, PeerStamp, View},
     packet::{Liveness, Packet, PacketKind, Record},
-    probes::MemberProbes,
+    probes::{MemberProbes, MemberQuestion},
     relays::{RELAY_COUNT, relay_rank, relays},
     seeds::SeedsRecord,
     swim::{Outgoing, Swim, SwimEvent},
--- a/src/membership/probing.rs
+++ b/src/membership/probing.rs
@@ -90,10 +90,10 @@
         }
     }
 
-    /// Asks a member whether it lives, apart from the rounds.
-    pub fn ask(&mut self, node_id: &str, now_ms: u64, out: &mut Vec<Outgoing>) {
+    /// Asks a member for a stamp, apart from the rounds.
+    pub fn ask_stamp(&mut self, node_id: &str, now_ms: u64, out: &mut Vec<Outgoing>) {
         if let Some(key) = self.table.key(node_id) {
-            self.ping(key, ProbeCause::Silence, now_ms, out);
+            self.ping(key, ProbeCause::Question, now_ms, out);
         }
     }
 
--- a/src/membership/swim.rs
+++ b/src/membership/swim.rs
@@ -39,8 +39,6 @@
     Left(String),
     /// A member replied to a probe.
     Stamp(PeerStamp),
-    /// A member answered when it was asked whether it lives.
-    Answered(String),
     /// Keys that another node revoked.
     Revoked(Vec<KeyDigest>),
     /// A member holds documents of higher versions than this node.
@@ -61,8 +59,8 @@
     Repeat,
     /// The member is suspected; its ack refutes the suspicion.
     Doubt,
-    /// Requests to the member wait and nothing was heard from it.
-    Silence,
+    /// Another part of the node asked for a stamp.
+    Question,
     /// Another member asked for it, with this sequence.
     OnBehalf { origin: SocketAddr, sequence: u64 },
 }
@@ -179,6 +177,13 @@
         }
     }
 
+    /// Where gossip reaches a member.
+    #[must_use]
+    pub fn gossip_address(&self, node_id: &str) -> Option<SocketAddr> {
+        let entry = self.table.get(self.table.key(node_id)?)?;
+        Some(entry.record.gossip_address())
+    }
+
     /// The members if anything changed since the last call.
     pub fn take_view(&mut self) -> Option<View> {
         self.table.take_view(&self.own)
@@ -295,9 +300,6 @@
         let Some(probe) = self.probes.remove(&packet.sequence) else {
             return;
         };
-        if probe.cause == ProbeCause::Silence {
-            events.push(SwimEvent::Answered(packet.sender.node_id.clone()));
-        }
         if let ProbeCause::OnBehalf { origin, sequence } = probe.cause {
             let ack = self.packet(PacketKind::IndirectAck, sequence, now_ms);
             out.push(Outgoing {
--- a/src/peer/headers.rs
+++ b/src/peer/headers.rs
@@ -9,15 +9,22 @@
         schema::peer_capnp,
     },
     base64::{Engine, engine::general_purpose::STANDARD_NO_PAD},
-    capnp::{message, serialize},
+    capnp::{message, serialize_packed},
     hmac::{Hmac, Mac},
     hyper::header::HeaderValue,
     sha2::{Digest, Sha256},
+    std::sync::LazyLock,
 };
 
 /// Longest time between sending and arrival of a context, in milliseconds.
 pub const MAX_CONTEXT_AGE_MS: u64 = 30_000;
 
+/// Length of a truncated HMAC; half of it, as RFC 2104 recommends at least.
+pub const TAG_BYTES: usize = 16;
+
+/// Words that a header holds at most: texts in it are short names.
+const MAX_HEADER_WORDS: usize = 1024;
+
 /// Why a header of another node is not believed.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum PeerHeaderError {
@@ -73,6 +80,12 @@
         hash.update(body);
         Self(hash.finalize().into())
     }
+
+    /// Digest of an attempt without key and body; not sent.
+    fn of_nothing() -> Self {
+        static DIGEST: LazyLock<ContentDigest> = LazyLock::new(|| ContentDigest::new(None, &[]));
+        *DIGEST
+    }
 }
 
 /// What a node tells about an attempt besides the HTTP answer.
@@ -106,35 +119,37 @@
     /// Header value that proves these parts, in this order.
     #[must_use]
     pub fn sign(&self, parts: &[&[u8]]) -> HeaderValue {
-        let tag = self.mac_of(parts).finalize().into_bytes();
-        let mut hex = String::with_capacity(tag.len() * 2);
-        for byte in tag {
-            hex.push(char::from_digit(u32::from(byte >> 4), 16).unwrap_or('0'));
-            hex.push(char::from_digit(u32::from(byte & 15), 16).unwrap_or('0'));
-        }
-        HeaderValue::try_from(hex).expect("hex digits are visible")
+        let tag = STANDARD_NO_PAD.encode(self.tag_of(parts));
+        HeaderValue::try_from(tag).expect("base64 is visible")
     }
 
     /// Whether the header value proves these parts; takes the same time
     /// wherever the two differ.
     #[must_use]
     pub fn is_authentic(&self, value: &HeaderValue, parts: &[&[u8]]) -> bool {
-        let Some(tag) = from_hex(value.as_bytes()) else {
-            return false;
-        };
-        self.mac_of(parts).verify_slice(&tag).is_ok()
+        let tag = STANDARD_NO_PAD.decode(value.as_bytes());
+        tag.is_ok_and(|tag| self.proves(parts, &tag))
     }
 
     /// Tag that proves a datagram.
     #[must_use]
-    pub fn tag(&self, content: &[u8]) -> [u8; 32] {
-        self.mac_of(&[content]).finalize().into_bytes().into()
+    pub fn tag(&self, content: &[u8]) -> [u8; TAG_BYTES] {
+        self.tag_of(&[content])
     }
 
     /// Whether the tag proves the datagram.
     #[must_use]
     pub fn is_tagged(&self, content: &[u8], tag: &[u8]) -> bool {
-        self.mac_of(&[content]).verify_slice(tag).is_ok()
+        self.proves(&[content], tag)
+    }
+
+    fn tag_of(&self, parts: &[&[u8]]) -> [u8; TAG_BYTES] {
+        let whole = self.mac_of(parts).finalize().into_bytes();
+        std::array::from_fn(|index| whole[index])
+    }
+
+    fn proves(&self, parts: &[&[u8]], tag: &[u8]) -> bool {
+        tag.len() == TAG_BYTES && self.mac_of(parts).verify_truncated_left(tag).is_ok()
     }
 
     fn mac_of(&self, parts: &[&[u8]]) -> Hmac<Sha256> {
@@ -149,16 +164,6 @@
     }
 }
 
-fn from_hex(text: &[u8]) -> Option<Vec<u8>> {
-    if !text.len().is_multiple_of(2) {
-        return None;
-    }
-    let digit = |byte: u8| char::from(byte).to_digit(16);
-    text.chunks_exact(2)
-        .map(|pair| u8::try_from(digit(pair[0])? << 4 | digit(pair[1])?).ok())
-        .collect()
-}
-
 /// Header value of a context, stamped with this time on the receiver's clock.
 #[must_use]
 pub fn encode_context(received: &ReceivedContext, names: &Names, sent_unix_ms: u64) -> HeaderValue {
@@ -177,7 +182,9 @@
     builder.set_attempt_id(received.attempt_id);
     builder.set_guarded(received.is_guarded);
     builder.set_key_digest(&context.key.0);
-    builder.set_content_digest(&received.content.0);
+    if received.content != ContentDigest::of_nothing() {
+        builder.set_content_digest(&received.content.0);
+    }
     to_header(&message)
 }
 
@@ -188,7 +195,7 @@
     now_unix_ms: u64,
 ) -> Result<ReceivedContext, PeerHeaderError> {
     let bytes = from_header(value)?;
-    let message = serialize::read_message(bytes.as_slice(), message::ReaderOptions::new())?;
+    let message = serialize_packed::read_message(bytes.as_slice(), reader_options())?;
     let reader = message.get_root::<peer_capnp::context::Reader<'_>>()?;
     // A stamp from the future would make a recorded header last longer.
     if now_unix_ms.abs_diff(reader.get_sent_unix_ms()) > MAX_CONTEXT_AGE_MS {
@@ -213,7 +220,10 @@
         context,
         attempt_id: reader.get_attempt_id(),
         is_guarded: reader.get_guarded(),
-        content: ContentDigest(digest_of(reader.get_content_digest()?)?),
+        content: match reader.get_content_digest()? {
+            [] => ContentDigest::of_nothing(),
+            digest => ContentDigest(digest_of(digest)?),
+        },
     })
 }
 
@@ -249,7 +259,7 @@
 /// Answer of an authenticated header value.
 pub fn decode_answer(value: &HeaderValue) -> Result<AttemptAnswer, PeerHeaderError> {
     let bytes = from_header(value)?;
-    let message = serialize::read_message(bytes.as_slice(), message::ReaderOptions::new())?;
+    let message = serialize_packed::read_message(bytes.as_slice(), reader_options())?;
     let reader = message.get_root::<peer_capnp::answer::Reader<'_>>()?;
     let lowest_class = Class::from_index(usize::from(reader.get_lowest_class()));
     let outcome = match reader.get_outcome() {
@@ -280,8 +290,14 @@
     })
 }
 
+/// Bounds the memory that a packed header can claim.
+fn reader_options() -> message::ReaderOptions {
+    *message::ReaderOptions::new().traversal_limit_in_words(Some(MAX_HEADER_WORDS))
+}
+
 fn to_header(message: &message::Builder<message::HeapAllocator>) -> HeaderValue {
-    let bytes = serialize::write_message_to_words(message);
+    let mut bytes = Vec::new();
+    serialize_packed::write_message(&mut bytes, message).expect("a Vec accepts all writes");
     HeaderValue::try_from(STANDARD_NO_PAD.encode(bytes)).expect("base64 is visible")
 }
 
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -11,7 +11,7 @@
     client::{Attempt, HopEnd, send},
     headers::{
         AttemptAnswer, ContentDigest, FleetAuth, MAX_CONTEXT_AGE_MS, PeerHeaderError,
-        ReceivedContext, decode_answer, decode_context, encode_answer, encode_context,
+        ReceivedContext, TAG_BYTES, decode_answer, decode_context, encode_answer, encode_context,
     },
     link::{LinkError, PeerLink, connect_from},
     server::serve_peers,
--- a/src/quota/sharing.rs
+++ b/src/quota/sharing.rs
@@ -13,7 +13,7 @@
         events::Event,
         membership::{Member, MemberState, View},
         model::Names,
-        peer::FleetAuth,
+        peer::{FleetAuth, TAG_BYTES},
         timer::Timer,
     },
     serde::{Deserialize, Serialize},
@@ -34,7 +34,6 @@
 /// partition that lasts longer is noticed by operators.
 const DEAD_SHARE_US: u64 = 30_000_000;
 const MAX_DATAGRAM_BYTES: usize = 16 << 10;
-const TAG_BYTES: usize = 32;
 
 /// What nodes tell each other.
 #[derive(Debug, Serialize, Deserialize)]
--- a/src/schema/peer.capnp
+++ b/src/schema/peer.capnp
@@ -19,7 +19,8 @@
   guarded @10 :Bool;
   # SHA-256 of the tenant key of the original request; never the key.
   keyDigest @11 :Data;
-  # SHA-256 of what else decides on the work: Idempotency-Key and body.
+  # SHA-256 of what else decides on the work: Idempotency-Key and body. Empty
+  # where there is neither.
   contentDigest @12 :Data;
 }
 
--- a/tests/local_mesh/mesh.rs
+++ b/tests/local_mesh/mesh.rs
@@ -12,7 +12,9 @@
         dialect::Native,
         freshness::{Freshness, Snapshot},
         keys::KeyDigest,
-        membership::{Member, MemberPorts, MemberProbes, MemberState, OwnState, View},
+        membership::{
+            Member, MemberPorts, MemberProbes, MemberQuestion, MemberState, OwnState, View,
+        },
         model::{Class, Names},
         node::{Node, NodeInputs, PolicySet, start},
         quota::Rate,
@@ -263,8 +265,10 @@
     let (probes, mut questions) = MemberProbes::new();
     let answering = probes.clone();
     tokio::spawn(async move {
-        while let Some(node_id) = questions.recv().await {
-            answering.answered(node_id);
+        while let Some(question) = questions.recv().await {
+            if let MemberQuestion::Lives(node_id) = question {
+                answering.answered(node_id);
+            }
         }
     });
     probes
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -11,8 +11,8 @@
         freshness::{FRESH_LIMIT_MS, REPLY_LIMIT_MS},
         keys::KeyDigest,
         membership::{
-            Announcement, CodecError, Liveness, MemberState, OwnState, Packet, PacketCodec,
-            PacketKind, Record, Swim, View, relays,
+            Announcement, CodecError, Datagram, Liveness, MemberState, OwnState, Packet,
+            PacketCodec, PacketKind, Record, Swim, View, relays,
         },
     },
     membership_support::{Fleet, Host, record},
@@ -484,7 +484,8 @@
 fn packets_survive_the_wire() {
     let codec = PacketCodec::new(SECRET);
     let packet = sample_packet();
-    assert_eq!(codec.decode(&codec.encode(&packet)).unwrap(), packet);
+    let decoded = codec.decode(&codec.encode(&packet)).unwrap();
+    assert_eq!(decoded, Datagram::Packet(Box::new(packet.clone())));
     let bare = Packet {
         kind: PacketKind::Ack,
         platform_age_ms: None,
@@ -492,7 +493,8 @@
         revocations: Vec::new(),
         ..packet
     };
-    assert_eq!(codec.decode(&codec.encode(&bare)).unwrap(), bare);
+    let decoded = codec.decode(&codec.encode(&bare)).unwrap();
+    assert_eq!(decoded, Datagram::Packet(Box::new(bare.clone())));
 }
 
 // Anyone who reaches the port can send datagrams. Without a check a stranger
--- a/tests/objects_support/mod.rs
+++ b/tests/objects_support/mod.rs
@@ -9,7 +9,8 @@
         },
         freshness::{Freshness, Snapshot},
         membership::{
-            Member, MemberPorts, MemberProbes, MemberState, OwnState, PeerStamp, View, relay_rank,
+            Member, MemberPorts, MemberProbes, MemberQuestion, MemberState, OwnState, PeerStamp,
+            View, relay_rank,
         },
         objects::{
             Change, Changes, Condition, FollowParts, FollowedName, FollowerBounds, Listing,
@@ -425,7 +426,7 @@
 struct Link {
     stamps: broadcast::Sender<PeerStamp>,
     _hints: mpsc::Sender<Hint>,
-    questions: mpsc::Receiver<String>,
+    questions: mpsc::Receiver<MemberQuestion>,
     own_state: watch::Sender<OwnState>,
 }
 
@@ -443,8 +444,10 @@
             for asker in 0..self.links.len() {
                 let subject = self.rng.random_range(0..self.links.len());
                 self.reply(asker, subject);
-                while let Ok(node_id) = self.links[asker].questions.try_recv() {
-                    self.reply(asker, index_of(&node_id));
+                while let Ok(question) = self.links[asker].questions.try_recv() {
+                    if let MemberQuestion::Stamp(node_id) = question {
+                        self.reply(asker, index_of(&node_id));
+                    }
                 }
             }
             tokio::time::sleep(Duration::from_millis(10)).await;
--- a/tests/peer_faults.rs
+++ b/tests/peer_faults.rs
@@ -215,15 +215,17 @@
 #[test]
 fn a_context_comes_back_as_it_was() {
     let names = Names::new();
-    let sent = context(&names);
-    let sent = ReceivedContext {
-        context: sent,
-        attempt_id: 42,
-        is_guarded: true,
-        content: ContentDigest::new(None, b"body"),
-    };
-    let value = encode_context(&sent, &names, unix_ms());
-    assert_eq!(decode_context(&value, &names, unix_ms()), Ok(sent));
+    let context = context(&names);
+    for body in [&b"body"[..], b""] {
+        let sent = ReceivedContext {
+            context,
+            attempt_id: 42,
+            is_guarded: true,
+            content: ContentDigest::new(None, body),
+        };
+        let value = encode_context(&sent, &names, unix_ms());
+        assert_eq!(decode_context(&value, &names, unix_ms()), Ok(sent));
+    }
 }
 
 #[test]
@@ -242,6 +244,12 @@
     for parts in changed {
         assert!(!auth.is_authentic(&proof, &parts), "{parts:?}");
     }
+    // A part of a proof, down to none, proves nothing.
+    let text = proof.to_str().unwrap();
+    for length in 0..text.len() {
+        let part = HeaderValue::from_str(&text[..length]).unwrap();
+        assert!(!auth.is_authentic(&part, &parts), "{length} characters");
+    }
     for value in ["", "0", "zz", "00ff"] {
         assert!(!auth.is_authentic(&HeaderValue::from_static(value), &parts));
     }
--- a/tests/peer_seams.rs
+++ b/tests/peer_seams.rs
@@ -4,7 +4,7 @@
 
 use {
     base64::{Engine, engine::general_purpose::STANDARD_NO_PAD},
-    capnp::{message, serialize},
+    capnp::{message, serialize_packed},
     dogwoodbridge::{
         keys::KeyDigest,
         model::{Class, RequestContext, RequestId},
@@ -57,7 +57,8 @@
 
 fn stamped(context: &HeaderValue, sent_unix_ms: u64) -> HeaderValue {
     let bytes = STANDARD_NO_PAD.decode(context.as_bytes()).unwrap();
-    let read = serialize::read_message(bytes.as_slice(), message::ReaderOptions::new()).unwrap();
+    let read =
+        serialize_packed::read_message(bytes.as_slice(), message::ReaderOptions::new()).unwrap();
     let mut message = message::Builder::new_default();
     let reader = read.get_root::<peer_capnp::context::Reader<'_>>().unwrap();
     message.set_root(reader).unwrap();
@@ -65,7 +66,8 @@
         .get_root::<peer_capnp::context::Builder<'_>>()
         .unwrap();
     builder.set_sent_unix_ms(sent_unix_ms);
-    let bytes = serialize::write_message_to_words(&message);
+    let mut bytes = Vec::new();
+    serialize_packed::write_message(&mut bytes, &message).unwrap();
     HeaderValue::try_from(STANDARD_NO_PAD.encode(bytes)).unwrap()
 }
 
