--- a/tests/objects_fleet.rs
+++ b/tests/objects_fleet.rs
@@ -6,7 +6,7 @@
     dogwoodbridge::objects::FollowerBounds,
     objects_support::{BOUNDS, Fleet, Mood},
     rand::{Rng, SeedableRng, rngs::StdRng},
-    std::time::Duration,
+    std::{sync::atomic::Ordering, time::Duration},
 };
 
 /// Members that are no relays never look.
@@ -83,8 +83,8 @@
 }
 
 /// A key is removed while the store forgets, delays and refuses, towards each
-/// node in another way. It must not be honoured anywhere for longer than the
-/// bound, whoever told the node what.
+/// node in another way, and nodes can't fetch from each other. It must not be
+/// honoured anywhere for longer than the bound, whoever told the node what.
 #[tokio::test(flavor = "multi_thread")]
 async fn no_node_relies_on_what_was_replaced_longer_than_the_bound() {
     const MOODS: [Mood; 6] = [
@@ -95,29 +95,40 @@
         Mood::Silent,
         Mood::Late,
     ];
+    /// Steps of one state; twice the bound.
+    const STEPS_PER_STATE: usize = 160;
     let mut rng = StdRng::seed_from_u64(24);
     let fleet = Fleet::new(2, 4, BOUNDS);
-    let mut fresh_count = 0;
-    for step in 0..600 {
-        if step % 20 == 0 {
-            for node in 0..fleet.nodes.len() {
-                fleet
-                    .store
-                    .set(node, MOODS[rng.random_range(0..MOODS.len())]);
+    let (mut fresh_count, mut stale_count) = (0, 0);
+    for step in 0..10 * STEPS_PER_STATE {
+        if step % STEPS_PER_STATE == 0 {
+            let is_down = step / STEPS_PER_STATE % 3 == 1;
+            for (index, node) in fleet.nodes.iter().enumerate() {
+                let mood = MOODS[rng.random_range(0..MOODS.len())];
+                let mood = if is_down { Mood::Down } else { mood };
+                fleet.store.set(index, mood);
+                node.is_cut.store(rng.random_bool(0.3), Ordering::SeqCst);
             }
+        }
+        if step % 10 == 0 {
             fleet.put();
         }
-        for (node, known) in fleet.nodes.iter().enumerate() {
+        for (index, node) in fleet.nodes.iter().enumerate() {
             let now_ms = fleet.timer.now_ms();
-            let owed = now_ms.saturating_sub(BOUNDS.confirmed_ms);
-            let owed_revision = fleet.store.revision_at(owed);
-            if fleet.is_fresh(node) {
+            let owed_ms = now_ms.saturating_sub(BOUNDS.confirmed_ms);
+            let owed_revision = fleet.store.revision_at(owed_ms);
+            if fleet.is_fresh(index) {
                 fresh_count += 1;
-                let applied = *known.applied.borrow();
-                assert!(applied >= owed_revision, "node {node} at {now_ms} ms");
+                let applied = *node.applied.borrow();
+                assert!(applied >= owed_revision, "node {index} at {now_ms} ms");
+            } else {
+                stale_count += 1;
             }
         }
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
-    assert!(fresh_count > 0, "some node was in touch");
+    assert!(
+        fresh_count > 0 && stale_count > 0,
+        "{fresh_count} {stale_count}"
+    );
 }
--- a/tests/objects_support/mod.rs
+++ b/tests/objects_support/mod.rs
@@ -21,7 +21,10 @@
     rand::{Rng, SeedableRng, rngs::StdRng},
     std::{
         net::{IpAddr, Ipv4Addr},
-        sync::{Arc, Mutex},
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicBool, Ordering},
+        },
         time::Duration,
     },
     tokio::{
@@ -201,9 +204,12 @@
     }
 }
 
-/// Documents of the other nodes.
+/// Documents of the other nodes, and whether this one can fetch them.
 #[derive(Clone)]
-struct Peers(Vec<DocumentStore>);
+struct Peers {
+    documents: Vec<DocumentStore>,
+    is_cut: Arc<AtomicBool>,
+}
 
 impl Neighbours for Peers {
     async fn fetch(
@@ -212,7 +218,10 @@
         kind: DocumentKind,
         above_version: u64,
     ) -> Option<Document> {
-        let held = self.0[index_of(node_id)].newest(kind);
+        if self.is_cut.load(Ordering::SeqCst) {
+            return None;
+        }
+        let held = self.documents[index_of(node_id)].newest(kind);
         held.filter(|document| document.version > above_version)
     }
 }
@@ -222,6 +231,8 @@
     pub applied: watch::Receiver<u64>,
     pub freshness: watch::Receiver<Snapshot>,
     pub own_state: watch::Sender<OwnState>,
+    /// Fetches nothing from other nodes while set.
+    pub is_cut: Arc<AtomicBool>,
 }
 
 /// Followers in availability zones.
@@ -266,6 +277,7 @@
             let (stamps, stamp_receiver) = broadcast::channel(64);
             let (hints, hint_receiver) = mpsc::channel(64);
             let (probes, questions) = MemberProbes::new();
+            let is_cut = Arc::new(AtomicBool::new(false));
             let parts = FollowParts {
                 node_id: node_id(index),
                 zone: view.members[index].zone.clone(),
@@ -273,7 +285,10 @@
                 followed: followed(),
                 bounds,
                 documents: own_documents.clone(),
-                neighbours: Peers(documents.clone()),
+                neighbours: Peers {
+                    documents: documents.clone(),
+                    is_cut: is_cut.clone(),
+                },
                 own_state: own_state.clone(),
                 view: view_receiver.clone(),
                 probes,
@@ -295,6 +310,7 @@
                 applied,
                 freshness,
                 own_state,
+                is_cut,
             });
         }
         let gossip = Gossip {
@@ -336,7 +352,10 @@
             followed: followed(),
             bounds: BOUNDS,
             documents: documents.clone(),
-            neighbours: Peers(vec![documents]),
+            neighbours: Peers {
+                documents: vec![documents],
+                is_cut: Arc::default(),
+            },
             own_state: own_state.clone(),
             view: watch::channel(view).1,
             probes: MemberProbes::new().0,
@@ -353,6 +372,7 @@
             applied,
             freshness,
             own_state,
+            is_cut: Arc::default(),
         }
     }
 
