Split relaying from the assembly of a hosted node

The follower of an object takes the parts of the documents' follower as they are, in place of a second list of the same fields; what a hosted node relays lies in one file; the bounds for an origin whose calls are paid for stand beside the others. No change of behaviour; all tests of documents, objects and the platform pass.

--- a/src/daemon/hosted/mod.rs
+++ b/src/daemon/hosted/mod.rs
@@ -3,30 +3,28 @@
 mod configuration;
 mod discovery;
 mod no_guard;
-mod relayed;
+mod relaying;
 
 use {
-    super::{DaemonError, neighbours::RpcNeighbours},
+    super::DaemonError,
     crate::{
         admission::Adaptive,
         conf::HostedConfiguration,
         dialect::Dialect,
-        documents::{DocumentStore, LookBounds, OtherLooks},
         membership::{Gossip, GossipInputs, OwnState},
         model::Names,
         node::{Node, NodeInputs, PolicySet, start},
-        objects::{FollowParts, FollowedName, FollowerBounds, ObjectStore, follow},
+        objects::{FollowedName, ObjectStore},
         peer::FleetAuth,
         quota::{DividedQuota, SharingInputs, spawn_sharing},
         retry::ChainBudget,
         routing::ZoneRouter,
-        rpc::{self, RpcConfig},
         settings::Settings,
         shutdown,
         timer::{Timer, unix_ms},
     },
     no_guard::NoGuard,
-    relayed::DocumentHandlers,
+    relaying::RelayingParts,
     std::{net::SocketAddr, sync::Arc},
     tokio::sync::{mpsc, watch},
     tokio_util::sync::CancellationToken,
@@ -34,31 +32,10 @@
 
 /// Messages that wait between parts.
 const CHANNEL_LENGTH: usize = 256;
-/// Wait of one watch of the configuration, in milliseconds.
-const WATCH_MS: u64 = 10_000;
-/// When nodes ask the store. Calls are paid for, and a key has to be refused
-/// once no confirmation has come for the time that the platform allows.
-const LOOK_BOUNDS: LookBounds = LookBounds {
-    period_ms: 200,
-    start_delay_ms: 0,
-    first_relay_age_ms: 1500,
-    second_relay_age_ms: 2000,
-    ask_relays_age_ms: Some(2400),
-    others: Some(OtherLooks {
-        age_ms: 3000,
-        rate_per_s: 2.0,
-    }),
-    first_backoff_ms: 100,
-    longest_backoff_ms: 1600,
-};
 /// Time over which nodes of a fleet that never ran spread their first read of
 /// the seeds. Nearly all find what another one wrote, and meet before they look
 /// for the configuration.
 const FIRST_START_SPREAD_MS: u64 = 800;
-/// Taken off the time for which keys may be honoured after their removal:
-/// covers the time that a request takes from its caller to this node.
-const REVOCATION_MARGIN_MS: u64 = 500;
-
 /// Policies of a hosted node.
 type HostedPolicies<D> = PolicySet<Adaptive, ZoneRouter, ChainBudget, DividedQuota, NoGuard, D>;
 
@@ -117,44 +94,23 @@
         &timer,
         shutdown.clone(),
     );
-    let bounds = FollowerBounds {
-        watch_ms: WATCH_MS,
-        confirmed_ms: parts
-            .revocation_limit_ms
-            .saturating_sub(REVOCATION_MARGIN_MS),
-        looks: LookBounds {
-            start_delay_ms: 2 * start_spread_ms,
-            ..LOOK_BOUNDS
-        },
-    };
     let (apply, running) = configuration::in_force(parts.decode, names.clone());
-    let documents = DocumentStore::new();
-    let (client, calls) = rpc::channel();
-    let freshness = follow(
-        FollowParts {
-            node_id: settings.node_id.clone(),
-            zone: settings.zone.clone(),
-            store: parts.store,
-            followed: parts.configuration,
-            bounds,
-            documents: documents.clone(),
-            neighbours: RpcNeighbours::new(client, gossip.view.clone()),
-            own_state: own_state.clone(),
-            view: gossip.view.clone(),
-            probes: gossip.probes.clone(),
-            stamps: gossip.stamps.subscribe(),
-            hints,
-            timer: timer.clone(),
-            shutdown: shutdown.clone(),
-        },
-        apply,
-    );
-    let address = SocketAddr::new(settings.ip, settings.rpc_port);
-    let rpc_config = RpcConfig::new(&settings, names.clone());
-    let handlers = Arc::new(DocumentHandlers::new(documents));
-    rpc::spawn(rpc_config, calls, handlers, shutdown.clone())
-        .map_err(|source| DaemonError::Rpc { address, source })?;
+    let relaying = RelayingParts {
+        settings: &settings,
+        store: parts.store,
+        configuration: parts.configuration,
+        revocation_limit_ms: parts.revocation_limit_ms,
+        start_delay_ms: 2 * start_spread_ms,
+        own_state: own_state.clone(),
+        gossip: &gossip,
+        hints,
+        names: names.clone(),
+        timer: timer.clone(),
+        shutdown: shutdown.clone(),
+    };
+    let freshness = relaying::spawn(relaying, apply)?;
     let quota = DividedQuota::new(timer.clone());
+    let address = SocketAddr::new(settings.ip, settings.rpc_port);
     let sharing = SharingInputs {
         node_id: settings.node_id.clone(),
         address,
--- /dev/null
+++ b/src/daemon/hosted/relaying.rs
@@ -0,0 +1,124 @@
+//! Follows the configuration, with other nodes: two of a zone ask the store, the
+//! others take from them.
+
+use {
+    crate::{
+        daemon::{DaemonError, neighbours::RpcNeighbours},
+        documents::{Document, DocumentKind, DocumentStore, FollowerParts, Hint, LookBounds},
+        freshness::Snapshot,
+        guard::Handover,
+        membership::{Gossip, OwnState},
+        model::{Names, WorkspaceKey},
+        objects::{FollowParts, FollowedName, ObjectOrigin, ObjectStore, follow},
+        quota::{BorrowAnswer, BorrowAsk, Estate, LeaseAnswer, LeaseAsk},
+        rpc::{self, DocumentSource, Handlers, RpcConfig},
+        settings::Settings,
+        timer::Timer,
+    },
+    std::{net::SocketAddr, sync::Arc},
+    tokio::sync::{mpsc, watch},
+    tokio_util::sync::CancellationToken,
+};
+
+/// Wait of one watch of the configuration, in milliseconds.
+const WATCH_MS: u64 = 10_000;
+/// Taken off the time for which keys may be honoured after their removal:
+/// covers the time that a request takes from its caller to this node.
+const REVOCATION_MARGIN_MS: u64 = 500;
+
+/// What relaying works with.
+pub struct RelayingParts<'a, S> {
+    /// Checked settings.
+    pub settings: &'a Settings,
+    /// The deployment's object store.
+    pub store: S,
+    /// The object that holds the configuration.
+    pub configuration: FollowedName,
+    /// How long after its removal a key may be honoured, in milliseconds.
+    pub revocation_limit_ms: u64,
+    /// Longest wait before the first look, in milliseconds.
+    pub start_delay_ms: u64,
+    /// What this node tells other members.
+    pub own_state: watch::Sender<OwnState>,
+    /// Members and their replies.
+    pub gossip: &'a Gossip,
+    /// Members that hold newer versions.
+    pub hints: mpsc::Receiver<Hint>,
+    /// Names of services and workspaces.
+    pub names: Names,
+    /// Time.
+    pub timer: Timer,
+    /// Ends it.
+    pub shutdown: CancellationToken,
+}
+
+/// Starts it; tells how far what `apply` was given may be relied on.
+pub fn spawn<S, A>(
+    parts: RelayingParts<'_, S>,
+    apply: A,
+) -> Result<watch::Receiver<Snapshot>, DaemonError>
+where
+    S: ObjectStore,
+    A: FnMut(&Document) + Send + 'static,
+{
+    let (settings, gossip) = (parts.settings, parts.gossip);
+    let documents = DocumentStore::new();
+    let (client, calls) = rpc::channel();
+    let follower = FollowerParts {
+        node_id: settings.node_id.clone(),
+        zone: settings.zone.clone(),
+        store: documents.clone(),
+        origin: ObjectOrigin::new(parts.store, parts.configuration, WATCH_MS),
+        bounds: LookBounds::PAID.with_start_delay_ms(parts.start_delay_ms),
+        neighbours: RpcNeighbours::new(client, gossip.view.clone()),
+        view: gossip.view.clone(),
+        probes: gossip.probes.clone(),
+        stamps: gossip.stamps.subscribe(),
+        hints: parts.hints,
+        timer: parts.timer,
+        shutdown: parts.shutdown.clone(),
+    };
+    let confirmed_ms = parts
+        .revocation_limit_ms
+        .saturating_sub(REVOCATION_MARGIN_MS);
+    let follow_parts = FollowParts {
+        follower,
+        confirmed_ms,
+        own_state: parts.own_state,
+    };
+    let freshness = follow(follow_parts, apply);
+    let config = RpcConfig::new(settings, parts.names);
+    let handlers = Arc::new(DocumentHandlers { documents });
+    rpc::spawn(config, calls, handlers, parts.shutdown).map_err(|source| {
+        let address = SocketAddr::new(settings.ip, settings.rpc_port);
+        DaemonError::Rpc { address, source }
+    })?;
+    Ok(freshness)
+}
+
+/// Gives documents; holds neither slices of quota nor of idempotency keys.
+struct DocumentHandlers {
+    documents: DocumentStore,
+}
+
+impl Handlers for DocumentHandlers {
+    fn document(&self, kind: DocumentKind, above_version: u64) -> Option<Document> {
+        DocumentSource::document(&self.documents, kind, above_version)
+    }
+
+    fn lease(&self, _ask: LeaseAsk) -> LeaseAnswer {
+        LeaseAnswer::default()
+    }
+
+    async fn borrow(&self, _ask: BorrowAsk) -> BorrowAnswer {
+        BorrowAnswer::default()
+    }
+
+    fn take_over(&self, _workspace: WorkspaceKey) -> Option<Estate> {
+        None
+    }
+
+    fn hand_over(&self, _handover: Handover) -> bool {
+        false
+    }
+}
--- a/src/documents/schedule.rs
+++ b/src/documents/schedule.rs
@@ -47,6 +47,31 @@
 }
 
 impl LookBounds {
+    /// For an origin whose calls are paid for, and confirmations that hold for
+    /// four seconds and more.
+    pub const PAID: Self = Self {
+        period_ms: 200,
+        start_delay_ms: 0,
+        first_relay_age_ms: 1500,
+        second_relay_age_ms: 2000,
+        ask_relays_age_ms: Some(2400),
+        others: Some(OtherLooks {
+            age_ms: 3000,
+            rate_per_s: 2.0,
+        }),
+        first_backoff_ms: 100,
+        longest_backoff_ms: 1600,
+    };
+
+    /// The same, with another wait before the first look.
+    #[must_use]
+    pub const fn with_start_delay_ms(self, start_delay_ms: u64) -> Self {
+        Self {
+            start_delay_ms,
+            ..self
+        }
+    }
+
     /// Whether a member looks now.
     ///
     /// `age_ms` is `None` while there is no confirmed look. `draw` lies in 0..1
--- a/src/objects/follower.rs
+++ b/src/objects/follower.rs
@@ -4,32 +4,15 @@
     super::{ObjectOrigin, ObjectStore},
     crate::{
         documents::{
-            Document, DocumentKind, DocumentStore, FollowerParts, Hint, LookBounds, Neighbours,
-            Versions, spawn_follower,
+            Document, DocumentKind, DocumentStore, FollowerParts, Neighbours, Versions,
+            spawn_follower,
         },
         freshness::{Freshness, Snapshot},
-        membership::{MemberProbes, OwnState, PeerStamp, View},
-        timer::Timer,
+        membership::OwnState,
     },
-    std::sync::Arc,
-    tokio::sync::{broadcast, mpsc, watch},
-    tokio_util::sync::CancellationToken,
+    tokio::sync::watch,
 };
 
-/// Times by which the follower goes.
-#[derives::value]
-#[derive(Copy)]
-pub struct FollowerBounds {
-    /// Wait of one watch, in milliseconds.
-    pub watch_ms: u64,
-    /// How long a confirmed look speaks for the present, in milliseconds from
-    /// when the store was asked.
-    pub confirmed_ms: u64,
-    /// Who looks, and when. A change that a watch missed is known after the
-    /// first relay's age.
-    pub looks: LookBounds,
-}
-
 /// The object that is followed.
 #[derives::value]
 #[derive(Eq)]
@@ -42,35 +25,14 @@
 
 /// What the follower works with.
 pub struct FollowParts<S, N> {
-    /// This node.
-    pub node_id: String,
-    /// Its availability zone.
-    pub zone: String,
-    /// The store.
-    pub store: S,
-    /// The object in it.
-    pub followed: FollowedName,
-    /// Times.
-    pub bounds: FollowerBounds,
-    /// Where the newest content is held for other members.
-    pub documents: DocumentStore,
-    /// Calls to other members.
-    pub neighbours: N,
+    /// Brings the content.
+    pub follower: FollowerParts<ObjectOrigin<S>, N>,
+    /// How long a confirmed look speaks for the present, in milliseconds from
+    /// when the store was asked.
+    pub confirmed_ms: u64,
     /// What this node tells other members; the follower writes the versions and
     /// the time of the last confirmed look.
     pub own_state: watch::Sender<OwnState>,
-    /// Members.
-    pub view: watch::Receiver<Arc<View>>,
-    /// Questions to single members.
-    pub probes: MemberProbes,
-    /// Replies to own probes.
-    pub stamps: broadcast::Receiver<PeerStamp>,
-    /// Hints from gossip.
-    pub hints: mpsc::Receiver<Hint>,
-    /// Time.
-    pub timer: Timer,
-    /// Ends the follower.
-    pub shutdown: CancellationToken,
 }
 
 /// Follows an object until `shutdown`; tells how far what `apply` was given may
@@ -92,25 +54,12 @@
     A: FnMut(&Document) + Send + 'static,
 {
     let (freshness_sender, freshness) = watch::channel(Snapshot::cut_off());
-    let origin = ObjectOrigin::new(parts.store, parts.followed, parts.bounds.watch_ms);
-    let seen = spawn_follower(FollowerParts {
-        node_id: parts.node_id,
-        zone: parts.zone,
-        store: parts.documents.clone(),
-        origin,
-        bounds: parts.bounds.looks,
-        neighbours: parts.neighbours,
-        view: parts.view,
-        probes: parts.probes,
-        stamps: parts.stamps,
-        hints: parts.hints,
-        timer: parts.timer,
-        shutdown: parts.shutdown.clone(),
-    });
+    let documents = parts.follower.store.clone();
+    let shutdown = parts.follower.shutdown.clone();
     let enforcement = Enforcement {
-        documents: parts.documents,
-        seen,
-        confirmed_ms: parts.bounds.confirmed_ms,
+        documents,
+        seen: spawn_follower(parts.follower),
+        confirmed_ms: parts.confirmed_ms,
         applied_version: 0,
         apply,
         own_state: parts.own_state,
@@ -118,7 +67,7 @@
     };
     tokio::spawn(async move {
         tokio::select! {
-            () = parts.shutdown.cancelled() => {}
+            () = shutdown.cancelled() => {}
             () = enforcement.run() => {}
         }
     });
--- a/src/objects/mod.rs
+++ b/src/objects/mod.rs
@@ -8,7 +8,7 @@
 mod origin;
 
 pub use {
-    follower::{FollowParts, FollowedName, FollowerBounds, follow},
+    follower::{FollowParts, FollowedName, follow},
     origin::ObjectOrigin,
 };
 
--- a/tests/documents_schedule.rs
+++ b/tests/documents_schedule.rs
@@ -1,23 +1,11 @@
 //! Who looks at the documents' origin, without network and clock.
 
 use {
-    dogwoodbridge::documents::{LookBounds, LookRole, OtherLooks},
+    dogwoodbridge::documents::{LookBounds, LookRole},
     rand::{Rng, SeedableRng, rngs::StdRng},
 };
 
-const BOUNDS: LookBounds = LookBounds {
-    period_ms: 200,
-    start_delay_ms: 0,
-    first_relay_age_ms: 1500,
-    second_relay_age_ms: 2000,
-    ask_relays_age_ms: Some(2400),
-    others: Some(OtherLooks {
-        age_ms: 3000,
-        rate_per_s: 2.0,
-    }),
-    first_backoff_ms: 100,
-    longest_backoff_ms: 1600,
-};
+const BOUNDS: LookBounds = LookBounds::PAID;
 
 const fn role(rank: Option<usize>, member_count: usize) -> LookRole {
     LookRole { rank, member_count }
--- a/tests/objects_fleet.rs
+++ b/tests/objects_fleet.rs
@@ -3,17 +3,16 @@
 mod objects_support;
 
 use {
-    dogwoodbridge::objects::FollowerBounds,
-    objects_support::{BOUNDS, Fleet, Mood},
+    dogwoodbridge::documents::LookBounds,
+    objects_support::{BOUNDS, CONFIRMED_MS, Fleet, Mood},
     rand::{Rng, SeedableRng, rngs::StdRng},
     std::{sync::atomic::Ordering, time::Duration},
 };
 
 /// Members that are no relays never look.
-const RELAYS_ONLY: FollowerBounds = {
-    let mut bounds = BOUNDS;
-    bounds.looks.others = None;
-    bounds
+const RELAYS_ONLY: LookBounds = LookBounds {
+    others: None,
+    ..BOUNDS
 };
 
 /// Were every node to ask the store, its calls would grow with the fleet and a
@@ -115,7 +114,7 @@
         }
         for (index, node) in fleet.nodes.iter().enumerate() {
             let now_ms = fleet.timer.now_ms();
-            let owed_ms = now_ms.saturating_sub(BOUNDS.confirmed_ms);
+            let owed_ms = now_ms.saturating_sub(CONFIRMED_MS);
             let owed_revision = fleet.store.revision_at(owed_ms);
             if fleet.is_fresh(index) {
                 fresh_count += 1;
--- a/tests/objects_follower.rs
+++ b/tests/objects_follower.rs
@@ -9,7 +9,7 @@
         freshness::Freshness,
         objects::{ObjectOrigin, StoreError},
     },
-    objects_support::{BOUNDS, Fleet, LIMIT, Mood, followed},
+    objects_support::{BOUNDS, Fleet, LIMIT, Mood, WATCH_MS, followed},
     std::time::Duration,
     tokio::time::timeout,
 };
@@ -91,7 +91,7 @@
 #[tokio::test]
 async fn a_watch_without_history_is_an_error_each_time() {
     let fleet = Fleet::with_mood(1, 1, BOUNDS, Mood::Forgetful);
-    let origin = ObjectOrigin::new(fleet.store.clone(), followed(), BOUNDS.watch_ms);
+    let origin = ObjectOrigin::new(fleet.store.clone(), followed(), WATCH_MS);
     let documents = DocumentStore::new();
     origin.look(&documents).await.expect("a listing works");
     for _ in 0..3 {
--- a/tests/objects_support/mod.rs
+++ b/tests/objects_support/mod.rs
@@ -5,7 +5,8 @@
 use {
     dogwoodbridge::{
         documents::{
-            Document, DocumentKind, DocumentStore, Hint, LookBounds, Neighbours, OtherLooks,
+            Document, DocumentKind, DocumentStore, FollowerParts, Hint, LookBounds, Neighbours,
+            OtherLooks,
         },
         freshness::{Freshness, Snapshot},
         membership::{
@@ -13,7 +14,7 @@
             View, relay_rank,
         },
         objects::{
-            Change, Changes, Condition, FollowParts, FollowedName, FollowerBounds, Listing,
+            Change, Changes, Condition, FollowParts, FollowedName, Listing, ObjectOrigin,
             ObjectStore, StoreError, StoredObject, follow,
         },
         timer::Timer,
@@ -37,23 +38,23 @@
 /// Far longer than any of these things takes on a busy machine.
 pub const LIMIT: Duration = Duration::from_secs(30);
 
-/// Times of a follower that looks often.
-pub const BOUNDS: FollowerBounds = FollowerBounds {
-    watch_ms: 40,
-    confirmed_ms: 400,
-    looks: LookBounds {
-        period_ms: 10,
-        start_delay_ms: 0,
-        first_relay_age_ms: 40,
-        second_relay_age_ms: 60,
-        ask_relays_age_ms: Some(80),
-        others: Some(OtherLooks {
-            age_ms: 120,
-            rate_per_s: 40.0,
-        }),
-        first_backoff_ms: 10,
-        longest_backoff_ms: 40,
-    },
+/// Wait of one watch.
+pub const WATCH_MS: u64 = 40;
+/// How long a confirmed look speaks for the present.
+pub const CONFIRMED_MS: u64 = 400;
+/// Times of followers that look often.
+pub const BOUNDS: LookBounds = LookBounds {
+    period_ms: 10,
+    start_delay_ms: 0,
+    first_relay_age_ms: 40,
+    second_relay_age_ms: 60,
+    ask_relays_age_ms: Some(80),
+    others: Some(OtherLooks {
+        age_ms: 120,
+        rate_per_s: 40.0,
+    }),
+    first_backoff_ms: 10,
+    longest_backoff_ms: 40,
 };
 
 /// How the store behaves towards a node.
@@ -248,7 +249,7 @@
 
 impl Fleet {
     /// Starts so many nodes in each zone.
-    pub fn new(zone_count: usize, nodes_per_zone: usize, bounds: FollowerBounds) -> Self {
+    pub fn new(zone_count: usize, nodes_per_zone: usize, bounds: LookBounds) -> Self {
         Self::with_mood(zone_count, nodes_per_zone, bounds, Mood::Well)
     }
 
@@ -256,7 +257,7 @@
     pub fn with_mood(
         zone_count: usize,
         nodes_per_zone: usize,
-        bounds: FollowerBounds,
+        bounds: LookBounds,
         mood: Mood,
     ) -> Self {
         let node_count = zone_count * nodes_per_zone;
@@ -278,18 +279,16 @@
             let (hints, hint_receiver) = mpsc::channel(64);
             let (probes, questions) = MemberProbes::new();
             let is_cut = Arc::new(AtomicBool::new(false));
-            let parts = FollowParts {
+            let follower = FollowerParts {
                 node_id: node_id(index),
                 zone: view.members[index].zone.clone(),
-                store: store.of_node(index),
-                followed: followed(),
+                store: own_documents.clone(),
+                origin: ObjectOrigin::new(store.of_node(index), followed(), WATCH_MS),
                 bounds,
-                documents: own_documents.clone(),
                 neighbours: Peers {
                     documents: documents.clone(),
                     is_cut: is_cut.clone(),
                 },
-                own_state: own_state.clone(),
                 view: view_receiver.clone(),
                 probes,
                 stamps: stamp_receiver,
@@ -297,6 +296,11 @@
                 timer: timer.clone(),
                 shutdown: shutdown.clone(),
             };
+            let parts = FollowParts {
+                follower,
+                confirmed_ms: CONFIRMED_MS,
+                own_state: own_state.clone(),
+            };
             let freshness = follow(parts, move |document: &Document| {
                 applied_sender.send_replace(document.version);
             });
@@ -345,18 +349,16 @@
             members: vec![self.view.members[0].clone()],
         });
         let documents = DocumentStore::new();
-        let parts = FollowParts {
+        let follower = FollowerParts {
             node_id: node_id(0),
             zone: view.members[0].zone.clone(),
-            store: self.store.clone(),
-            followed: followed(),
+            store: documents.clone(),
+            origin: ObjectOrigin::new(self.store.clone(), followed(), WATCH_MS),
             bounds: BOUNDS,
-            documents: documents.clone(),
             neighbours: Peers {
                 documents: vec![documents],
                 is_cut: Arc::default(),
             },
-            own_state: own_state.clone(),
             view: watch::channel(view).1,
             probes: MemberProbes::new().0,
             stamps: broadcast::channel(1).1,
@@ -364,6 +366,11 @@
             timer: self.timer.clone(),
             shutdown: self.shutdown.clone(),
         };
+        let parts = FollowParts {
+            follower,
+            confirmed_ms: CONFIRMED_MS,
+            own_state: own_state.clone(),
+        };
         let freshness = follow(parts, move |document: &Document| {
             apply(document);
             applied_sender.send_replace(document.version);
