Take no work from others before a configuration is held

The configuration is published before any node starts, so that node held none: it had started anew, its target was known to all, and neither the attempts of others nor calls of the own target asked whether there is a configuration. Shorter life checks leave fewer packets that tell of versions at a start, which widens the moment; it was there before.

Ruled out: a lost route (there is one revision in that test).

Change: without a configuration a node refuses attempts of others and calls of its target as not run, not-ready; the sender takes another target without spending a retry, as it does for a node that is draining.

Test: a_node_without_a_configuration_takes_no_work_from_others fails before (the target ran requests).

--- a/src/egress/attempts.rs
+++ b/src/egress/attempts.rs
@@ -117,11 +117,11 @@
 }
 
 /// Whether the attempt ended before the target: no connection led to it, or its
-/// node sends no more work there.
+/// node sends no work there, no more or not yet.
 fn never_reached(refusal: Refusal) -> bool {
     let is_before_target = matches!(
         refusal.reason,
-        Reason::ConnectionLost | Reason::Draining | Reason::NoTarget
+        Reason::ConnectionLost | Reason::Draining | Reason::NoTarget | Reason::NotReady
     );
     refusal.outcome == Outcome::NotRun && is_before_target
 }
@@ -133,6 +133,7 @@
         refusal.reason,
         Reason::Overloaded
             | Reason::Draining
+            | Reason::NotReady
             | Reason::ConnectionLost
             | Reason::BadAnswer
             | Reason::TooManyConnections
--- a/src/egress/child.rs
+++ b/src/egress/child.rs
@@ -89,6 +89,13 @@
     }
     check_size(head, node.settings.max_header_bytes)?;
     let running = node.running();
+    if running.revision == 0 {
+        let refusal = Refusal::not_run(Reason::NotReady);
+        return Err(Rejection::new(
+            refusal,
+            "this node has no configuration yet",
+        ));
+    }
     let (service, path) = split_path(&running, &head.uri)?;
     let route = running
         .route(service, head.method.as_str(), path.path())
--- a/src/target/serve.rs
+++ b/src/target/serve.rs
@@ -118,6 +118,11 @@
     if !serves(node, context.service) {
         return refused(Refusal::not_run(Reason::NoTarget));
     }
+    // Calls of the target could not be routed, and the request would fail after
+    // it has run.
+    if node.running().revision == 0 {
+        return refused(Refusal::not_run(Reason::NotReady));
+    }
     if is_revoked(node, context) {
         return refused(Refusal::not_run(Reason::RevokedKey));
     }
