--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -7,9 +7,9 @@
             TargetSize,
         },
         logging::{LineBudget, json_line},
-        model::{AdmissionLevel, Class, ServiceKey, WorkspaceKey, ZoneKey},
+        model::{AdmissionLevel, Class, RegionKey, RegionSet, ServiceKey, WorkspaceKey, ZoneKey},
         retry::{ChainBudget, RetryPolicy},
-        routing::{AttemptResult, Distance, RoutePolicy, TargetInfo, ZoneRouter},
+        routing::{AttemptResult, Distance, RoutePolicy, TargetInfo, Wanted, ZoneRouter},
     },
     rand::{SeedableRng, rngs::StdRng},
     std::{collections::VecDeque, hint::black_box, time::Instant},
@@ -163,6 +163,7 @@
         let info = TargetInfo {
             service,
             zone: ZoneKey::new(u16::try_from(index % 4).unwrap_or(0)),
+            region: RegionKey::new(0),
             distance: if index.is_multiple_of(4) {
                 Distance::SameZone
             } else {
@@ -174,10 +175,15 @@
         };
         router.add(info, 0);
     }
+    let wanted = Wanted {
+        service,
+        class: Class::Standard,
+        regions: RegionSet::ANY,
+    };
     let started = Instant::now();
     for index in 0..ROUND_COUNT {
         let now_us = u64::from(index) * 100;
-        if let Ok(target) = router.pick(service, Class::Standard, &[], now_us, &mut rng) {
+        if let Ok(target) = router.pick(wanted, &[], now_us, &mut rng) {
             let level = Some(AdmissionLevel::idle());
             router.end(target, AttemptResult::Answered, 10_000, level, now_us);
         }
--- a/benches/gossip.rs
+++ b/benches/gossip.rs
@@ -130,7 +130,7 @@
     };
     OwnState {
         target: Some(target),
-        versions: Versions([version; 3]),
+        versions: Versions([version; 4]),
         platform_seen_ms: Some(0),
         ..OwnState::default()
     }
--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -70,6 +70,8 @@
     },
     /// Show what is in force in each availability zone, nodes, targets, platform
     Status,
+    /// Send no more work to the targets of an availability zone, until it is taken back
+    Evacuate(EvacuateArgs),
     /// Let a node end its running work and leave
     Drain {
         /// Name of the node, or its control address
@@ -115,6 +117,16 @@
     pub wait_ms: u64,
 }
 
+/// Flags of `evacuate`.
+#[derive(Debug, Clone, clap::Args)]
+pub struct EvacuateArgs {
+    /// Name of the availability zone, as its nodes tell it
+    pub zone: String,
+    /// Take the evacuation back: the zone's targets get work again, as cold ones
+    #[arg(long)]
+    pub take_back: bool,
+}
+
 /// What to do with keys.
 #[derive(Debug, Clone, Subcommand)]
 pub enum KeyCommand {
--- a/src/cli/errors.rs
+++ b/src/cli/errors.rs
@@ -26,6 +26,9 @@
     /// The keys document does not allow the change.
     #[error("nothing was changed: {0}")]
     Keys(#[from] KeysError),
+    /// The list of evacuated availability zones cannot be read.
+    #[error("nothing was changed: the list of evacuated zones cannot be read: {0}")]
+    Evacuations(#[from] serde_json::Error),
     /// The workspace is not in the published configuration.
     #[error("workspace {workspace:?} is not published; published are: {}", known.join(", "))]
     UnknownWorkspace {
--- a/src/cli/keys.rs
+++ b/src/cli/keys.rs
@@ -2,14 +2,14 @@
 
 use {
     super::{
-        Args, CliError, Exit, Finished, Fleet, KeyCommand, KeysOutcome, ZoneReport,
-        fleet::call_context, keys_change::change_keys, zone_reports,
+        Args, ChangeOutcome, CliError, Exit, Finished, Fleet, KeyCommand, ZoneReport,
+        document_change::change_document, fleet::call_context, zone_reports,
     },
     crate::{
         conf::read_configuration,
         control::{KeyVerdict, OperatorsClient},
         documents::{Document, DocumentKind},
-        keys::{KeyDigest, new_key},
+        keys::{KeyDigest, KeysRecord, new_key},
         platform::Platform,
         timer::unix_ms,
     },
@@ -24,14 +24,14 @@
     /// The key itself, only when it was created here.
     key: Option<String>,
     #[serde(flatten)]
-    platform: KeysOutcome,
+    platform: ChangeOutcome,
 }
 
 #[derive(Debug, Clone, Serialize)]
 struct RevokeReport {
     digest: KeyDigest,
     /// Absent when no platform was named.
-    platform: Option<KeysOutcome>,
+    platform: Option<ChangeOutcome>,
     /// Absent when no nodes were named.
     zones: Option<Vec<ZoneReport>>,
 }
@@ -61,12 +61,9 @@
     let platform = args.platform()?;
     check_workspace(&platform, workspace).await?;
     let now_ms = unix_ms();
-    let outcome = change_keys(&platform, |keys| keys.grant(digest, workspace, now_ms)).await?;
-    let exit = match outcome {
-        KeysOutcome::Written { .. } => Exit::Done,
-        KeysOutcome::NotWritten { .. } => Exit::Failed,
-        KeysOutcome::Unknown { .. } => Exit::Unsure,
-    };
+    let grant = |keys: &mut KeysRecord| keys.grant(digest, workspace, now_ms);
+    let outcome = change_document(&platform, grant).await?;
+    let exit = outcome.exit();
     let report = GrantReport {
         workspace: workspace.to_owned(),
         digest,
@@ -143,10 +140,11 @@
     Ok(Finished::new(report.exit(), &report))
 }
 
-async fn write_revocation(platform: &Platform, digest: KeyDigest) -> KeysOutcome {
+async fn write_revocation(platform: &Platform, digest: KeyDigest) -> ChangeOutcome {
     let now_ms = unix_ms();
-    let changed = change_keys(platform, |keys| Ok(keys.revoke(digest, now_ms))).await;
-    changed.unwrap_or_else(|error| KeysOutcome::NotWritten {
+    let revoke = |keys: &mut KeysRecord| Ok(keys.revoke(digest, now_ms));
+    let changed = change_document(platform, revoke).await;
+    changed.unwrap_or_else(|error| ChangeOutcome::NotWritten {
         reason: error.to_string(),
     })
 }
@@ -170,11 +168,11 @@
 
 impl RevokeReport {
     fn exit(&self) -> Exit {
-        let in_platform = matches!(self.platform, Some(KeysOutcome::Written { .. }));
+        let in_platform = matches!(self.platform, Some(ChangeOutcome::Written { .. }));
         let zones = self.zones.as_deref().unwrap_or_default();
         let in_some = zones.iter().any(|zone| zone.in_force_count > 0);
         let in_all = !zones.is_empty() && zones.iter().all(ZoneReport::is_in_force);
-        let may_be = matches!(self.platform, Some(KeysOutcome::Unknown { .. }));
+        let may_be = matches!(self.platform, Some(ChangeOutcome::Unknown { .. }));
         match (in_platform || in_all, in_some || may_be) {
             (true, _) => Exit::Done,
             (false, true) => Exit::Unsure,
@@ -187,16 +185,16 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         let (digest, workspace) = (&self.digest, &self.workspace);
         match &self.platform {
-            KeysOutcome::Written { version } => {
+            ChangeOutcome::Written { version } => {
                 write!(
                     formatter,
                     "granted to {workspace} in keys version {version}: {digest}"
                 )?;
             }
-            KeysOutcome::NotWritten { reason } => {
+            ChangeOutcome::NotWritten { reason } => {
                 write!(formatter, "NOT granted: {reason}")?;
             }
-            KeysOutcome::Unknown { reason } => write!(
+            ChangeOutcome::Unknown { reason } => write!(
                 formatter,
                 "UNKNOWN whether granted: {reason}. Run: key grant --workspace {workspace} --digest {digest}"
             )?,
@@ -212,13 +210,13 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "revocation of {}", self.digest)?;
         match &self.platform {
-            Some(KeysOutcome::Written { version }) => {
+            Some(ChangeOutcome::Written { version }) => {
                 write!(formatter, "\nplatform: written in keys version {version}")?;
             }
-            Some(KeysOutcome::NotWritten { reason }) => {
+            Some(ChangeOutcome::NotWritten { reason }) => {
                 write!(formatter, "\nplatform: NOT written: {reason}")?;
             }
-            Some(KeysOutcome::Unknown { reason }) => {
+            Some(ChangeOutcome::Unknown { reason }) => {
                 write!(formatter, "\nplatform: UNKNOWN whether written: {reason}")?;
             }
             None => formatter.write_str("\nplatform: not named, not written")?,
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -2,12 +2,13 @@
 
 mod args;
 mod check;
+mod document_change;
 mod drain;
 mod errors;
+mod evacuate;
 mod explain;
 mod fleet;
 mod keys;
-mod keys_change;
 mod publication;
 mod publish;
 mod report;
@@ -16,9 +17,9 @@
 
 pub use {
     args::{Args, Command, KeyCommand, OutputFormat, Page},
+    document_change::{ChangeOutcome, SharedDocument, change_document},
     errors::CliError,
     fleet::{Fleet, FleetView, NodeAnswer},
-    keys_change::{KeysOutcome, change_keys},
     publication::{PublishOutcome, Winner, publish_record},
     report::{Exit, Finished},
     zones::{ZoneReport, zone_reports},
@@ -33,6 +34,7 @@
         Command::Publish(publish) => publish::run(args, publish).await,
         Command::Key { command } => keys::run(args, command).await,
         Command::Status => status::run(args).await,
+        Command::Evacuate(evacuate) => evacuate::run(args, evacuate).await,
         Command::Drain { node } => drain::run(args, node).await,
         Command::Explain(explain) => explain::run(args, explain).await,
         Command::Reference { page: Page::Events } => Ok(Finished::page(reference::events_page())),
--- a/src/conf/check.rs
+++ b/src/conf/check.rs
@@ -22,6 +22,8 @@
 
 const RETRIES: RangeInclusive<i64> = 0..=10;
 const DEADLINES_MS: RangeInclusive<i64> = 1..=600_000;
+/// 0 stands for targets that are never cold.
+const COLD_RATES_PER_S: RangeInclusive<i64> = 0..=1_000_000;
 const RATES_PER_S: RangeInclusive<i64> = 1..=10_000_000;
 const BURSTS: RangeInclusive<i64> = 1..=100_000_000;
 const KEY_LEASES_S: RangeInclusive<i64> = 1..=86_400;
@@ -105,6 +107,13 @@
         &DEADLINES_MS,
         problems,
     );
+    let cold_rate_per_s = number(
+        file.cold_rate_per_s.as_ref(),
+        "cold_rate_per_s",
+        0,
+        &COLD_RATES_PER_S,
+        problems,
+    );
     let mut routes: Vec<RouteRecord> = Vec::new();
     for section in &file.routes {
         let record = route(section, deadline_ms, problems);
@@ -118,6 +127,7 @@
     ServiceRecord {
         name: name(file.service.as_ref(), "service", 0, problems),
         retry_limit: u8::try_from(retries).unwrap_or(0),
+        cold_rate_per_s: u32::try_from(cold_rate_per_s).unwrap_or(0),
         routes,
     }
 }
@@ -273,6 +283,7 @@
         name: name(section.name.as_ref(), "name", offset, problems),
         rate_per_s: u32::try_from(rate).unwrap_or(1),
         burst_count: u32::try_from(burst).unwrap_or(1),
+        regions: regions(section, problems),
         key_lease_ms: u64::try_from(lease_s).unwrap_or(1) * 1_000,
     }
 }
@@ -291,6 +302,14 @@
     number(value, field, *range.start(), range, problems)
 }
 
+fn regions(section: &WorkspaceSection, problems: &mut FileProblems<'_>) -> Vec<String> {
+    let regions = section.regions.as_deref().unwrap_or_default();
+    let named = regions.iter();
+    named
+        .map(|region| name(Some(region), "regions", region.span().start, problems))
+        .collect()
+}
+
 fn number(
     value: Option<&Spanned<i64>>,
     field: &str,
--- a/src/conf/compile.rs
+++ b/src/conf/compile.rs
@@ -8,7 +8,7 @@
     crate::{
         documents::Document,
         keys::{KeysError, KeysRecord},
-        model::{Names, WorkspaceKey},
+        model::{Names, RegionSet, WorkspaceKey},
         quota::Rate,
     },
     std::collections::HashMap,
@@ -78,6 +78,10 @@
         retry_limit: record.retry_limit,
         routes: record.routes.into_iter().map(RouteRules::from).collect(),
     };
+    if record.cold_rate_per_s > 0 {
+        let rate_per_s = record.cold_rate_per_s;
+        running.cold_rates_per_s.insert(service, rate_per_s);
+    }
     running.service_names.insert(record.name, service);
     running.services.insert(service, rules);
 }
@@ -87,12 +91,14 @@
     let rules = WorkspaceRules {
         workspace,
         class: None,
+        regions: RegionSet::only(record.regions.iter().map(|region| names.region(region))),
         rate: Rate {
             rate_per_s: record.rate_per_s,
             burst_count: record.burst_count,
         },
         key_lease_ms: record.key_lease_ms,
     };
+    running.restricts_regions |= !record.regions.is_empty();
     running.workspaces.insert(workspace, rules);
     workspace
 }
--- /dev/null
+++ b/src/conf/evacuations.rs
@@ -0,0 +1,85 @@
+//! Availability zones that operators have evacuated.
+
+use {
+    crate::{
+        documents::{Document, DocumentKind, DocumentStore},
+        event,
+        events::Event,
+    },
+    std::{collections::BTreeSet, sync::Arc},
+    tokio::sync::watch,
+    tokio_util::sync::CancellationToken,
+};
+
+/// Zones whose targets get no work until the evacuation is taken back.
+#[derives::record]
+#[derive(Eq, Default)]
+pub struct Evacuations {
+    /// Names of the zones.
+    pub zones: BTreeSet<String>,
+}
+
+impl Evacuations {
+    /// Reads a document's content; there is none before the first evacuation.
+    pub fn read(content: &[u8]) -> serde_json::Result<Self> {
+        if content.is_empty() {
+            return Ok(Self::default());
+        }
+        serde_json::from_slice(content)
+    }
+
+    /// Content of a document.
+    #[must_use]
+    pub fn write(&self) -> Vec<u8> {
+        serde_json::to_vec(self).expect("names of zones are plain text")
+    }
+
+    /// Whether the zone is evacuated.
+    #[must_use]
+    pub fn contains(&self, zone: &str) -> bool {
+        self.zones.contains(zone)
+    }
+}
+
+/// Starts the task that puts each new document into force; no zone is evacuated
+/// until there is one.
+#[must_use]
+pub fn spawn_evacuations(
+    store: &DocumentStore,
+    shutdown: CancellationToken,
+) -> watch::Receiver<Arc<Evacuations>> {
+    let (sender, receiver) = watch::channel(Arc::default());
+    let mut documents = store.subscribe(DocumentKind::Evacuations);
+    tokio::spawn(async move {
+        loop {
+            let document = documents.borrow_and_update().clone();
+            if let Some(document) = document {
+                put_into_force(&sender, &document);
+            }
+            tokio::select! {
+                () = shutdown.cancelled() => return,
+                changed = documents.changed() => if changed.is_err() { return },
+            }
+        }
+    });
+    receiver
+}
+
+fn put_into_force(sender: &watch::Sender<Arc<Evacuations>>, document: &Document) {
+    let version = document.version;
+    match Evacuations::read(&document.content) {
+        Ok(evacuations) => {
+            let zones: Vec<&str> = evacuations.zones.iter().map(String::as_str).collect();
+            event!(
+                Event::EvacuationsInForce,
+                "version={version} zones={}",
+                zones.join(",")
+            );
+            sender.send_replace(Arc::new(evacuations));
+        }
+        Err(error) => event!(
+            Event::EvacuationsRejected,
+            "version={version} error={error}"
+        ),
+    }
+}
--- a/src/conf/file.rs
+++ b/src/conf/file.rs
@@ -15,6 +15,9 @@
     pub retries: Option<Spanned<i64>>,
     /// Deadline of routes that set none.
     pub deadline_ms: Option<Spanned<i64>>,
+    /// Requests a second that a target bears while it is cold; without it,
+    /// targets are never cold.
+    pub cold_rate_per_s: Option<Spanned<i64>>,
     /// Routes, the first match counts.
     #[serde(default, rename = "route")]
     pub routes: Vec<Spanned<RouteSection>>,
@@ -51,6 +54,8 @@
 #[derive(Debug, Clone, Default, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct WorkspaceSection {
+    /// Regions in which its requests may run; all when absent.
+    pub regions: Option<Vec<Spanned<String>>>,
     /// Name of the workspace.
     pub name: Option<Spanned<String>>,
     /// Requests a second over the whole fleet.
--- a/src/conf/hosts.rs
+++ b/src/conf/hosts.rs
@@ -4,7 +4,7 @@
     super::{Running, WorkspaceRules},
     crate::{
         keys::KeyDigest,
-        model::{Class, Names, ServiceKey},
+        model::{Class, Names, RegionSet, ServiceKey},
         quota::Rate,
     },
     rand::Rng,
@@ -21,7 +21,7 @@
     /// Routes.
     pub routes: Vec<HostedRoute>,
     /// Services that routes may lead to.
-    pub services: Vec<String>,
+    pub services: Vec<HostedService>,
     /// Workspaces; where there are none, no request needs a key.
     pub workspaces: Vec<HostedWorkspace>,
 }
@@ -47,6 +47,19 @@
     pub aim_ms: u32,
     /// Whether it is served without a key.
     pub is_open: bool,
+    /// Regions in which its requests may run; empty for all.
+    pub regions: Vec<String>,
+}
+
+/// A service that routes may lead to.
+#[derives::value]
+#[derive(Eq)]
+pub struct HostedService {
+    /// Name.
+    pub name: String,
+    /// Requests a second that a cold target bears; 0 where targets are never
+    /// cold.
+    pub cold_rate_per_s: u32,
 }
 
 /// A workspace with its keys.
@@ -58,6 +71,8 @@
     pub class: Option<Class>,
     /// Keys that stand for it.
     pub keys: Vec<String>,
+    /// Regions in which its requests may run; empty for all.
+    pub regions: Vec<String>,
     /// Requests a second over the whole fleet; 0 for no limit.
     pub rate_per_s: u32,
     /// Requests at once after a pause.
@@ -87,6 +102,8 @@
     pub aim_ms: u32,
     /// Whether it is served without a key.
     pub is_open: bool,
+    /// Regions in which its requests may run.
+    pub regions: RegionSet,
 }
 
 impl HostRoutes {
@@ -136,8 +153,12 @@
         ..Running::default()
     };
     for service in &configuration.services {
-        let key = names.service(service);
-        running.service_names.insert(service.clone(), key);
+        let key = names.service(&service.name);
+        running.service_names.insert(service.name.clone(), key);
+        if service.cold_rate_per_s > 0 {
+            let rate_per_s = service.cold_rate_per_s;
+            running.cold_rates_per_s.insert(key, rate_per_s);
+        }
     }
     for workspace in &configuration.workspaces {
         add_workspace(workspace, names, &mut running);
@@ -150,14 +171,30 @@
     for routes in by_host.values_mut() {
         routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
     }
+    let is_restricted = |regions: &[String]| !regions.is_empty();
+    running.restricts_regions = configuration
+        .routes
+        .iter()
+        .any(|route| is_restricted(&route.regions))
+        || configuration
+            .workspaces
+            .iter()
+            .any(|workspace| is_restricted(&workspace.regions));
     running
 }
 
+/// A host as routes name it: in lower case, without a port.
+#[must_use]
+pub fn plain_host(host: &str) -> String {
+    host.split(':').next().unwrap_or(host).to_ascii_lowercase()
+}
+
 fn add_workspace(workspace: &HostedWorkspace, names: &Names, running: &mut Running) {
     let key = names.workspace(&workspace.name);
     let rules = WorkspaceRules {
         workspace: key,
         class: workspace.class,
+        regions: region_set(&workspace.regions, names),
         rate: Rate {
             rate_per_s: workspace.rate_per_s,
             burst_count: workspace.burst_count,
@@ -183,5 +220,10 @@
         timeout_ms: route.timeout_ms,
         aim_ms: route.aim_ms,
         is_open: route.is_open,
+        regions: region_set(&route.regions, names),
     }
 }
+
+fn region_set(regions: &[String], names: &Names) -> RegionSet {
+    RegionSet::only(regions.iter().map(|region| names.region(region)))
+}
--- a/src/conf/mod.rs
+++ b/src/conf/mod.rs
@@ -3,6 +3,7 @@
 mod check;
 mod collect;
 mod compile;
+mod evacuations;
 mod file;
 mod hosts;
 mod in_force;
@@ -14,9 +15,11 @@
     check::{DEFAULT_DEADLINE_MS, DEFAULT_KEY_LEASE_S, DEFAULT_RETRIES},
     collect::{CheckError, SERVICE_FILE, WORKSPACES_FILE, check_dir},
     compile::{CompileError, compile, read_configuration},
+    evacuations::{Evacuations, spawn_evacuations},
     file::{RouteSection, ServiceFile, WorkspaceSection, WorkspacesFile},
     hosts::{
-        HostRoute, HostRoutes, HostedConfiguration, HostedRoute, HostedWorkspace, compile_hosted,
+        HostRoute, HostRoutes, HostedConfiguration, HostedRoute, HostedService, HostedWorkspace,
+        compile_hosted, plain_host,
     },
     in_force::spawn_in_force,
     path::{PathError, covers, parse_path},
@@ -29,7 +32,7 @@
 use {
     crate::{
         keys::{KeyDigest, KeyState},
-        model::{Class, ServiceKey, WorkspaceKey},
+        model::{Class, RegionSet, ServiceKey, WorkspaceKey},
         quota::Rate,
     },
     std::collections::{HashMap, HashSet},
@@ -72,6 +75,8 @@
     pub workspace: WorkspaceKey,
     /// Importance of the workspace, where operators ranked it.
     pub class: Option<Class>,
+    /// Regions in which its requests may run.
+    pub regions: RegionSet,
     /// Rate and burst over the whole fleet.
     pub rate: Rate,
     /// How long its keys go on working in an availability zone that is cut
@@ -90,12 +95,17 @@
     pub hosts: HostRoutes,
     /// Service keys by the name in request paths.
     pub service_names: HashMap<String, ServiceKey>,
+    /// Requests a second that a cold target of a service bears, where targets are
+    /// cold after their start.
+    pub cold_rates_per_s: HashMap<ServiceKey, u32>,
     /// Workspaces by key.
     pub workspaces: HashMap<WorkspaceKey, WorkspaceRules>,
     /// Granted keys.
     pub granted: HashMap<KeyDigest, WorkspaceKey>,
     /// Revoked keys; only grows.
     pub revoked: HashSet<KeyDigest>,
+    /// Whether any route or workspace is restricted to regions.
+    pub restricts_regions: bool,
 }
 
 impl Running {
@@ -109,6 +119,21 @@
             .find(|route| route.matches(method, path))
     }
 
+    /// Regions in which a request may run, by its workspace and by its route where
+    /// routes are chosen by host; both bind.
+    #[must_use]
+    pub fn regions_of(&self, workspace: WorkspaceKey, host: Option<&str>, path: &str) -> RegionSet {
+        if !self.restricts_regions {
+            return RegionSet::ANY;
+        }
+        let of_workspace = self.workspaces.get(&workspace).map(|rules| rules.regions);
+        let of_route =
+            host.and_then(|host| Some(self.hosts.find(&plain_host(host), path)?.regions));
+        let [of_workspace, of_route] =
+            [of_workspace, of_route].map(|regions| regions.unwrap_or(RegionSet::ANY));
+        of_workspace.both(of_route)
+    }
+
     /// What a key is worth. A revocation outweighs every grant.
     #[must_use]
     pub fn key_state(&self, digest: &KeyDigest) -> KeyState {
--- a/src/conf/record.rs
+++ b/src/conf/record.rs
@@ -43,6 +43,9 @@
     pub name: String,
     /// Retries for one original request that enters here.
     pub retry_limit: u8,
+    /// Requests a second that a cold target bears; 0 where targets are never cold.
+    #[serde(default)]
+    pub cold_rate_per_s: u32,
     /// Routes, the first match counts.
     pub routes: Vec<RouteRecord>,
 }
@@ -69,6 +72,9 @@
 pub struct WorkspaceRecord {
     /// Name.
     pub name: String,
+    /// Regions in which its requests may run; empty for all.
+    #[serde(default)]
+    pub regions: Vec<String>,
     /// Requests a second over the whole fleet.
     pub rate_per_s: u32,
     /// Requests at once after a pause.
--- a/src/control/records.rs
+++ b/src/control/records.rs
@@ -21,6 +21,9 @@
     pub keys: u64,
     /// Slice table.
     pub slices: u64,
+    /// Evacuated availability zones.
+    #[serde(default)]
+    pub evacuations: u64,
 }
 
 impl From<Versions> for VersionsRecord {
@@ -29,6 +32,7 @@
             configuration: versions.of(DocumentKind::Configuration),
             keys: versions.of(DocumentKind::Keys),
             slices: versions.of(DocumentKind::Slices),
+            evacuations: versions.of(DocumentKind::Evacuations),
         }
     }
 }
--- a/src/daemon/hosted/mod.rs
+++ b/src/daemon/hosted/mod.rs
@@ -9,12 +9,13 @@
     super::DaemonError,
     crate::{
         admission::Adaptive,
-        conf::HostedConfiguration,
+        conf::{HostedConfiguration, spawn_evacuations},
         dialect::Dialect,
+        documents::DocumentStore,
         membership::{Gossip, GossipInputs, OwnState},
         model::Names,
         node::{Node, NodeInputs, PolicySet, start},
-        objects::{FollowedName, ObjectStore},
+        objects::{FollowedNames, ObjectStore},
         peer::FleetAuth,
         quota::{DividedQuota, SharingInputs, spawn_sharing},
         retry::ChainBudget,
@@ -47,9 +48,9 @@
     pub dialect: D,
     /// The deployment's object store.
     pub store: S,
-    /// The object that holds the configuration.
-    pub configuration: FollowedName,
-    /// Decodes its content.
+    /// The objects that are followed.
+    pub followed: FollowedNames,
+    /// Decodes the configuration.
     pub decode: fn(&[u8]) -> Result<HostedConfiguration, E>,
     /// How long after its removal a key may be honoured, in milliseconds.
     pub revocation_limit_ms: u64,
@@ -94,11 +95,14 @@
         &timer,
         shutdown.clone(),
     );
+    let documents = DocumentStore::new();
+    let evacuations = spawn_evacuations(&documents, shutdown.clone());
     let (apply, running) = configuration::in_force(parts.decode, names.clone());
     let relaying = RelayingParts {
         settings: &settings,
         store: parts.store,
-        configuration: parts.configuration,
+        followed: parts.followed,
+        documents,
         revocation_limit_ms: parts.revocation_limit_ms,
         start_delay_ms: 2 * start_spread_ms,
         own_state: own_state.clone(),
@@ -131,6 +135,7 @@
         quota,
         timer,
         running,
+        evacuations,
         view: gossip.view.clone(),
         probes: gossip.probes.clone(),
         own_state,
--- a/src/daemon/hosted/relaying.rs
+++ b/src/daemon/hosted/relaying.rs
@@ -9,7 +9,7 @@
         guard::Handover,
         membership::{Gossip, OwnState},
         model::{Names, WorkspaceKey},
-        objects::{FollowParts, FollowedName, ObjectOrigin, ObjectStore, follow},
+        objects::{FollowParts, FollowedNames, ObjectOrigin, ObjectStore, follow},
         quota::{BorrowAnswer, BorrowAsk, Estate, LeaseAnswer, LeaseAsk},
         rpc::{self, DocumentSource, Handlers, RpcConfig},
         settings::Settings,
@@ -32,8 +32,10 @@
     pub settings: &'a Settings,
     /// The deployment's object store.
     pub store: S,
-    /// The object that holds the configuration.
-    pub configuration: FollowedName,
+    /// The objects that are followed.
+    pub followed: FollowedNames,
+    /// Where documents go.
+    pub documents: DocumentStore,
     /// How long after its removal a key may be honoured, in milliseconds.
     pub revocation_limit_ms: u64,
     /// Longest wait before the first look, in milliseconds.
@@ -62,13 +64,13 @@
     A: FnMut(&Document) + Send + 'static,
 {
     let (settings, gossip) = (parts.settings, parts.gossip);
-    let documents = DocumentStore::new();
+    let documents = parts.documents;
     let (client, calls) = rpc::channel();
     let follower = FollowerParts {
         node_id: settings.node_id.clone(),
         zone: settings.zone.clone(),
         store: documents.clone(),
-        origin: ObjectOrigin::new(parts.store, parts.configuration, WATCH_MS),
+        origin: ObjectOrigin::new(parts.store, parts.followed, documents.clone(), WATCH_MS),
         bounds: LookBounds::PAID.with_start_delay_ms(parts.start_delay_ms),
         neighbours: RpcNeighbours::new(client, gossip.view.clone()),
         view: gossip.view.clone(),
--- a/src/daemon/inputs.rs
+++ b/src/daemon/inputs.rs
@@ -58,7 +58,7 @@
     let (sender, receiver) = watch::channel(store.versions());
     let (store, own_state, shutdown) = (store.clone(), own_state.clone(), shutdown.clone());
     tokio::spawn(async move {
-        let [mut configuration, mut keys, mut slices] =
+        let [mut configuration, mut keys, mut slices, mut evacuations] =
             DocumentKind::ALL.map(|kind| store.subscribe(kind));
         loop {
             let versions = store.versions();
@@ -69,6 +69,7 @@
                 _ = configuration.changed() => {}
                 _ = keys.changed() => {}
                 _ = slices.changed() => {}
+                _ = evacuations.changed() => {}
             }
         }
     });
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -12,7 +12,7 @@
 use {
     crate::{
         admission::AdmissionPolicy,
-        conf::spawn_in_force,
+        conf::{spawn_evacuations, spawn_in_force},
         control::{ControlError, ControlSources, Operated, spawn_operators},
         dialect::Native,
         documents::{DocumentStore, FollowerParts, spawn_follower},
@@ -189,6 +189,7 @@
         names,
         timer: timer.clone(),
         running,
+        evacuations: spawn_evacuations(&store, shutdown.clone()),
         view: gossip.view.clone(),
         probes: gossip.probes.clone(),
         own_state: own_state.clone(),
--- a/src/dialect/asked.rs
+++ b/src/dialect/asked.rs
@@ -4,7 +4,7 @@
     crate::{
         conf::WorkspaceRules,
         keys::KeyDigest,
-        model::{Class, RequestId, ServiceKey},
+        model::{Class, RegionSet, RequestId, ServiceKey},
     },
     hyper::http::uri::PathAndQuery,
 };
@@ -26,6 +26,8 @@
     pub class: Class,
     /// Whether it may be executed again after an unknown outcome.
     pub repeatable: bool,
+    /// Regions in which it may run.
+    pub regions: RegionSet,
     /// Retries of the whole chain.
     pub retry_limit: u8,
     /// Time until the caller, or its route, stops waiting.
--- a/src/dialect/native.rs
+++ b/src/dialect/native.rs
@@ -44,6 +44,9 @@
     /// cold target.
     #[serde(default)]
     started_unix_ms: u64,
+    /// How much longer it stays cold.
+    #[serde(default)]
+    cold_left_ms: u64,
 }
 
 /// A target's load report.
@@ -80,6 +83,7 @@
         let services = &running.services;
         Ok(Asked {
             request_id: RequestId::random(),
+            regions: tenant.rules.regions,
             tenant: Some(tenant),
             service,
             host: None,
@@ -245,7 +249,7 @@
         },
         started_unix_ms: body.started_unix_ms,
         sequence: None,
-        cold_left_ms: 0,
+        cold_left_ms: body.cold_left_ms,
     }))
 }
 
--- a/src/documents/look.rs
+++ b/src/documents/look.rs
@@ -91,7 +91,16 @@
     }
 }
 
-/// Holds a long-poll watch on one document while this node is a relay.
+/// Whether a member of this rank watches documents of this kind. Evacuations are
+/// rare, and what one relay misses its looks and those of other zones find.
+const fn watches(kind: DocumentKind, rank: Option<usize>) -> bool {
+    match (kind, rank) {
+        (DocumentKind::Evacuations, rank) => matches!(rank, Some(0)),
+        (_, rank) => rank.is_some(),
+    }
+}
+
+/// Holds a long-poll watch on one document while this node is to.
 pub(super) struct WatchTask<O> {
     shared: Shared<O>,
     kind: DocumentKind,
@@ -107,7 +116,7 @@
         let mut documents = self.shared.store.subscribe(self.kind);
         let mut backoff = self.shared.backoff();
         loop {
-            if self.shared.rank().is_none() {
+            if !watches(self.kind, self.shared.rank()) {
                 if view.changed().await.is_err() {
                     break;
                 }
--- a/src/documents/mod.rs
+++ b/src/documents/mod.rs
@@ -16,7 +16,7 @@
 use std::sync::Arc;
 
 /// Number of kinds, for tables indexed by kind.
-pub const KIND_COUNT: usize = 3;
+pub const KIND_COUNT: usize = 4;
 
 /// What a document holds.
 #[derives::key]
@@ -27,11 +27,18 @@
     Keys = 1,
     /// Owners of the slices of quota and idempotency keys.
     Slices = 2,
+    /// Availability zones that get no work.
+    Evacuations = 3,
 }
 
 impl DocumentKind {
     /// All kinds in the order of their index.
-    pub const ALL: [Self; KIND_COUNT] = [Self::Configuration, Self::Keys, Self::Slices];
+    pub const ALL: [Self; KIND_COUNT] = [
+        Self::Configuration,
+        Self::Keys,
+        Self::Slices,
+        Self::Evacuations,
+    ];
 
     /// Place in a table of [`KIND_COUNT`] rows.
     #[must_use]
@@ -46,6 +53,7 @@
             Self::Configuration => "configuration",
             Self::Keys => "keys",
             Self::Slices => "slices",
+            Self::Evacuations => "evacuations",
         }
     }
 }
--- a/src/egress/announce.rs
+++ b/src/egress/announce.rs
@@ -83,7 +83,8 @@
         started_unix_ms,
         connection_count,
     };
-    let restarted = node.target.announce(target, now_us / 1000);
+    let was_cold = node.target.gate().is_cold(now_us);
+    let restarted = node.target.announce(target, cold_left_ms, now_us);
     let size = TargetSize {
         slot_count,
         connection_count,
@@ -104,6 +105,12 @@
             "service={service} instance={instance_id} slots={slot_count} cold_left_ms={cold_left_ms}"
         );
     }
+    if cold_left_ms > 0 && !was_cold {
+        event!(
+            Event::TargetCold,
+            "instance={instance_id} cold_left_ms={cold_left_ms}"
+        );
+    }
     publish(
         node,
         Announcement {
--- a/src/egress/attempts.rs
+++ b/src/egress/attempts.rs
@@ -8,12 +8,12 @@
         exchange::{Answer, Outbound},
         keys::KeyDigest,
         model::{AdmissionLevel, Class, Outcome, Reason, Refusal, RequestContext, RequestId},
-        model::{ServiceKey, WorkspaceKey, begins_chain},
+        model::{RegionSet, ServiceKey, WorkspaceKey, begins_chain},
         node::{Node, Place, Policies},
         peer::{self, Attempt, HopEnd, PeerLink},
         retry::CallKey,
         retry::RetryPolicy,
-        routing::{AttemptResult, RoutePolicy, TargetKey},
+        routing::{AttemptResult, RoutePolicy, TargetKey, Wanted},
         target::serve_local,
     },
     std::{sync::Arc, time::Duration},
@@ -50,6 +50,8 @@
     pub deadline_us: u64,
     /// Hops above.
     pub depth: u8,
+    /// Regions in which it may run.
+    pub regions: RegionSet,
     /// Whether it may be executed again after an unknown outcome.
     pub repeatable: bool,
     /// Holder of the retry allotment on this node.
@@ -104,6 +106,9 @@
             free_pick_count += 1;
             continue;
         }
+        if is_held_back(refusal) {
+            return Err(refusal.with_exhausted());
+        }
         if !node.retries().try_retry(call.retry, call.service, now_us) {
             return Err(refusal.with_exhausted());
         }
@@ -121,11 +126,24 @@
 fn never_reached(refusal: Refusal) -> bool {
     let is_before_target = matches!(
         refusal.reason,
-        Reason::ConnectionLost | Reason::Draining | Reason::NoTarget | Reason::NotReady
+        Reason::ConnectionLost
+            | Reason::Draining
+            | Reason::NoTarget
+            | Reason::NotReady
+            | Reason::TargetCold
+            | Reason::ZoneEvacuated
+            | Reason::OutsideRegions
     );
     refusal.outcome == Outcome::NotRun && is_before_target
 }
 
+/// Whether the target's node sends it nothing more for a while: a retry would
+/// most likely meet the same elsewhere.
+fn is_held_back(refusal: Refusal) -> bool {
+    let is_closed = matches!(refusal.reason, Reason::TargetCold | Reason::ZoneEvacuated);
+    refusal.outcome == Outcome::NotRun && is_closed
+}
+
 /// Whether sending again can help and cannot execute the request twice.
 fn may_repeat(call: &Call, refusal: Refusal) -> bool {
     let is_safe = call.repeatable || refusal.outcome == Outcome::NotRun;
@@ -138,6 +156,9 @@
             | Reason::BadAnswer
             | Reason::TooManyConnections
             | Reason::TargetShed
+            | Reason::TargetCold
+            | Reason::ZoneEvacuated
+            | Reason::OutsideRegions
     );
     // A target that its own node has just lost: others may be left.
     let lost_target = refusal.reason == Reason::NoTarget;
@@ -155,9 +176,7 @@
     if remaining_us == 0 {
         return Err(Refusal::not_run(Reason::TooLate));
     }
-    let picked = node
-        .routes()
-        .pick(call.service, call.class, tried, started_us);
+    let picked = node.routes().pick(wanted(call), tried, started_us);
     let (target, place) = match picked {
         Ok(picked) => picked,
         Err(refusal) => {
@@ -214,6 +233,14 @@
     end.result
 }
 
+const fn wanted(call: &Call) -> Wanted {
+    Wanted {
+        service: call.service,
+        class: call.class,
+        regions: call.regions,
+    }
+}
+
 /// Sends to another node, at most until this side's own deadline.
 pub async fn send<P: Policies>(node: &Node<P>, link: &PeerLink, attempt: Attempt<'_>) -> HopEnd {
     let sending = peer::send(link, attempt, &node.auth, &node.names);
--- a/src/egress/child.rs
+++ b/src/egress/child.rs
@@ -113,6 +113,7 @@
         class: parent.class,
         deadline_us,
         depth: parent.depth + 1,
+        regions: running.regions_of(parent.workspace, None, path.path()),
         repeatable: route.repeatable,
         retry: share.own,
     };
--- a/src/events.rs
+++ b/src/events.rs
@@ -50,6 +50,8 @@
     ConfigurationFromNeighbour = 202, Info, "The configuration came from another node.";
     KeyRevoked = 203, Info, "A key was revoked on this node.";
     RouteKindUnknown = 204, Warn, "A route is of a kind that is not known; its requests are not sent again.";
+    EvacuationsInForce = 205, Info, "Other availability zones than before are evacuated, or none any more.";
+    EvacuationsRejected = 206, Error, "The list of evacuated availability zones could not be read and is ignored.";
     PlatformReached = 210, Info, "The platform's object API answers again.";
     PlatformLost = 211, Warn, "The platform's object API does not answer.";
     HistoryLost = 212, Info, "The platform dropped the history that a watch asked for; the object is read anew.";
@@ -64,6 +66,7 @@
     TargetLeaving = 312, Info, "The target told that it leaves and gets no new work.";
     NoticeOutdated = 313, Info, "A notice of the target is older than what is known, and is ignored.";
     NoticeRejected = 314, Warn, "A notice of the target could not be read.";
+    TargetCold = 315, Info, "The target is cold and gets no more than it bears.";
     RoutePicked = 400, Info, "A target was picked for a request.";
     RouteRefused = 401, Info, "No target could be picked for a request.";
     TargetEjected = 402, Warn, "A target fails or is slow and gets no new work for a while.";
--- a/src/ingress/serve.rs
+++ b/src/ingress/serve.rs
@@ -189,6 +189,7 @@
         class: asked.class,
         deadline_us,
         depth: 0,
+        regions: asked.regions,
         repeatable: asked.repeatable,
         retry: budget.call,
     };
--- a/src/model/names.rs
+++ b/src/model/names.rs
@@ -42,6 +42,11 @@
     ZoneKey
 }
 
+name_key! {
+    /// A region, as members and configuration name it.
+    RegionKey
+}
+
 #[derive(Debug, Default)]
 struct Table {
     keys: HashMap<String, u16>,
@@ -60,7 +65,7 @@
     }
 }
 
-/// Names of services, workspaces and availability zones and their keys.
+/// Names of services, workspaces, availability zones and regions and their keys.
 ///
 /// Keys are local to a process and are never reused, so that state keyed by
 /// them survives a change of configuration. Between nodes names travel.
@@ -70,6 +75,7 @@
     services: Arc<RwLock<Table>>,
     workspaces: Arc<RwLock<Table>>,
     zones: Arc<RwLock<Table>>,
+    regions: Arc<RwLock<Table>>,
 }
 
 impl Names {
@@ -97,6 +103,11 @@
         ZoneKey(intern(&self.zones, name))
     }
 
+    /// Key of a region; the name is added when it is new.
+    pub fn region(&self, name: &str) -> RegionKey {
+        RegionKey(intern(&self.regions, name))
+    }
+
     /// Name of a service.
     #[must_use]
     pub fn service_name(&self, key: ServiceKey) -> String {
--- a/src/model/outcome.rs
+++ b/src/model/outcome.rs
@@ -115,6 +115,12 @@
     TooManyConnections = 26, "too-many-connections", 503;
     /// The target itself refused the request untouched.
     TargetShed = 27, "target-shed", 503;
+    /// The cold target has got what it bears for now.
+    TargetCold = 28, "target-cold", 503;
+    /// The target's availability zone is evacuated.
+    ZoneEvacuated = 29, "zone-evacuated", 503;
+    /// The request may not run in the target's region.
+    OutsideRegions = 30, "outside-regions", 503;
 }
 
 impl fmt::Display for Reason {
--- a/src/node/admission_table.rs
+++ b/src/node/admission_table.rs
@@ -99,6 +99,11 @@
         });
     }
 
+    /// Refuses all that waits, as not run; what arrives later is admitted.
+    pub fn refuse_waiting(&mut self, now_us: u64) {
+        self.with_policy(|policy, decisions| policy.refuse_waiting(now_us, decisions));
+    }
+
     /// Regular look at queues and limits.
     pub fn tick(&mut self, now_us: u64) {
         self.go_on_draining(now_us);
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission_table;
 mod calls;
+mod evacuation;
 mod guarded;
 mod loop_lag;
 mod route_table;
@@ -11,6 +12,7 @@
 pub use {
     admission_table::{AdmissionTable, DRAIN_ANNOUNCE_US, Ticket, admit},
     calls::{CallHandle, CallTable, InFlightCall},
+    evacuation::follow_evacuations,
     guarded::{Home, KeyGuard, dispatch, serve_at_home},
     loop_lag::LoopLag,
     route_table::{Place, RouteTable},
@@ -21,14 +23,14 @@
 use {
     crate::{
         admission::{AdmissionPolicy, Downstream},
-        conf::Running,
+        conf::{Evacuations, Running},
         control::Metrics,
         dialect::{Dialect, Native},
         event,
         events::Event,
         freshness::{Freshness, Snapshot},
         membership::{MemberProbes, OwnState, View},
-        model::{AdmissionLevel, Class, Names},
+        model::{AdmissionLevel, Class, Names, RegionKey},
         peer::{Arrivals, FleetAuth},
         quota::QuotaGate,
         retry::{RetryPolicy, ShareLimits},
@@ -102,6 +104,8 @@
     pub timer: Timer,
     /// Configuration in force; revision 0 while there is none.
     pub running: watch::Receiver<Arc<Running>>,
+    /// Availability zones that get no work.
+    pub evacuations: watch::Receiver<Arc<Evacuations>>,
     /// Members as gossip knows them.
     pub view: watch::Receiver<Arc<View>>,
     /// Asks single members whether they live.
@@ -127,6 +131,8 @@
     pub settings: Arc<Settings>,
     /// Names shared with configuration and membership.
     pub names: Names,
+    /// Region of this instance.
+    pub region: RegionKey,
     /// Timer service.
     pub timer: Timer,
     /// Asks single members whether they live.
@@ -158,6 +164,7 @@
     /// Ends everything.
     pub stopped: CancellationToken,
     running: watch::Receiver<Arc<Running>>,
+    evacuations: watch::Receiver<Arc<Evacuations>>,
     view: watch::Receiver<Arc<View>>,
     freshness: watch::Receiver<Snapshot>,
     admission: Mutex<AdmissionTable<P::Admission>>,
@@ -187,6 +194,7 @@
             auth,
             arrivals: Arrivals::new(),
             target: TargetPool::new(inputs.settings.ip),
+            region: inputs.names.region(&inputs.settings.region),
             settings: inputs.settings,
             names: inputs.names,
             timer: inputs.timer,
@@ -202,6 +210,7 @@
             peers_closing: CancellationToken::new(),
             stopped: CancellationToken::new(),
             running: inputs.running,
+            evacuations: inputs.evacuations,
             view: inputs.view,
             freshness: inputs.freshness,
             admission: Mutex::new(AdmissionTable::new()),
@@ -230,6 +239,12 @@
         self.running.borrow().revision > 0 && self.quota.is_ready()
     }
 
+    /// Availability zones that get no work.
+    #[must_use]
+    pub fn evacuations(&self) -> Arc<Evacuations> {
+        Arc::clone(&self.evacuations.borrow())
+    }
+
     /// How far this node may rely on what it knows of the platform.
     #[must_use]
     pub fn freshness(&self) -> Freshness {
@@ -307,9 +322,12 @@
     /// Level that answers of this node to requests of this class carry.
     #[must_use]
     pub fn level(&self, class: Class) -> AdmissionLevel {
-        let level = self.admission().level(class, self.timer.now_us());
+        let now_us = self.timer.now_us();
+        let level = self.admission().level(class, now_us);
+        let cold_percent = self.target.gate().load_percent(now_us);
+        let lag_percent = self.loop_lag().load_percent();
         AdmissionLevel {
-            load_percent: level.load_percent.max(self.loop_lag().load_percent()),
+            load_percent: level.load_percent.max(lag_percent).max(cold_percent),
             below_percent: self.downstream().load_percent(),
             draining: level.draining || self.is_draining(),
             ..level
--- a/src/node/route_table.rs
+++ b/src/node/route_table.rs
@@ -2,12 +2,13 @@
 
 use {
     crate::{
+        conf::Evacuations,
         event,
         events::Event,
         membership::{Announcement, Member, MemberState, OwnState, View},
-        model::{Class, Names, Refusal, ServiceKey, ZoneKey},
+        model::{Names, Refusal, RegionKey, ServiceKey, ZoneKey},
         peer::PeerLink,
-        routing::{Distance, RoutePolicy, TargetInfo, TargetKey},
+        routing::{Distance, RoutePolicy, TargetInfo, TargetKey, Wanted},
         settings::Settings,
     },
     std::{
@@ -26,6 +27,17 @@
     Peer(Arc<PeerLink>),
 }
 
+/// What a node knows of where work may go.
+#[derive(Debug, Clone, Copy)]
+pub struct Known<'a> {
+    /// All members.
+    pub view: &'a View,
+    /// What this node tells of itself.
+    pub own: &'a OwnState,
+    /// Availability zones that get no work.
+    pub evacuations: &'a Evacuations,
+}
+
 /// Tells a restart in place from the same process.
 #[derives::key]
 struct Identity {
@@ -76,14 +88,11 @@
     /// Picks a target and the way to it.
     pub fn pick(
         &mut self,
-        service: ServiceKey,
-        class: Class,
+        wanted: Wanted,
         tried: &[TargetKey],
         now_us: u64,
     ) -> Result<(TargetKey, Place), Refusal> {
-        let target = self
-            .policy
-            .pick(service, class, tried, now_us, &mut rand::rng())?;
+        let target = self.policy.pick(wanted, tried, now_us, &mut rand::rng())?;
         let row = self.nodes.get(&target).and_then(|node| self.rows.get(node));
         let place = row.map(|row| row.place.clone());
         if let Some(Place::Peer(link)) = &place {
@@ -161,16 +170,20 @@
         }
     }
 
-    /// Takes over what membership knows.
+    /// Takes over what membership knows; targets of evacuated zones get nothing.
     pub fn sync(
         &mut self,
-        view: &View,
-        own: &OwnState,
+        known: Known<'_>,
         settings: &Settings,
         names: &Names,
         starts_slowly: bool,
         now_us: u64,
     ) {
+        let Known {
+            view,
+            own,
+            evacuations,
+        } = known;
         self.sync_links(view, settings);
         let mut gone: Vec<String> = self.rows.keys().cloned().collect();
         for member in &view.members {
@@ -181,10 +194,12 @@
                 continue;
             };
             let info = TargetInfo {
-                draining: target.draining || member.state == MemberState::Draining,
+                draining: target.draining
+                    || member.state == MemberState::Draining
+                    || evacuations.contains(&member.zone),
                 ..info_of(
                     target,
-                    names.zone(&member.zone),
+                    (names.zone(&member.zone), names.region(&member.region)),
                     distance(settings, member),
                     starts_slowly,
                     names,
@@ -196,10 +211,10 @@
         }
         if let Some(target) = &own.target {
             let info = TargetInfo {
-                draining: target.draining || own.draining,
+                draining: target.draining || own.draining || evacuations.contains(&settings.zone),
                 ..info_of(
                     target,
-                    names.zone(&settings.zone),
+                    (names.zone(&settings.zone), names.region(&settings.region)),
                     Distance::SameZone,
                     starts_slowly,
                     names,
@@ -282,7 +297,7 @@
 
 fn info_of(
     target: &Announcement,
-    zone: ZoneKey,
+    (zone, region): (ZoneKey, RegionKey),
     distance: Distance,
     starts_slowly: bool,
     names: &Names,
@@ -290,6 +305,7 @@
     TargetInfo {
         service: names.service(&target.service),
         zone,
+        region,
         distance,
         slot_count: target.slot_count,
         draining: target.draining,
--- a/src/node/systems.rs
+++ b/src/node/systems.rs
@@ -1,7 +1,7 @@
 //! Systems that run over the tables of a node.
 
 use {
-    super::{NOT_CUT_OFF, Node, Policies},
+    super::{NOT_CUT_OFF, Node, Policies, route_table::Known},
     crate::{
         dialect::Dialect,
         event,
@@ -51,12 +51,17 @@
 pub async fn follow_members<P: Policies>(node: Arc<Node<P>>) {
     let mut view = node.view.clone();
     let mut own = node.own_state.subscribe();
+    let mut evacuations = node.evacuations.clone();
     loop {
         let members = Arc::clone(&view.borrow_and_update());
         let own_state = own.borrow_and_update().clone();
+        let evacuated = Arc::clone(&evacuations.borrow_and_update());
         node.routes().sync(
-            &members,
-            &own_state,
+            Known {
+                view: &members,
+                own: &own_state,
+                evacuations: &evacuated,
+            },
             &node.settings,
             &node.names,
             !P::Dialect::SLOTS_ARE_EXACT,
@@ -66,6 +71,7 @@
             () = node.stopped.cancelled() => return,
             changed = view.changed() => changed,
             changed = own.changed() => changed,
+            changed = evacuations.changed() => changed,
         };
         if changed.is_err() {
             return;
--- a/src/objects/follower.rs
+++ b/src/objects/follower.rs
@@ -4,8 +4,7 @@
     super::{ObjectOrigin, ObjectStore},
     crate::{
         documents::{
-            Document, DocumentKind, DocumentStore, FollowerParts, Neighbours, Versions,
-            spawn_follower,
+            Document, DocumentKind, DocumentStore, FollowerParts, Neighbours, spawn_follower,
         },
         freshness::{Freshness, Snapshot},
         membership::OwnState,
@@ -23,6 +22,16 @@
     pub name: String,
 }
 
+/// The objects that are followed.
+#[derives::value]
+#[derive(Eq)]
+pub struct FollowedNames {
+    /// The configuration.
+    pub configuration: FollowedName,
+    /// Kind whose objects are named after the evacuated availability zones.
+    pub evacuations_kind: String,
+}
+
 /// What the follower works with.
 pub struct FollowParts<S, N> {
     /// Brings the content.
@@ -88,17 +97,20 @@
 impl<A: FnMut(&Document)> Enforcement<A> {
     async fn run(mut self) {
         let mut newest = self.documents.subscribe(DocumentKind::Configuration);
+        let mut evacuations = self.documents.subscribe(DocumentKind::Evacuations);
         loop {
             // A look is told of once this node holds all that it saw, so what is
             // held after its time was read covers it.
             let seen_ms = *self.seen.borrow_and_update();
             let document = newest.borrow_and_update().clone();
+            evacuations.borrow_and_update();
             if let Some(document) = document {
                 self.take(&document);
             }
             self.tell(seen_ms);
             tokio::select! {
                 changed = newest.changed() => if changed.is_err() { return },
+                changed = evacuations.changed() => if changed.is_err() { return },
                 changed = self.seen.changed() => if changed.is_err() { return },
             }
         }
@@ -112,7 +124,7 @@
     }
 
     fn tell(&self, seen_ms: Option<u64>) {
-        let mut versions = Versions::default();
+        let mut versions = self.documents.versions();
         versions.0[DocumentKind::Configuration.index()] = self.applied_version;
         self.own_state.send_if_modified(|own| {
             let is_changed = own.versions != versions || own.platform_seen_ms != seen_ms;
--- a/src/objects/mod.rs
+++ b/src/objects/mod.rs
@@ -8,7 +8,7 @@
 mod origin;
 
 pub use {
-    follower::{FollowParts, FollowedName, follow},
+    follower::{FollowParts, FollowedName, FollowedNames, follow},
     origin::ObjectOrigin,
 };
 
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     arena_key,
-    model::{AdmissionLevel, Class, Refusal, ServiceKey, ZoneKey},
+    model::{AdmissionLevel, Class, Refusal, RegionKey, RegionSet, ServiceKey, ZoneKey},
 };
 
 arena_key! {
@@ -40,6 +40,8 @@
     pub service: ServiceKey,
     /// Its availability zone.
     pub zone: ZoneKey,
+    /// Its region.
+    pub region: RegionKey,
     /// Where it is.
     pub distance: Distance,
     /// Requests that it can work on at a time.
@@ -52,6 +54,18 @@
     pub starts_slowly: bool,
 }
 
+/// What a target is picked for.
+#[derives::value]
+#[derive(Copy, Eq)]
+pub struct Wanted {
+    /// Service that is called.
+    pub service: ServiceKey,
+    /// Importance of the request.
+    pub class: Class,
+    /// Regions in which it may run.
+    pub regions: RegionSet,
+}
+
 /// How an attempt ended, as this node saw it.
 #[derives::key]
 pub enum AttemptResult {
@@ -93,8 +107,7 @@
     /// the attempt as outstanding.
     fn pick<R: rand::Rng>(
         &mut self,
-        service: ServiceKey,
-        class: Class,
+        wanted: Wanted,
         tried: &[TargetKey],
         now_us: u64,
         rng: &mut R,
--- a/src/routing/zone_router.rs
+++ b/src/routing/zone_router.rs
@@ -2,13 +2,13 @@
 
 use {
     super::{
-        AttemptResult, Distance, RoutePolicy, TargetInfo, TargetKey, Unheard,
+        AttemptResult, Distance, RoutePolicy, TargetInfo, TargetKey, Unheard, Wanted,
         ejection::{ejection_limit, median_us},
         target::{Health, Target},
     },
     crate::{
         arena::Arena,
-        model::{AdmissionLevel, Class, Reason, Refusal, ServiceKey, ZoneKey},
+        model::{AdmissionLevel, Reason, Refusal, ZoneKey},
     },
     rand::Rng,
 };
@@ -98,18 +98,17 @@
 
     fn pick<R: Rng>(
         &mut self,
-        service: ServiceKey,
-        class: Class,
+        wanted: Wanted,
         tried: &[TargetKey],
         now_us: u64,
         rng: &mut R,
     ) -> Result<TargetKey, Refusal> {
         let picked = self
-            .pick_admitting(service, class, tried, now_us, rng)
-            .or_else(|| self.pick_unhealthy(service, class, now_us, rng))
-            .or_else(|| self.pick_probe(service, tried, now_us, rng));
+            .pick_admitting(wanted, tried, now_us, rng)
+            .or_else(|| self.pick_unhealthy(wanted, now_us, rng))
+            .or_else(|| self.pick_probe(wanted, tried, now_us, rng));
         let Some(key) = picked else {
-            return Err(self.refusal(service, now_us, rng));
+            return Err(self.refusal(wanted, now_us, rng));
         };
         if let Some(target) = self.targets.get_mut(key) {
             target.outstanding_count += 1;
@@ -214,43 +213,42 @@
     /// at last one that was tried before.
     fn pick_admitting<R: Rng>(
         &self,
-        service: ServiceKey,
-        class: Class,
+        wanted: Wanted,
         tried: &[TargetKey],
         now_us: u64,
         rng: &mut R,
     ) -> Option<TargetKey> {
-        let admits = |target: &Target| !target.is_shedding(class, now_us);
+        let admits = |target: &Target| !target.is_shedding(wanted.class, now_us);
         let is_new = |key| !tried.contains(&key);
-        self.pick_where(service, now_us, rng, |key, target| {
+        self.pick_where(wanted, now_us, rng, |key, target| {
             is_new(key) && admits(target) && !target.is_busy(now_us)
         })
         .or_else(|| {
-            self.pick_where(service, now_us, rng, |key, target| {
+            self.pick_where(wanted, now_us, rng, |key, target| {
                 is_new(key) && admits(target)
             })
         })
-        .or_else(|| self.pick_where(service, now_us, rng, |_, target| admits(target)))
+        .or_else(|| self.pick_where(wanted, now_us, rng, |_, target| admits(target)))
     }
 
     /// An ejected target, or one on trial, when no target is healthy.
     fn pick_unhealthy<R: Rng>(
         &self,
-        service: ServiceKey,
-        class: Class,
+        wanted: Wanted,
         now_us: u64,
         rng: &mut R,
     ) -> Option<TargetKey> {
-        let entry = self.services.get(service.index())?;
+        let entry = self.services.get(wanted.service.index())?;
         let has_healthy = entry
             .keys()
             .filter_map(|key| self.targets.get(key))
-            .any(|target| !target.is_away(now_us) && target.health == Health::Healthy);
+            .any(|target| may_serve(wanted, target, now_us) && target.health == Health::Healthy);
         if has_healthy {
             return None;
         }
         self.pick_two(entry, &entry.tiers.concat(), now_us, rng, |_, target| {
-            let admits = !target.is_away(now_us) && !target.is_shedding(class, now_us);
+            let admits =
+                may_serve(wanted, target, now_us) && !target.is_shedding(wanted.class, now_us);
             f64::from(u8::from(admits))
         })
     }
@@ -259,17 +257,17 @@
     /// request admitted, no answer would tell that there is room again.
     fn pick_probe<R: Rng>(
         &mut self,
-        service: ServiceKey,
+        wanted: Wanted,
         tried: &[TargetKey],
         now_us: u64,
         rng: &mut R,
     ) -> Option<TargetKey> {
-        let probed_us = self.services.get(service.index())?.probed_us;
+        let probed_us = self.services.get(wanted.service.index())?.probed_us;
         if probed_us.is_some_and(|at_us| now_us < at_us + PROBE_PERIOD_US) {
             return None;
         }
-        let key = self.pick_where(service, now_us, rng, |key, _| !tried.contains(&key))?;
-        self.services[service.index()].probed_us = Some(now_us);
+        let key = self.pick_where(wanted, now_us, rng, |key, _| !tried.contains(&key))?;
+        self.services[wanted.service.index()].probed_us = Some(now_us);
         Some(key)
     }
 
@@ -277,12 +275,12 @@
     /// a tier further away where it is expected to take clearly less time.
     fn pick_where<R: Rng>(
         &self,
-        service: ServiceKey,
+        wanted: Wanted,
         now_us: u64,
         rng: &mut R,
         is_wanted: impl Fn(TargetKey, &Target) -> bool,
     ) -> Option<TargetKey> {
-        let service = self.services.get(service.index())?;
+        let service = self.services.get(wanted.service.index())?;
         let expected_us = |key: TargetKey| {
             self.targets.get(key).map_or(f64::MAX, |target| {
                 target.expected_us(service.median_us, now_us)
@@ -291,7 +289,7 @@
         let mut best: Option<(TargetKey, f64)> = None;
         for tier in &service.tiers {
             let picked = self.pick_two(service, tier, now_us, rng, |key, target| {
-                if target.is_away(now_us) || !is_wanted(key, target) {
+                if !may_serve(wanted, target, now_us) || !is_wanted(key, target) {
                     return 0.0;
                 }
                 target.considered_share(now_us)
@@ -357,12 +355,13 @@
         }
     }
 
-    fn refusal<R: Rng>(&self, service: ServiceKey, now_us: u64, rng: &mut R) -> Refusal {
-        let has_target = self.services.get(service.index()).is_some_and(|service| {
+    fn refusal<R: Rng>(&self, wanted: Wanted, now_us: u64, rng: &mut R) -> Refusal {
+        let service = self.services.get(wanted.service.index());
+        let has_target = service.is_some_and(|service| {
             service
                 .keys()
                 .filter_map(|key| self.targets.get(key))
-                .any(|target| !target.is_away(now_us))
+                .any(|target| may_serve(wanted, target, now_us))
         });
         let (reason, (least_ms, width_ms)) = if has_target {
             (Reason::Overloaded, RETRY_AFTER_MS)
@@ -373,6 +372,11 @@
     }
 }
 
+/// Whether a target may get the request now, whatever its load.
+fn may_serve(wanted: Wanted, target: &Target, now_us: u64) -> bool {
+    wanted.regions.allows(target.info.region) && !target.is_away(now_us)
+}
+
 fn tier_index(distance: Distance) -> usize {
     DISTANCES
         .iter()
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -139,6 +139,9 @@
     /// Retries at a service that this node may make in ten seconds without first attempts
     #[arg(long, env = "DOGWOOD_RETRY_FLOOR", default_value_t = RETRY_FLOOR_COUNT)]
     pub retry_floor: u32,
+    /// Requests that a cold target gets in any second, in percent of the rate that its service bears
+    #[arg(long, env = "DOGWOOD_COLD_PERCENT", default_value_t = 100)]
+    pub cold_percent: u32,
     /// Time from the start of a drain in which callers are still accepted, in milliseconds
     #[arg(long, env = "DOGWOOD_DRAIN_ACCEPT_MS", default_value_t = 1000)]
     pub drain_accept_ms: u64,
--- a/src/target/exchange.rs
+++ b/src/target/exchange.rs
@@ -28,12 +28,16 @@
 }
 
 /// Sends the request under this handle and returns the head of the answer.
+///
+/// `pass` is asked at the moment of sending: a connection that was slow to open
+/// would otherwise bunch requests that were let through one by one.
 pub async fn exchange<D: Dialect>(
     dialect: &D,
     pool: &Arc<TargetPool>,
     handle: u128,
     outbound: &Outbound,
     remaining_ms: u64,
+    pass: impl Fn() -> Result<(), Refusal>,
 ) -> Result<TargetAnswer, Refusal> {
     for _ in 0..CONNECTION_TRIES {
         let mut lease = pool.lease().await.map_err(|error| refusal_of(&error))?;
@@ -53,6 +57,7 @@
         };
         let mut request = request_of(outbound);
         dialect.address(&mut request, &call);
+        pass()?;
         match sender.try_send_request(request).await {
             Ok(response) => {
                 let word = dialect.judge(&outbound.method, &call, &response);
--- a/src/target/mod.rs
+++ b/src/target/mod.rs
@@ -1,12 +1,14 @@
 //! The node's own target: admission, connections, exchanges.
 
 mod exchange;
+mod gate;
 mod pool;
 mod registration;
 mod serve;
 
 pub use {
     exchange::{TargetAnswer, exchange},
+    gate::{Closed, SendGate, Urgency},
     pool::{Lease, PoolError, PoolTarget, TargetPool},
     registration::{Registration, Standing},
     serve::serve_local,
--- a/src/target/pool.rs
+++ b/src/target/pool.rs
@@ -1,6 +1,7 @@
 //! Connections to the own target.
 
 use {
+    super::SendGate,
     crate::peer::connect_from,
     bytes::Bytes,
     http_body_util::Full,
@@ -86,6 +87,7 @@
 pub struct TargetPool {
     ip: IpAddr,
     state: Mutex<State>,
+    gate: Mutex<SendGate>,
 }
 
 impl TargetPool {
@@ -95,22 +97,26 @@
         Arc::new(Self {
             ip,
             state: Mutex::default(),
+            gate: Mutex::default(),
         })
     }
 
-    /// Takes over an announcement; returns whether the target (re)started.
-    pub fn announce(&self, target: PoolTarget, now_ms: u64) -> bool {
+    /// Takes over an announcement, with how much longer the target stays cold;
+    /// returns whether it (re)started.
+    pub fn announce(&self, target: PoolTarget, cold_left_ms: u64, now_us: u64) -> bool {
         let mut state = self.locked();
         let is_same = state.target.as_ref().is_some_and(|known| {
             known.port == target.port
                 && known.started_unix_ms == target.started_unix_ms
                 && known.instance_id == target.instance_id
         });
-        state.heard_ms = now_ms;
+        state.heard_ms = now_us / 1000;
         state.target = Some(target);
         if !is_same {
             state.reset();
         }
+        let cold_left_us = cold_left_ms.saturating_mul(1000);
+        self.gate().tell(cold_left_us, !is_same, now_us);
         !is_same
     }
 
@@ -148,11 +154,26 @@
         };
         if lease.connection.is_none() {
             let connecting = tokio::time::timeout(CONNECT_TIMEOUT, connect(self.ip, address));
-            lease.connection = Some(connecting.await.map_err(|_| PoolError::Timeout)??);
+            let connected = connecting.await.unwrap_or(Err(PoolError::Timeout));
+            // Nothing listens there: the target is down and may come back cold
+            // before it tells. A connection that takes long tells nothing: this
+            // node may have had no turn.
+            if matches!(connected, Err(PoolError::Connect(_))) {
+                self.gate().doubt();
+            }
+            lease.connection = Some(connected?);
         }
         Ok(lease)
     }
 
+    /// What may be sent to the target now.
+    ///
+    /// # Panics
+    /// If a thread panicked while it held the lock.
+    pub fn gate(&self) -> MutexGuard<'_, SendGate> {
+        self.gate.lock().expect("lock is not poisoned")
+    }
+
     fn locked(&self) -> MutexGuard<'_, State> {
         self.state.lock().expect("lock is not poisoned")
     }
--- a/src/target/serve.rs
+++ b/src/target/serve.rs
@@ -1,7 +1,7 @@
 //! A request at the node of its target: admission, exchange, end.
 
 use {
-    super::{Lease, TargetAnswer, exchange},
+    super::{Closed, Lease, TargetAnswer, Urgency, exchange},
     crate::{
         admission::{Arrival, LoadReport, TargetResult},
         event,
@@ -22,6 +22,13 @@
 /// width spreads them.
 const HELD_BACK_RETRY_MS: (u32, u32) = (400, 800);
 
+/// When callers may come for whom there was no room at a target that may be
+/// cold, unless it told how long it stays so.
+const DOUBTED_RETRY_MS: u32 = 500;
+/// Time over which those are spread who wait until a target is warm or a zone is
+/// no longer evacuated.
+const CLOSED_RETRY_WIDTH_MS: u32 = 1000;
+
 /// A request that the target works on. Dropping it cancels everything below.
 struct Running<P: Policies> {
     ticket: Ticket<P>,
@@ -118,6 +125,9 @@
     if !serves(node, context.service) {
         return refused(Refusal::not_run(Reason::NoTarget));
     }
+    if !may_run_here(node, context, outbound) {
+        return refused(Refusal::not_run(Reason::OutsideRegions));
+    }
     // Calls of the target could not be routed, and the request would fail after
     // it has run.
     if node.running().revision == 0 {
@@ -130,6 +140,9 @@
     if let Some(refusal) = held_back(node, context.workspace, new_class) {
         return refused(refusal);
     }
+    if let Err(refusal) = check_gate(node, context) {
+        return refused(refusal);
+    }
     let deadline_us = node.timer.now_us() + context.remaining_us;
     let arrival = Arrival {
         class: context.class,
@@ -156,7 +169,7 @@
         new_class,
         _used: UsedTime::new(node, new_class),
     };
-    let work = work(node, running, outbound, remaining_us);
+    let work = work(node, context, running, outbound, remaining_us);
     let limit = Duration::from_micros(remaining_us);
     match tokio::time::timeout(limit, work).await {
         Ok(end) => end,
@@ -192,6 +205,50 @@
     Some(refusal.with_exhausted())
 }
 
+/// Refuses at once what could not be sent anyway.
+fn check_gate<P: Policies>(node: &Node<P>, context: &RequestContext) -> Result<(), Refusal> {
+    let (urgency, bound_count) = (urgency(context), cold_bound(node, context.service));
+    let now_us = node.timer.now_us();
+    let checked = node.target.gate().check(urgency, bound_count, now_us);
+    checked.map_err(refusal_of)
+}
+
+fn pass_gate<P: Policies>(node: &Node<P>, context: &RequestContext) -> Result<(), Refusal> {
+    let (urgency, bound_count) = (urgency(context), cold_bound(node, context.service));
+    let now_us = node.timer.now_us();
+    let passed = node.target.gate().pass(urgency, bound_count, now_us);
+    passed.map_err(refusal_of)
+}
+
+fn urgency(context: &RequestContext) -> Urgency {
+    match begins_chain(context.depth, context.key) {
+        true => Urgency::New(context.class),
+        false => Urgency::Begun,
+    }
+}
+
+/// Requests that a cold target of the service may get in any second; 0 without
+/// a bound.
+fn cold_bound<P: Policies>(node: &Node<P>, service: ServiceKey) -> u32 {
+    let running = node.running();
+    let rate_per_s = running.cold_rates_per_s.get(&service);
+    rate_per_s.map_or(0, |rate_per_s| {
+        (rate_per_s * node.settings.cold_percent / 100).max(1)
+    })
+}
+
+fn refusal_of(closed: Closed) -> Refusal {
+    let spread_ms = rand::random::<u32>() % CLOSED_RETRY_WIDTH_MS;
+    let (reason, least_ms) = match closed {
+        Closed::Evacuated => (Reason::ZoneEvacuated, DOUBTED_RETRY_MS),
+        Closed::Cold { left_us } => {
+            let left_ms = left_us.and_then(|left_us| u32::try_from(left_us / 1000).ok());
+            (Reason::TargetCold, left_ms.unwrap_or(DOUBTED_RETRY_MS))
+        }
+    };
+    Refusal::not_run(reason).with_retry_after_ms(least_ms + spread_ms)
+}
+
 /// Whether the own target serves the service.
 ///
 /// The sender may know this address from an instance that is gone and whose
@@ -204,6 +261,18 @@
         .is_some_and(|target| node.names.service(&target.service) == service)
 }
 
+/// Whether the request may run in this region, by this node's own configuration:
+/// the sender may hold an older one.
+fn may_run_here<P: Policies>(
+    node: &Node<P>,
+    context: &RequestContext,
+    outbound: &Outbound,
+) -> bool {
+    let (host, path) = (outbound.host.as_deref(), outbound.path.path());
+    let regions = node.running().regions_of(context.workspace, host, path);
+    regions.allows(node.region)
+}
+
 fn is_revoked<P: Policies>(node: &Node<P>, context: &RequestContext) -> bool {
     node.running().revoked.contains(&context.key)
 }
@@ -228,13 +297,23 @@
 
 async fn work<P: Policies>(
     node: &Arc<Node<P>>,
+    context: &RequestContext,
     running: Running<P>,
     outbound: &Outbound,
     remaining_us: u64,
 ) -> (Result<Answer, Refusal>, u8) {
     let handle = running.call.handle();
     let remaining_ms = remaining_us / 1000;
-    let sent = exchange(&node.dialect, &node.target, handle, outbound, remaining_ms).await;
+    let pass = || pass_gate(node, context);
+    let sent = exchange(
+        &node.dialect,
+        &node.target,
+        handle,
+        outbound,
+        remaining_ms,
+        pass,
+    )
+    .await;
     match sent {
         Err(refusal) => running.fail(TargetResult::Failed, refusal),
         Ok(answer) => deliver(node, running, answer, remaining_us).await,
--- a/tests/conf.rs
+++ b/tests/conf.rs
@@ -97,6 +97,13 @@
             field: "retries",
             says: "expected 0 to 10",
         },
+        BadService {
+            name: "negative cold rate",
+            text: "service = \"catalog\"\ncold_rate_per_s = -1\n[[route]]\npath = \"a\"\nclass = \"standard\"\n",
+            line: 2,
+            field: "cold_rate_per_s",
+            says: "expected 0 to 1000000",
+        },
         BadService {
             name: "negative deadline",
             text: "service = \"catalog\"\n[[route]]\npath = \"a\"\nclass = \"standard\"\ndeadline_ms = -1\n",
--- a/tests/documents.rs
+++ b/tests/documents.rs
@@ -338,7 +338,7 @@
         .lock()
         .expect("not poisoned")
         .push(("n2".to_owned(), held));
-    node.stamp("n2", Versions([2, 0, 0]), None);
+    node.stamp("n2", Versions([2, 0, 0, 0]), None);
     node.wait_version(DocumentKind::Configuration, 2).await;
     assert_eq!(*node.seen.borrow(), None, "nobody looked at the platform");
     fake.set_faults(Faults {
@@ -346,7 +346,7 @@
         ..Faults::default()
     });
     fake.put("configuration", b"3");
-    node.stamp("n2", Versions([1, 0, 0]), None);
+    node.stamp("n2", Versions([1, 0, 0, 0]), None);
     fake.set_faults(Faults::default());
     node.wait_version(DocumentKind::Configuration, 3).await;
     node.wait_seen_after(0).await;
@@ -378,7 +378,7 @@
         .push((relay.clone(), keys));
     let hint = Hint {
         node_id: relay.clone(),
-        versions: Versions([0, 5, 0]),
+        versions: Versions([0, 5, 0, 0]),
     };
     node.hints.send(hint).await.expect("the follower listens");
     node.wait_version(DocumentKind::Keys, 5).await;
@@ -389,9 +389,9 @@
         .lock()
         .expect("not poisoned")
         .push((relay.clone(), slices));
-    node.stamp(&relay, Versions([0, 5, 7]), Some(10));
+    node.stamp(&relay, Versions([0, 5, 7, 0]), Some(10));
     node.wait_version(DocumentKind::Slices, 7).await;
-    node.stamp(&relay, Versions([0, 5, 7]), Some(20));
+    node.stamp(&relay, Versions([0, 5, 7, 0]), Some(20));
     assert_eq!(node.wait_seen_after(0).await, 20);
     assert_eq!(fake.call_count(), 0);
     assert_eq!(node.platform.call_counts().write_count, 0);
@@ -410,8 +410,8 @@
     let alive = MemberState::Alive;
     let members = view(&[("n1", "a", alive), ("n2", "a", alive)]);
     let mut node = Node::new(&fake, "n1", "a", &members);
-    node.stamp("n2", Versions([0, 9, 0]), Some(10));
-    node.stamp("n2", Versions([0, 0, 0]), Some(5));
+    node.stamp("n2", Versions([0, 9, 0, 0]), Some(10));
+    node.stamp("n2", Versions([0, 0, 0, 0]), Some(5));
     assert_eq!(node.wait_seen_after(0).await, 5);
 }
 
--- a/tests/freshness.rs
+++ b/tests/freshness.rs
@@ -7,7 +7,7 @@
 };
 
 const NOW_MS: u64 = 100_000;
-const HELD: Versions = Versions([4, 5, 6]);
+const HELD: Versions = Versions([4, 5, 6, 0]);
 
 fn member(node_id: &str, zone: &str, state: MemberState) -> Member {
     let ports = MemberPorts {
@@ -166,7 +166,7 @@
         },
         Case {
             name: "no slice table held",
-            held: Versions([4, 5, 0]),
+            held: Versions([4, 5, 0, 0]),
             replies: vec![
                 Reply {
                     slices_version: 0,
@@ -215,7 +215,7 @@
             tracker.reply(&PeerStamp {
                 node_id: reply.node_id.to_owned(),
                 zone: reply.zone.to_owned(),
-                versions: Versions([4, 5, reply.slices_version]),
+                versions: Versions([4, 5, reply.slices_version, 0]),
                 platform_seen_ms: reply.look_age_ms.map(|age_ms| NOW_MS - age_ms),
                 probe_sent_ms: NOW_MS - reply.probe_age_ms,
             });
@@ -245,9 +245,9 @@
 fn an_own_look_counts_once_what_it_showed_is_followed() {
     let mut tracker = FreshnessTracker::new("a1", "a");
     tracker.hold_versions(HELD);
-    tracker.platform_seen(NOW_MS, Versions([4, 5, 7]));
+    tracker.platform_seen(NOW_MS, Versions([4, 5, 7, 0]));
     assert_eq!(tracker.snapshot(NOW_MS).freshness, Freshness::CutOff);
-    tracker.hold_versions(Versions([4, 5, 7]));
+    tracker.hold_versions(Versions([4, 5, 7, 0]));
     assert_eq!(tracker.snapshot(NOW_MS).freshness, Freshness::Fresh);
 }
 
@@ -258,11 +258,11 @@
     tracker.reply(&PeerStamp {
         node_id: "b1".to_owned(),
         zone: "b".to_owned(),
-        versions: Versions([4, 5, 7]),
+        versions: Versions([4, 5, 7, 0]),
         platform_seen_ms: Some(NOW_MS),
         probe_sent_ms: NOW_MS,
     });
     assert_eq!(tracker.snapshot(NOW_MS).freshness, Freshness::CutOff);
-    tracker.hold_versions(Versions([4, 5, 7]));
+    tracker.hold_versions(Versions([4, 5, 7, 0]));
     assert_eq!(tracker.snapshot(NOW_MS).freshness, Freshness::Fresh);
 }
--- a/tests/local_mesh/mesh.rs
+++ b/tests/local_mesh/mesh.rs
@@ -8,14 +8,14 @@
     clap::Parser,
     dogwoodbridge::{
         admission::AdmitAll,
-        conf::{RouteRules, Running, ServiceRules, WorkspaceRules},
+        conf::{Evacuations, RouteRules, Running, ServiceRules, WorkspaceRules},
         dialect::Native,
         freshness::{Freshness, Snapshot},
         keys::KeyDigest,
         membership::{
             Member, MemberPorts, MemberProbes, MemberQuestion, MemberState, OwnState, View,
         },
-        model::{Class, Names},
+        model::{Class, Names, RegionSet},
         node::{Node, NodeInputs, PolicySet, start},
         quota::Rate,
         retry::ChainBudget,
@@ -54,6 +54,7 @@
     pub node: Arc<TestNode>,
     pub target: Arc<Target>,
     pub running: watch::Sender<Arc<Running>>,
+    pub evacuations: watch::Sender<Arc<Evacuations>>,
     pub freshness: watch::Sender<Snapshot>,
     pub tasks: TaskTracker,
     view: watch::Sender<Arc<View>>,
@@ -231,6 +232,7 @@
     let names = Names::new();
     let timer = Timer::new(CancellationToken::new());
     let (running, running_receiver) = watch::channel(Arc::new(configuration(&names, services)));
+    let (evacuations, evacuations_receiver) = watch::channel(Arc::default());
     let (view, view_receiver) = watch::channel(Arc::new(View::default()));
     let (freshness, freshness_receiver) = watch::channel(ALWAYS_FRESH);
     let (own_state, _) = watch::channel(OwnState::default());
@@ -242,6 +244,7 @@
         quota: LocalQuota::new(timer.clone()),
         timer,
         running: running_receiver,
+        evacuations: evacuations_receiver,
         view: view_receiver,
         probes: answered_probes(),
         own_state,
@@ -254,6 +257,7 @@
         node,
         target,
         running,
+        evacuations,
         freshness,
         tasks,
         view,
@@ -309,6 +313,7 @@
         let rules = WorkspaceRules {
             workspace: key,
             class: None,
+            regions: RegionSet::ANY,
             rate: Rate {
                 rate_per_s: rate,
                 burst_count: rate,
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -201,7 +201,7 @@
     fleet.run_until(20_000, Fleet::all_see_each_other);
     let seen_ms = fleet.now_ms;
     let state = OwnState {
-        versions: Versions([5, 6, 7]),
+        versions: Versions([5, 6, 7, 8]),
         platform_seen_ms: Some(seen_ms),
         ..OwnState::default()
     };
@@ -209,7 +209,7 @@
     fleet.hosts[1].stamps.clear();
     fleet.run_until(5_000, |fleet| !fleet.hosts[1].stamps.is_empty());
     let stamp = &fleet.hosts[1].stamps[0];
-    assert_eq!(stamp.versions, Versions([5, 6, 7]));
+    assert_eq!(stamp.versions, Versions([5, 6, 7, 8]));
     assert_eq!(stamp.platform_seen_ms, Some(seen_ms));
 }
 
@@ -394,7 +394,7 @@
         fleet.run_until(120_000, Fleet::all_see_each_other);
         fleet.loss_ratio = case.loss_ratio;
         for version in 1..=5 {
-            let published = Versions([version, 0, 0]);
+            let published = Versions([version, 0, 0, 0]);
             fleet.hosts[0].told = published;
             let start_ms = fleet.now_ms;
             while fleet
@@ -469,7 +469,7 @@
         kind: PacketKind::PingRequest {
             subject: "n2-1".to_owned(),
         },
-        versions: Versions([1, 2, 3]),
+        versions: Versions([1, 2, 3, 4]),
         platform_age_ms: Some(4),
         table_hash: 5,
         updates: vec![Record {
--- a/tests/objects_follower.rs
+++ b/tests/objects_follower.rs
@@ -91,8 +91,8 @@
 #[tokio::test]
 async fn a_watch_without_history_is_an_error_each_time() {
     let fleet = Fleet::with_mood(1, 1, BOUNDS, Mood::Forgetful);
-    let origin = ObjectOrigin::new(fleet.store.clone(), followed(), WATCH_MS);
     let documents = DocumentStore::new();
+    let origin = ObjectOrigin::new(fleet.store.clone(), followed(), documents.clone(), WATCH_MS);
     origin.look(&documents).await.expect("a listing works");
     for _ in 0..3 {
         let watched = origin.watch(DocumentKind::Configuration, 1).await;
--- a/tests/objects_support/mod.rs
+++ b/tests/objects_support/mod.rs
@@ -4,6 +4,7 @@
 
 use {
     dogwoodbridge::{
+        conf::{Evacuations, spawn_evacuations},
         documents::{
             Document, DocumentKind, DocumentStore, FollowerParts, Hint, LookBounds, Neighbours,
             OtherLooks,
@@ -14,13 +15,14 @@
             View, relay_rank,
         },
         objects::{
-            Change, Changes, Condition, FollowParts, FollowedName, Listing, ObjectOrigin,
-            ObjectStore, StoreError, StoredObject, follow,
+            Change, Changes, Condition, FollowParts, FollowedName, FollowedNames, Listing,
+            ObjectOrigin, ObjectStore, StoreError, StoredObject, follow,
         },
         timer::Timer,
     },
     rand::{Rng, SeedableRng, rngs::StdRng},
     std::{
+        collections::BTreeSet,
         net::{IpAddr, Ipv4Addr},
         sync::{
             Arc, Mutex,
@@ -38,6 +40,8 @@
 /// Far longer than any of these things takes on a busy machine.
 pub const LIMIT: Duration = Duration::from_secs(30);
 
+/// Kind of the objects that are named after evacuated zones.
+const EVACUATIONS_KIND: &str = "evacuated";
 /// Wait of one watch.
 pub const WATCH_MS: u64 = 40;
 /// How long a confirmed look speaks for the present.
@@ -81,9 +85,12 @@
     written: Vec<(u64, u64)>,
     moods: Vec<Mood>,
     call_counts: Vec<usize>,
+    evacuated: BTreeSet<String>,
+    evacuations_revision: u64,
 }
 
-/// A store that holds one object whose content is its revision.
+/// A store that holds one object whose content is its revision, and evacuated
+/// zones under revisions of their own.
 #[derive(Clone)]
 pub struct FakeStore {
     state: Arc<Mutex<StoreState>>,
@@ -96,6 +103,8 @@
             written: vec![(1, 0)],
             moods: vec![mood; node_count],
             call_counts: vec![0; node_count],
+            evacuated: BTreeSet::new(),
+            evacuations_revision: 1,
         };
         Self {
             state: Arc::new(Mutex::new(state)),
@@ -118,6 +127,28 @@
         next
     }
 
+    /// Evacuates a zone, or takes that back.
+    pub fn evacuate(&self, zone: &str, is_evacuated: bool) {
+        let mut state = self.state.lock().unwrap();
+        state.evacuations_revision += 1;
+        match is_evacuated {
+            true => state.evacuated.insert(zone.to_owned()),
+            false => state.evacuated.remove(zone),
+        };
+    }
+
+    /// The evacuated zones with their revision.
+    fn evacuations(&self) -> (Vec<StoredObject>, u64) {
+        let state = self.state.lock().unwrap();
+        let revision = state.evacuations_revision;
+        let objects = state.evacuated.iter().map(|zone| StoredObject {
+            name: zone.clone(),
+            revision,
+            content: b"{}".to_vec(),
+        });
+        (objects.collect(), revision)
+    }
+
     /// The newest revision that was there at this time.
     pub fn revision_at(&self, at_ms: u64) -> u64 {
         let state = self.state.lock().unwrap();
@@ -164,30 +195,43 @@
 }
 
 impl ObjectStore for FakeStore {
-    async fn list(&self, _kind: &str) -> Result<Listing, StoreError> {
+    async fn list(&self, kind: &str) -> Result<Listing, StoreError> {
         let mood = self.called().await?;
-        let object = self.object();
+        let (objects, as_of) = match kind == EVACUATIONS_KIND {
+            true => self.evacuations(),
+            false => {
+                let object = self.object();
+                let as_of = object.revision;
+                (vec![object], as_of)
+            }
+        };
         if mood == Mood::Late {
             tokio::time::sleep(LATE).await;
         }
-        Ok(Listing {
-            as_of: object.revision,
-            objects: vec![object],
-        })
+        Ok(Listing { objects, as_of })
     }
 
-    async fn watch(&self, _kind: &str, after: u64, wait_ms: u64) -> Result<Changes, StoreError> {
+    async fn watch(&self, kind: &str, after: u64, wait_ms: u64) -> Result<Changes, StoreError> {
         let mood = self.called().await?;
         if mood == Mood::Forgetful {
             return Err(StoreError::HistoryGone);
         }
         tokio::time::sleep(Duration::from_millis(wait_ms)).await;
-        let object = self.object();
-        let as_of = object.revision;
+        let (change, as_of) = match kind == EVACUATIONS_KIND {
+            true => {
+                let (_, as_of) = self.evacuations();
+                (Change::Removed("a zone".to_owned()), as_of)
+            }
+            false => {
+                let object = self.object();
+                let as_of = object.revision;
+                (Change::Put(object), as_of)
+            }
+        };
         let has_news = as_of > after && mood != Mood::Deaf;
         Ok(Changes {
             changes: match has_news {
-                true => vec![Change::Put(object)],
+                true => vec![change],
                 false => Vec::new(),
             },
             as_of,
@@ -234,6 +278,7 @@
     pub own_state: watch::Sender<OwnState>,
     /// Fetches nothing from other nodes while set.
     pub is_cut: Arc<AtomicBool>,
+    pub evacuations: watch::Receiver<Arc<Evacuations>>,
 }
 
 /// Followers in availability zones.
@@ -283,7 +328,12 @@
                 node_id: node_id(index),
                 zone: view.members[index].zone.clone(),
                 store: own_documents.clone(),
-                origin: ObjectOrigin::new(store.of_node(index), followed(), WATCH_MS),
+                origin: ObjectOrigin::new(
+                    store.of_node(index),
+                    followed(),
+                    own_documents.clone(),
+                    WATCH_MS,
+                ),
                 bounds,
                 neighbours: Peers {
                     documents: documents.clone(),
@@ -315,6 +365,7 @@
                 freshness,
                 own_state,
                 is_cut,
+                evacuations: spawn_evacuations(own_documents, shutdown.clone()),
             });
         }
         let gossip = Gossip {
@@ -349,11 +400,12 @@
             members: vec![self.view.members[0].clone()],
         });
         let documents = DocumentStore::new();
+        let evacuations = spawn_evacuations(&documents, self.shutdown.clone());
         let follower = FollowerParts {
             node_id: node_id(0),
             zone: view.members[0].zone.clone(),
             store: documents.clone(),
-            origin: ObjectOrigin::new(self.store.clone(), followed(), WATCH_MS),
+            origin: ObjectOrigin::new(self.store.clone(), followed(), documents.clone(), WATCH_MS),
             bounds: BOUNDS,
             neighbours: Peers {
                 documents: vec![documents],
@@ -380,7 +432,20 @@
             freshness,
             own_state,
             is_cut: Arc::default(),
+            evacuations,
+        }
+    }
+
+    /// Whether just these zones come to be evacuated for all nodes.
+    pub async fn all_evacuate(&mut self, zones: &[&str]) -> bool {
+        let wanted: BTreeSet<String> = zones.iter().map(|zone| (*zone).to_owned()).collect();
+        for node in &mut self.nodes {
+            let evacuated = node.evacuations.wait_for(|known| known.zones == wanted);
+            if timeout(LIMIT, evacuated).await.is_err() {
+                return false;
+            }
         }
+        true
     }
 
     /// Nodes that are relays of their zone.
@@ -495,11 +560,14 @@
     }
 }
 
-/// The object that is followed.
-pub fn followed() -> FollowedName {
-    FollowedName {
-        kind: "rules".to_owned(),
-        name: "main".to_owned(),
+/// The objects that are followed.
+pub fn followed() -> FollowedNames {
+    FollowedNames {
+        configuration: FollowedName {
+            kind: "rules".to_owned(),
+            name: "main".to_owned(),
+        },
+        evacuations_kind: EVACUATIONS_KIND.to_owned(),
     }
 }
 
--- /dev/null
+++ b/tests/regions.rs
@@ -0,0 +1,127 @@
+//! Requests that may only run in named regions, at the node beside the target.
+
+mod local_mesh;
+
+use {
+    dogwoodbridge::{
+        conf::{HostedConfiguration, HostedRoute, HostedWorkspace, Running, compile_hosted},
+        model::{Class, Names, RegionSet},
+    },
+    local_mesh::{
+        client,
+        mesh::{KEY, Mesh},
+    },
+    std::sync::Arc,
+};
+
+fn route(prefix: &str, regions: &[&str]) -> HostedRoute {
+    HostedRoute {
+        host: "h".to_owned(),
+        prefix: prefix.to_owned(),
+        destinations: vec![("s".to_owned(), 1)],
+        class: Class::Standard,
+        repeatable: true,
+        attempt_limit: 2,
+        timeout_ms: 1000,
+        aim_ms: 500,
+        is_open: false,
+        regions: names_of(regions),
+    }
+}
+
+fn workspace(name: &str, regions: &[&str]) -> HostedWorkspace {
+    HostedWorkspace {
+        name: name.to_owned(),
+        class: None,
+        keys: Vec::new(),
+        regions: names_of(regions),
+        rate_per_s: 0,
+        burst_count: 0,
+    }
+}
+
+fn names_of(regions: &[&str]) -> Vec<String> {
+    regions.iter().map(|region| (*region).to_owned()).collect()
+}
+
+/// Where a route and a workspace both name regions, both bind.
+#[test]
+fn regions_of_the_route_and_of_the_workspace_both_bind() {
+    struct Case {
+        workspace: &'static str,
+        path: &'static str,
+        allowed: &'static [&'static str],
+    }
+    let names = Names::new();
+    let running = compile_hosted(
+        &HostedConfiguration {
+            version: 1,
+            routes: vec![route("/any/", &[]), route("/east/", &["east", "north"])],
+            services: Vec::new(),
+            workspaces: vec![
+                workspace("free", &[]),
+                workspace("eastern", &["east"]),
+                workspace("western", &["west"]),
+            ],
+        },
+        &names,
+    );
+    const REGIONS: [&str; 3] = ["east", "north", "west"];
+    let cases = [
+        Case {
+            workspace: "free",
+            path: "/any/x",
+            allowed: &REGIONS,
+        },
+        Case {
+            workspace: "free",
+            path: "/east/x",
+            allowed: &["east", "north"],
+        },
+        Case {
+            workspace: "eastern",
+            path: "/any/x",
+            allowed: &["east"],
+        },
+        Case {
+            workspace: "eastern",
+            path: "/east/x",
+            allowed: &["east"],
+        },
+        Case {
+            workspace: "western",
+            path: "/east/x",
+            allowed: &[],
+        },
+    ];
+    for case in cases {
+        let workspace = names.workspace(case.workspace);
+        let regions = running.regions_of(workspace, Some("H:80"), case.path);
+        let allowed = REGIONS.iter().copied();
+        let allowed: Vec<&str> = allowed
+            .filter(|region| regions.allows(names.region(region)))
+            .collect();
+        assert_eq!(allowed, case.allowed, "{} {}", case.workspace, case.path);
+    }
+}
+
+/// The sender holds an older configuration and sends a request to a region in
+/// which it may not run any more. The node beside the target refuses it as not
+/// run.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_targets_node_refuses_what_may_not_run_in_its_region() {
+    let mesh = Mesh::start(&["b", "a"]).await;
+    let beside = &mesh.instances[1];
+    let mut running = Running::clone(&beside.node.running());
+    let elsewhere = RegionSet::only([beside.node.names.region("elsewhere")]);
+    for rules in running.workspaces.values_mut() {
+        rules.regions = elsewhere;
+    }
+    running.restricts_regions = true;
+    beside.running.send_replace(Arc::new(running));
+    let headers = [("dogwood-key", KEY)];
+    let request = client::request("GET", "/a/echo", &headers, b"");
+    let seen = client::send(mesh.instances[0].caller_address(), request).await;
+    assert_eq!(seen.summary(), (503, "not-run", "outside-regions"));
+    assert!(beside.target.executions().is_empty());
+}
--- a/tests/routing_properties.rs
+++ b/tests/routing_properties.rs
@@ -5,8 +5,10 @@
 
 use {
     dogwoodbridge::{
-        model::{AdmissionLevel, Class, Outcome, ServiceKey, ZoneKey},
-        routing::{AttemptResult, Distance, RoutePolicy, TargetInfo, TargetKey, ZoneRouter},
+        model::{AdmissionLevel, Class, Outcome, RegionKey, RegionSet, ServiceKey, ZoneKey},
+        routing::{
+            AttemptResult, Distance, RoutePolicy, TargetInfo, TargetKey, Wanted, ZoneRouter,
+        },
     },
     generated::for_each_case,
     rand::{SeedableRng, rngs::StdRng},
@@ -74,6 +76,7 @@
         let info = TargetInfo {
             service: ServiceKey::new(u16::from(choice % 2)),
             zone: ZoneKey::new(0),
+            region: RegionKey::new(0),
             distance: distances[usize::from(choice / 2) % 3],
             slot_count: u32::from(choice % 8),
             draining: choice > 240,
@@ -108,10 +111,13 @@
     fn pick(&mut self, choice: u8) {
         let service = ServiceKey::new(u16::from(choice % 2));
         let class = Class::ALL[usize::from(choice) % 3];
+        let wanted = Wanted {
+            service,
+            class,
+            regions: RegionSet::ANY,
+        };
         let tried: Vec<TargetKey> = self.outstanding.iter().rev().take(2).copied().collect();
-        let picked = self
-            .router
-            .pick(service, class, &tried, self.now_us, &mut self.rng);
+        let picked = self.router.pick(wanted, &tried, self.now_us, &mut self.rng);
         match picked {
             Ok(key) => {
                 let info = self
--- a/tests/routing_silence.rs
+++ b/tests/routing_silence.rs
@@ -2,8 +2,10 @@
 
 use {
     dogwoodbridge::{
-        model::{Class, Reason, ServiceKey, ZoneKey},
-        routing::{AttemptResult, Distance, RoutePolicy, TargetInfo, TargetKey, ZoneRouter},
+        model::{Class, Reason, RegionKey, RegionSet, ServiceKey, ZoneKey},
+        routing::{
+            AttemptResult, Distance, RoutePolicy, TargetInfo, TargetKey, Wanted, ZoneRouter,
+        },
     },
     rand::{SeedableRng, rngs::StdRng},
 };
@@ -23,6 +25,12 @@
     cut: Vec<TargetKey>,
 }
 
+const WANTED: Wanted = Wanted {
+    service: SERVICE,
+    class: Class::Standard,
+    regions: RegionSet::ANY,
+};
+
 impl Fixture {
     fn new(distances: &[Distance]) -> Self {
         let mut router = ZoneRouter::new();
@@ -30,6 +38,7 @@
             let info = TargetInfo {
                 service: SERVICE,
                 zone: ZoneKey::new(0),
+                region: RegionKey::new(0),
                 distance: *distance,
                 slot_count: 20,
                 draining: false,
@@ -49,7 +58,7 @@
 
     fn pick(&mut self) -> Result<TargetKey, Reason> {
         self.router
-            .pick(SERVICE, Class::Standard, &[], self.now_us, &mut self.rng)
+            .pick(WANTED, &[], self.now_us, &mut self.rng)
             .map_err(|refusal| refusal.reason)
     }
 
--- a/tests/routing_zone.rs
+++ b/tests/routing_zone.rs
@@ -2,10 +2,10 @@
 
 use {
     dogwoodbridge::{
-        model::{AdmissionLevel, Class, Reason, ServiceKey, ZoneKey},
+        model::{AdmissionLevel, Class, Reason, RegionKey, RegionSet, ServiceKey, ZoneKey},
         routing::{
             AttemptResult, Distance, LEVEL_AGE_LIMIT_US, PROBE_PERIOD_US, RoutePolicy, TargetInfo,
-            TargetKey, ZoneRouter,
+            TargetKey, Wanted, ZoneRouter,
         },
     },
     rand::{SeedableRng, rngs::StdRng},
@@ -41,7 +41,7 @@
 
     fn pick(&mut self, class: Class) -> Result<TargetKey, Reason> {
         self.router
-            .pick(SERVICE, class, &[], self.now_us, &mut self.rng)
+            .pick(wanted(class), &[], self.now_us, &mut self.rng)
             .map_err(|refusal| refusal.reason)
     }
 
@@ -88,10 +88,19 @@
     }
 }
 
+const fn wanted(class: Class) -> Wanted {
+    Wanted {
+        service: SERVICE,
+        class,
+        regions: RegionSet::ANY,
+    }
+}
+
 const fn info(distance: Distance) -> TargetInfo {
     TargetInfo {
         service: SERVICE,
         zone: ZoneKey::new(0),
+        region: RegionKey::new(0),
         distance,
         slot_count: 10,
         draining: false,
@@ -383,16 +392,73 @@
     let mut fixture = Fixture::new(&[Distance::SameZone, Distance::OtherRegion]);
     let tried = [fixture.targets[0]];
     let mut pick = |tried: &[TargetKey]| {
-        fixture.router.pick(
-            SERVICE,
-            Class::Standard,
-            tried,
-            SETTLED_US,
-            &mut fixture.rng,
-        )
+        fixture
+            .router
+            .pick(wanted(Class::Standard), tried, SETTLED_US, &mut fixture.rng)
     };
     for _ in 0..5 {
         assert_eq!(pick(&tried), Ok(fixture.targets[1]));
     }
     assert!(pick(&fixture.targets.clone()).is_ok());
 }
+
+/// A workspace may only run in named regions. Its work was sent to the nearest
+/// target wherever that stood.
+#[test]
+fn a_request_goes_only_to_regions_in_which_it_may_run() {
+    struct Case {
+        name: &'static str,
+        regions: RegionSet,
+        expected: Option<usize>,
+    }
+    let [near, far] = [RegionKey::new(0), RegionKey::new(1)];
+    let cases = [
+        Case {
+            name: "any region",
+            regions: RegionSet::only([]),
+            expected: Some(0),
+        },
+        Case {
+            name: "the far region",
+            regions: RegionSet::only([far]),
+            expected: Some(1),
+        },
+        Case {
+            name: "both regions",
+            regions: RegionSet::only([near, far]),
+            expected: Some(0),
+        },
+        Case {
+            name: "a region without targets",
+            regions: RegionSet::only([RegionKey::new(2)]),
+            expected: None,
+        },
+        Case {
+            name: "a route and a workspace without a common region",
+            regions: RegionSet::only([near]).both(RegionSet::only([far])),
+            expected: None,
+        },
+    ];
+    for case in cases {
+        let mut fixture = Fixture::new(&[Distance::SameZone]);
+        let elsewhere = TargetInfo {
+            region: far,
+            ..info(Distance::OtherRegion)
+        };
+        let elsewhere = fixture.router.add(elsewhere, 0);
+        fixture.targets.push(elsewhere);
+        let wanted = Wanted {
+            regions: case.regions,
+            ..wanted(Class::Critical)
+        };
+        // Also after all have been tried.
+        for tried in [Vec::new(), fixture.targets.clone()] {
+            let now_us = fixture.now_us;
+            let picked = fixture
+                .router
+                .pick(wanted, &tried, now_us, &mut fixture.rng);
+            let expected = case.expected.map(|index| fixture.targets[index]);
+            assert_eq!(picked.ok(), expected, "{}", case.name);
+        }
+    }
+}
