--- a/src/target/mod.rs
+++ b/src/target/mod.rs
@@ -2,6 +2,7 @@
 
 mod exchange;
 mod gate;
+mod passage;
 mod pool;
 mod registration;
 mod serve;
--- a/src/target/serve.rs
+++ b/src/target/serve.rs
@@ -1,7 +1,10 @@
 //! A request at the node of its target: admission, exchange, end.
 
 use {
-    super::{Closed, Lease, TargetAnswer, Urgency, exchange},
+    super::{
+        Lease, TargetAnswer, exchange,
+        passage::{check_gate, pass_gate},
+    },
     crate::{
         admission::{Arrival, LoadReport, TargetResult},
         event,
@@ -22,13 +25,6 @@
 /// width spreads them.
 const HELD_BACK_RETRY_MS: (u32, u32) = (400, 800);
 
-/// When callers may come for whom there was no room at a target that may be
-/// cold, unless it told how long it stays so.
-const DOUBTED_RETRY_MS: u32 = 500;
-/// Time over which those are spread who wait until a target is warm or a zone is
-/// no longer evacuated.
-const CLOSED_RETRY_WIDTH_MS: u32 = 1000;
-
 /// A request that the target works on. Dropping it cancels everything below.
 struct Running<P: Policies> {
     ticket: Ticket<P>,
@@ -205,50 +201,6 @@
     Some(refusal.with_exhausted())
 }
 
-/// Refuses at once what could not be sent anyway.
-fn check_gate<P: Policies>(node: &Node<P>, context: &RequestContext) -> Result<(), Refusal> {
-    let (urgency, bound_count) = (urgency(context), cold_bound(node, context.service));
-    let now_us = node.timer.now_us();
-    let checked = node.target.gate().check(urgency, bound_count, now_us);
-    checked.map_err(refusal_of)
-}
-
-fn pass_gate<P: Policies>(node: &Node<P>, context: &RequestContext) -> Result<(), Refusal> {
-    let (urgency, bound_count) = (urgency(context), cold_bound(node, context.service));
-    let now_us = node.timer.now_us();
-    let passed = node.target.gate().pass(urgency, bound_count, now_us);
-    passed.map_err(refusal_of)
-}
-
-fn urgency(context: &RequestContext) -> Urgency {
-    match begins_chain(context.depth, context.key) {
-        true => Urgency::New(context.class),
-        false => Urgency::Begun,
-    }
-}
-
-/// Requests that a cold target of the service may get in any second; 0 without
-/// a bound.
-fn cold_bound<P: Policies>(node: &Node<P>, service: ServiceKey) -> u32 {
-    let running = node.running();
-    let rate_per_s = running.cold_rates_per_s.get(&service);
-    rate_per_s.map_or(0, |rate_per_s| {
-        (rate_per_s * node.settings.cold_percent / 100).max(1)
-    })
-}
-
-fn refusal_of(closed: Closed) -> Refusal {
-    let spread_ms = rand::random::<u32>() % CLOSED_RETRY_WIDTH_MS;
-    let (reason, least_ms) = match closed {
-        Closed::Evacuated => (Reason::ZoneEvacuated, DOUBTED_RETRY_MS),
-        Closed::Cold { left_us } => {
-            let left_ms = left_us.and_then(|left_us| u32::try_from(left_us / 1000).ok());
-            (Reason::TargetCold, left_ms.unwrap_or(DOUBTED_RETRY_MS))
-        }
-    };
-    Refusal::not_run(reason).with_retry_after_ms(least_ms + spread_ms)
-}
-
 /// Whether the own target serves the service.
 ///
 /// The sender may know this address from an instance that is gone and whose
