--- a/src/cli/status.rs
+++ b/src/cli/status.rs
@@ -186,7 +186,7 @@
     match &status.target {
         Some(target) => write!(
             formatter,
-            "; target {}: {} running, {} queued, {} slots, load {}%, from {} upwards{}",
+            "; target {}: {} running, {} queued, {} slots, load {}%, from {} upwards{}{}{}",
             target.service,
             target.running_count,
             target.queued_count,
@@ -194,6 +194,12 @@
             target.load_percent,
             target.lowest_class.name(),
             if target.draining { ", draining" } else { "" },
+            if target.is_cold { ", cold" } else { "" },
+            if target.is_evacuated {
+                ", EVACUATED"
+            } else {
+                ""
+            },
         ),
         None => formatter.write_str("; no target"),
     }
--- a/src/control/admin.rs
+++ b/src/control/admin.rs
@@ -83,6 +83,7 @@
 
 fn set_state_sizes<P: Policies>(node: &Node<P>) {
     let running = node.running();
+    let is_cold = node.target.gate().is_cold(node.timer.now_us());
     let routes = running.services.values().map(|rules| rules.routes.len());
     let sizes = [
         ("members", node.view().members.len()),
@@ -91,6 +92,8 @@
         ("workspaces", running.workspaces.len()),
         ("keys-granted", running.granted.len()),
         ("keys-revoked", running.revoked.len()),
+        ("evacuated-zones", node.evacuations().zones.len()),
+        ("cold-targets", usize::from(is_cold)),
         ("calls-of-target", node.calls().len()),
         ("requests-in-flight", node.in_flight_count()),
     ];
--- a/src/control/records.rs
+++ b/src/control/records.rs
@@ -153,6 +153,12 @@
     pub load_percent: u16,
     /// It takes no new work.
     pub draining: bool,
+    /// It is cold, or may be, and gets no more than it bears.
+    #[serde(default)]
+    pub is_cold: bool,
+    /// Its availability zone is evacuated.
+    #[serde(default)]
+    pub is_evacuated: bool,
 }
 
 /// What a node tells operators.
--- a/src/daemon/operated.rs
+++ b/src/daemon/operated.rs
@@ -76,7 +76,9 @@
         let target = self.node.own_state.borrow().target.clone()?;
         let admission = self.node.admission();
         let (running, waiting) = admission.counts();
-        let level = admission.level(Class::Browse, self.node.timer.now_us());
+        let now_us = self.node.timer.now_us();
+        let level = admission.level(Class::Browse, now_us);
+        let evacuations = self.node.evacuations();
         Some(TargetStatus {
             service: target.service,
             slot_count: target.slot_count,
@@ -85,6 +87,8 @@
             lowest_class: level.lowest_class,
             load_percent: level.load_percent,
             draining: target.draining || level.draining,
+            is_cold: self.node.target.gate().is_cold(now_us),
+            is_evacuated: evacuations.contains(&self.node.settings.zone),
         })
     }
 
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -64,6 +64,8 @@
         "{}",
         ran.output
     );
+    let held_back = "from browse upwards, cold, EVACUATED";
+    assert!(ran.output.contains(held_back), "{}", ran.output);
     let ran = ctl(&["status", "--nodes", &seed, "--output", "json"]).await;
     let json: serde_json::Value = serde_json::from_str(&ran.output).expect("JSON");
     assert_eq!(json["nodes"][1]["status"]["versions"]["keys"], 1);
--- a/tests/platform_support/node.rs
+++ b/tests/platform_support/node.rs
@@ -100,6 +100,8 @@
                 lowest_class: Class::Browse,
                 load_percent: 2,
                 draining: false,
+                is_cold: true,
+                is_evacuated: true,
             }),
             members: self.members.lock().expect("not poisoned").clone(),
         }
