--- a/src/documents/look.rs
+++ b/src/documents/look.rs
@@ -91,6 +91,11 @@
     }
 }
 
+/// Time after the start in which nodes meet. One that knows nobody takes itself
+/// for its zone's first relay, and each node of a fleet that starts as a whole
+/// would watch.
+const MEETING_TIME: Duration = Duration::from_millis(1_000);
+
 /// Whether a member of this rank watches documents of this kind. Evacuations are
 /// rare, and what one relay misses its looks and those of other zones find.
 const fn watches(kind: DocumentKind, rank: Option<usize>) -> bool {
@@ -112,6 +117,9 @@
     }
 
     pub(super) async fn run(self) {
+        if self.kind == DocumentKind::Evacuations {
+            tokio::time::sleep(MEETING_TIME).await;
+        }
         let mut view = self.shared.view.clone();
         let mut documents = self.shared.store.subscribe(self.kind);
         let mut backoff = self.shared.backoff();
--- a/src/objects/origin.rs
+++ b/src/objects/origin.rs
@@ -18,8 +18,8 @@
     },
 };
 
-/// Looks of which one also lists the evacuations: their watch tells of a change at
-/// once unless the store forgets its history.
+/// Looks of which the last one also lists the evacuations: their watch tells of a
+/// change at once unless the store forgets its history.
 const LOOKS_PER_LISTING: usize = 3;
 
 /// Reads the documents from their objects; clones share what they know of the
@@ -103,7 +103,7 @@
     /// the configuration.
     async fn look_for_evacuations(&self) -> Option<Document> {
         let look = self.look_count.fetch_add(1, Ordering::Relaxed);
-        if !look.is_multiple_of(LOOKS_PER_LISTING) {
+        if !(look + 1).is_multiple_of(LOOKS_PER_LISTING) {
             return None;
         }
         match self.list_evacuations().await {
