Wait in tests until a new key is honoured

The node's log has one line of it: the only order was told unknown-key. The platform acknowledges a key before the node has heard of it; the test sent its order at once and then waited a minute for work that had been refused.

Change: three tests wait until the node honours the key, by a path without a route, so that nothing more reaches the target. What they check is unchanged.

--- a/lab/tests/seams.rs
+++ b/lab/tests/seams.rs
@@ -98,7 +98,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn internal_headers_of_callers_reach_no_target() {
     let mesh = start(&["--latency", "fixed:0"], &[]).await;
-    let key = mesh.create_key(WORKSPACE).await.expect("a key");
+    let key = granted_key(&mesh).await;
     let caller = Caller::new();
     for case in &FORGED_CASES {
         let mut request = CallRequest::new("GET", "/cards/a").with_key(&key);
@@ -124,6 +124,22 @@
     }
 }
 
+/// A key that the node of the mesh honours. The platform acknowledges it before
+/// the node has heard of it. Asks for a path without a route, so that nothing
+/// reaches the target.
+async fn granted_key(mesh: &Mesh) -> String {
+    let key = mesh.create_key(WORKSPACE).await.expect("a key");
+    let address = mesh.instances[0].caller_address();
+    let request = &CallRequest::new("POST", "/cards/no-such-route").with_key(&key);
+    wait_until("the key is honoured", GENEROUS_LIMIT, || async move {
+        let record = Caller::new().send(address, request).await.ok()?;
+        (record.reason.as_deref() == Some("no-route")).then_some(())
+    })
+    .await
+    .expect("the key is honoured");
+    key
+}
+
 /// Someone on the network talks to the ports between nodes without knowing
 /// the fleet's secret.
 #[tokio::test(flavor = "multi_thread")]
@@ -153,7 +169,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn queued_work_of_a_revoked_key_reaches_no_target() {
     let mesh = start(&["--slots", "1", "--latency", "fixed:4000"], &[]).await;
-    let key = mesh.create_key(WORKSPACE).await.expect("a key");
+    let key = granted_key(&mesh).await;
     let address = mesh.instances[0].caller_address();
     let send = || {
         let request = CallRequest::new("POST", "/cards/orders").with_key(&key);
@@ -195,7 +211,7 @@
         "33554432",
     ];
     let mesh = start(&flags, &[]).await;
-    let key = mesh.create_key(WORKSPACE).await.expect("a key");
+    let key = granted_key(&mesh).await;
     let address = mesh.instances[0].caller_address();
     let mut slow = TcpStream::connect(address).await.expect("connected");
     let head = format!("GET /cards/short HTTP/1.1\r\nhost: node\r\ndogwood-key: {key}\r\n\r\n");
