--- a/src/documents/look.rs
+++ b/src/documents/look.rs
@@ -105,7 +105,7 @@
     }
 }
 
-/// Holds a long-poll watch on one document while this node is to.
+/// Holds a long-poll watch on one document while this member's rank asks for it.
 pub(super) struct WatchTask<O> {
     shared: Shared<O>,
     kind: DocumentKind,
