--- a/src/target/gate.rs
+++ b/src/target/gate.rs
@@ -18,8 +18,8 @@
 /// Heartbeats in a row that call a target warm before a doubt about it ends. The
 /// first one may have been sent before what raised the doubt.
 const WARM_HEARTBEAT_COUNT: u32 = 2;
-/// Load, in percent, that a cold target is told at when it has got all that it
-/// bears; callers then go elsewhere, and new chains are held back.
+/// Load, in percent, that is told of a cold target that has got all that it bears:
+/// callers then go elsewhere, and new chains are held back.
 const FULL_LOAD_PERCENT: u64 = 200;
 /// Share of the bound, in percent, that new requests of each class may use up,
 /// from the least important. The rest is kept for calls of chains that have
--- a/tests/target_gate.rs
+++ b/tests/target_gate.rs
@@ -9,7 +9,6 @@
         target::{Closed, SendGate, Urgency},
     },
     generated::for_each_case,
-    std::collections::VecDeque,
 };
 
 const BOUND: u32 = 20;
@@ -194,8 +193,9 @@
     gate: SendGate,
     now_us: u64,
     cold_until_us: u64,
-    /// Words of the present process that are under way.
-    late: VecDeque<(u64, bool)>,
+    /// What a heartbeat tells that is under way, in microseconds. There is one at
+    /// most: one that was overtaken tells nothing.
+    late_us: Option<u64>,
     is_evacuated: bool,
     sent_us: Vec<u64>,
 }
@@ -225,7 +225,7 @@
     /// A process that the node learns of before it sends it anything.
     fn start(&mut self) {
         self.cold_until_us = self.now_us + COLD_US;
-        self.late.clear();
+        self.late_us = None;
         self.gate.tell(COLD_US, true, self.now_us);
     }
 
@@ -245,15 +245,12 @@
     }
 
     fn send_heartbeat(&mut self) {
-        // Two at most are under way, and one that was overtaken tells nothing.
-        if self.late.is_empty() {
-            self.late.push_back((self.cold_left_us(), false));
-        }
+        self.late_us = self.late_us.or(Some(self.cold_left_us()));
     }
 
     fn deliver_heartbeat(&mut self) {
-        if let Some((cold_left_us, is_new_process)) = self.late.pop_front() {
-            self.gate.tell(cold_left_us, is_new_process, self.now_us);
+        if let Some(cold_left_us) = self.late_us.take() {
+            self.gate.tell(cold_left_us, false, self.now_us);
         }
     }
 
@@ -282,7 +279,7 @@
             gate: SendGate::new(),
             now_us: 0,
             cold_until_us: COLD_US,
-            late: VecDeque::new(),
+            late_us: None,
             is_evacuated: false,
             sent_us: Vec::new(),
         };
