--- a/src/node/guarded.rs
+++ b/src/node/guarded.rs
@@ -9,9 +9,7 @@
         exchange::{Answer, AnswerBody, Outbound},
         guard::{Begin, Finish, GuardKey, KeyedRequest, StoredAnswer},
         ingress::check_idempotency_key,
-        model::{
-            Names, Outcome, Reason, Refusal, RegionSet, RequestContext, ServiceKey, WorkspaceKey,
-        },
+        model::{Names, Outcome, Reason, Refusal, RequestContext, ServiceKey, WorkspaceKey},
         peer::{Attempt, HopEnd},
         retry::RetryPolicy,
     },
@@ -169,7 +167,7 @@
         class: context.class,
         deadline_us: node.timer.now_us() + context.remaining_us,
         depth: context.depth,
-        regions: regions_of(&node, &context, &outbound),
+        regions: node.regions_of(context.workspace, &outbound),
         repeatable: false,
         retry,
     };
@@ -179,15 +177,6 @@
     (result, unspent)
 }
 
-fn regions_of<P: Policies>(
-    node: &Node<P>,
-    context: &RequestContext,
-    outbound: &Outbound,
-) -> RegionSet {
-    let (host, path) = (outbound.host.as_deref(), outbound.path.path());
-    node.running().regions_of(context.workspace, host, path)
-}
-
 fn finish_of(result: &Result<Answer, Refusal>) -> Finish {
     match result {
         Ok(answer) => stored(answer).map_or(Finish::Unknown, Finish::Answered),
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -28,9 +28,10 @@
         dialect::{Dialect, Native},
         event,
         events::Event,
+        exchange::Outbound,
         freshness::{Freshness, Snapshot},
         membership::{MemberProbes, OwnState, View},
-        model::{AdmissionLevel, Class, Names, RegionKey},
+        model::{AdmissionLevel, Class, Names, RegionKey, RegionSet, WorkspaceKey},
         peer::{Arrivals, FleetAuth},
         quota::QuotaGate,
         retry::{RetryPolicy, ShareLimits},
@@ -239,6 +240,13 @@
         self.running.borrow().revision > 0 && self.quota.is_ready()
     }
 
+    /// Regions in which a request may run, by the configuration in force here.
+    #[must_use]
+    pub fn regions_of(&self, workspace: WorkspaceKey, outbound: &Outbound) -> RegionSet {
+        let (host, path) = (outbound.host.as_deref(), outbound.path.path());
+        self.running().regions_of(workspace, host, path)
+    }
+
     /// Availability zones that get no work.
     #[must_use]
     pub fn evacuations(&self) -> Arc<Evacuations> {
--- a/src/target/serve.rs
+++ b/src/target/serve.rs
@@ -121,7 +121,9 @@
     if !serves(node, context.service) {
         return refused(Refusal::not_run(Reason::NoTarget));
     }
-    if !may_run_here(node, context, outbound) {
+    // The sender may hold an older configuration.
+    let regions = node.regions_of(context.workspace, outbound);
+    if !regions.allows(node.region) {
         return refused(Refusal::not_run(Reason::OutsideRegions));
     }
     // Calls of the target could not be routed, and the request would fail after
@@ -213,18 +215,6 @@
         .is_some_and(|target| node.names.service(&target.service) == service)
 }
 
-/// Whether the request may run in this region, by this node's own configuration:
-/// the sender may hold an older one.
-fn may_run_here<P: Policies>(
-    node: &Node<P>,
-    context: &RequestContext,
-    outbound: &Outbound,
-) -> bool {
-    let (host, path) = (outbound.host.as_deref(), outbound.path.path());
-    let regions = node.running().regions_of(context.workspace, host, path);
-    regions.allows(node.region)
-}
-
 fn is_revoked<P: Policies>(node: &Node<P>, context: &RequestContext) -> bool {
     node.running().revoked.contains(&context.key)
 }
