Share the sends of news to other zones among a zone's members

Cause: bytes between zones are the largest price at 300 machines. Each member sent each record 12 times to anybody, so bytes between zones grew with the square of the fleet.

Change: a member passes news on within its zone as before; to other zones the members of a zone together send a piece of news four times for each. How often one member does is its part of that, rounded by a hash of record and member.

--- a/src/membership/joining.rs
+++ b/src/membership/joining.rs
@@ -1,7 +1,7 @@
 //! How a node finds the others when it starts.
 
 use {
-    super::{Liveness, Outgoing, PacketKind, Swim},
+    super::{Liveness, Outgoing, PacketKind, Swim, news::Reach},
     rand::{
         Rng,
         seq::{IndexedRandom, SliceRandom},
@@ -40,7 +40,7 @@
             false => near,
         });
         for to in asked {
-            let packet = self.packet(PacketKind::SyncRequest, 0, now_ms);
+            let packet = self.packet(PacketKind::SyncRequest, 0, Reach::Far, now_ms);
             out.push(Outgoing { to, packet });
         }
     }
@@ -56,7 +56,7 @@
         out: &mut Vec<Outgoing>,
     ) {
         if let Some(seed) = self.unknown_seeds().choose(rng) {
-            let packet = self.packet(PacketKind::SyncRequest, 0, now_ms);
+            let packet = self.packet(PacketKind::SyncRequest, 0, Reach::Far, now_ms);
             out.push(Outgoing { to: *seed, packet });
         }
     }
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -8,6 +8,7 @@
 mod joining;
 mod life_check;
 mod member;
+mod news;
 mod packet;
 mod probes;
 mod probing;
@@ -27,5 +28,4 @@
     relays::{RELAY_COUNT, relay_rank, relays},
     seeds::SeedsRecord,
     swim::{Outgoing, Swim, SwimEvent},
-    table::MemberTable,
 };
--- a/src/membership/probing.rs
+++ b/src/membership/probing.rs
@@ -2,7 +2,9 @@
 
 use {
     super::{
-        Liveness, Outgoing, PacketKind, Record, Swim, SwimEvent, View, relays,
+        Liveness, Outgoing, PacketKind, Record, Swim, SwimEvent, View,
+        news::Reach,
+        relays,
         swim::{Probe, ProbeCause},
         table::MemberKey,
     },
@@ -134,7 +136,7 @@
             let kind = PacketKind::PingRequest {
                 subject: subject_id.clone(),
             };
-            let packet = self.packet(kind, sequence, now_ms);
+            let packet = self.packet(kind, sequence, Reach::Far, now_ms);
             out.push(Outgoing { to: helper, packet });
         }
     }
@@ -175,6 +177,7 @@
         };
         let to = entry.record.gossip_address();
         let node_id = entry.record.node_id.clone();
+        let reach = self.table.reach(&entry.record.zone);
         let sequence = self.next_sequence;
         self.next_sequence += 1;
         let probe = Probe {
@@ -184,7 +187,7 @@
             cause,
         };
         self.probes.insert(sequence, probe);
-        let mut packet = self.packet(PacketKind::Ping, sequence, now_ms);
+        let mut packet = self.packet(PacketKind::Ping, sequence, reach, now_ms);
         self.remind(&mut packet, &node_id);
         out.push(Outgoing { to, packet });
     }
--- a/src/membership/spreading.rs
+++ b/src/membership/spreading.rs
@@ -1,7 +1,7 @@
 //! News on packets, synchronisation of whole tables, revocations.
 
 use {
-    super::{Liveness, Outgoing, Packet, PacketKind, Record, Swim, swim::ProbeCause},
+    super::{Liveness, Outgoing, Packet, PacketKind, Record, Swim, news::Reach, swim::ProbeCause},
     crate::keys::KeyDigest,
     rand::{Rng, seq::IndexedRandom},
     std::net::SocketAddr,
@@ -55,19 +55,29 @@
         rng: &mut R,
         out: &mut Vec<Outgoing>,
     ) {
-        if !self.table.has_fresh_news() {
-            return;
-        }
         let zone = self.own.zone.clone();
-        let mut members = self.random_members(NEAR_NEWS_COUNT, rng, |record| record.zone == zone);
-        members.extend(self.random_members(FAR_NEWS_COUNT, rng, |record| record.zone != zone));
-        for to in members {
-            let packet = self.packet(PacketKind::News, 0, now_ms);
-            out.push(Outgoing { to, packet });
+        for (reach, member_count) in [(Reach::Near, NEAR_NEWS_COUNT), (Reach::Far, FAR_NEWS_COUNT)]
+        {
+            if !self.table.has_fresh_news(reach) {
+                continue;
+            }
+            let is_near = reach == Reach::Near;
+            let members =
+                self.random_members(member_count, rng, |record| (record.zone == zone) == is_near);
+            for to in members {
+                let packet = self.packet(PacketKind::News, 0, reach, now_ms);
+                out.push(Outgoing { to, packet });
+            }
         }
     }
 
-    pub(super) fn packet(&mut self, kind: PacketKind, sequence: u64, now_ms: u64) -> Packet {
+    pub(super) fn packet(
+        &mut self,
+        kind: PacketKind,
+        sequence: u64,
+        reach: Reach,
+        now_ms: u64,
+    ) -> Packet {
         let mut revocations = Vec::new();
         let fresh = self
             .revocations
@@ -78,7 +88,7 @@
             revocations.push(*digest);
         }
         Packet {
-            updates: self.table.take_news(NEWS_PER_PACKET),
+            updates: self.table.take_news(NEWS_PER_PACKET, reach),
             revocations,
             ..self.packet_without_news(kind, sequence, now_ms)
         }
@@ -129,7 +139,8 @@
         if is_due {
             self.synced_ms = Some(now_ms);
             let to = packet.sender.gossip_address();
-            let packet = self.packet(PacketKind::SyncRequest, 0, now_ms);
+            let reach = self.table.reach(&packet.sender.zone);
+            let packet = self.packet(PacketKind::SyncRequest, 0, reach, now_ms);
             out.push(Outgoing { to, packet });
         }
     }
--- a/src/membership/swim.rs
+++ b/src/membership/swim.rs
@@ -2,10 +2,11 @@
 
 use {
     super::{
-        Liveness, MemberTable, OwnState, Packet, PacketKind, PeerStamp, Record, View,
+        Liveness, OwnState, Packet, PacketKind, PeerStamp, Record, View,
         joining::JOIN_STEP_COUNT,
+        news::Reach,
         probing::PROBE_PERIOD_MS,
-        table::{MemberKey, Merge},
+        table::{MemberKey, MemberTable, Merge},
     },
     crate::{documents::Versions, keys::KeyDigest},
     rand::Rng,
@@ -101,8 +102,7 @@
     /// The protocol of the node with this record.
     #[must_use]
     pub fn new(own: Record, seeds: Vec<SocketAddr>) -> Self {
-        let mut table = MemberTable::new();
-        table.mark_changed();
+        let table = MemberTable::new(&own);
         Self {
             own,
             state: OwnState::default(),
@@ -258,7 +258,8 @@
     ) {
         match &packet.kind {
             PacketKind::Ping => {
-                let mut ack = self.packet(PacketKind::Ack, packet.sequence, now_ms);
+                let reach = self.table.reach(&packet.sender.zone);
+                let mut ack = self.packet(PacketKind::Ack, packet.sequence, reach, now_ms);
                 self.remind(&mut ack, &packet.sender.node_id);
                 out.push(Outgoing {
                     to: from,
@@ -303,7 +304,7 @@
             return;
         };
         if let ProbeCause::OnBehalf { origin, sequence } = probe.cause {
-            let ack = self.packet(PacketKind::IndirectAck, sequence, now_ms);
+            let ack = self.packet(PacketKind::IndirectAck, sequence, Reach::Far, now_ms);
             out.push(Outgoing {
                 to: origin,
                 packet: ack,
--- a/src/membership/table.rs
+++ b/src/membership/table.rs
@@ -1,10 +1,13 @@
 //! Records of all known members and the news about them that is passed on.
 
 use {
-    super::{Liveness, Record, View},
+    super::{
+        Liveness, Member, Record, View,
+        news::{News, NewsShare, Reach},
+    },
     crate::{arena::Arena, arena_key},
     std::{
-        collections::HashMap,
+        collections::{HashMap, HashSet},
         hash::{Hash, Hasher},
     },
     xxhash_rust::xxh3::Xxh3,
@@ -26,12 +29,6 @@
 /// death; callers would then see time outs until it is suspected anew.
 pub const TOMBSTONE_MS: u64 = 600_000;
 
-/// Times that a piece of news is sent, per decimal digit of the member count.
-const SENDS_PER_DIGIT: u32 = 4;
-
-/// Times that a member which came with a whole table is sent.
-const SYNCED_SENDS: u32 = 1;
-
 /// A record with what this node keeps beside it.
 #[derive(Debug, Clone)]
 pub struct Entry {
@@ -40,7 +37,7 @@
     /// When the liveness last changed here.
     pub changed_ms: u64,
     /// How often the record may still be passed on.
-    pub sends_left: u32,
+    news: News,
     /// How often the member was asked about the present suspicion.
     doubt_count: usize,
     /// Its part of the table's hash.
@@ -61,8 +58,11 @@
 }
 
 /// All known members but the node itself.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct MemberTable {
+    own_id: String,
+    own_zone: String,
+    share: NewsShare,
     entries: Arena<MemberKey, Entry>,
     keys: HashMap<String, MemberKey>,
     /// Sum of the hashes of the entries that are not gone.
@@ -71,16 +71,24 @@
 }
 
 impl MemberTable {
-    /// An empty table.
+    /// An empty table of the node with this record.
     #[must_use]
-    pub fn new() -> Self {
-        Self::default()
+    pub fn new(own: &Record) -> Self {
+        Self {
+            own_id: own.node_id.clone(),
+            own_zone: own.zone.clone(),
+            share: NewsShare::new(1, 1, 1),
+            entries: Arena::new(),
+            keys: HashMap::new(),
+            hash: 0,
+            // The first view tells of the node itself.
+            changed: true,
+        }
     }
 
     /// Takes in what gossip says about a member, to be passed on as news.
     pub fn merge(&mut self, record: &Record, now_ms: u64) -> Merge {
-        let sends_left = self.sends();
-        self.merge_with(record, now_ms, sends_left)
+        self.merge_with(record, now_ms, self.news_of(record))
     }
 
     /// Takes in a record of a whole table. A member that is new here is hardly
@@ -88,13 +96,13 @@
     pub fn merge_synced(&mut self, record: &Record, now_ms: u64) -> Merge {
         match self.keys.contains_key(&record.node_id) {
             true => self.merge(record, now_ms),
-            false => self.merge_with(record, now_ms, SYNCED_SENDS),
+            false => self.merge_with(record, now_ms, News::synced()),
         }
     }
 
-    fn merge_with(&mut self, record: &Record, now_ms: u64, sends_left: u32) -> Merge {
+    fn merge_with(&mut self, record: &Record, now_ms: u64, news: News) -> Merge {
         let Some(key) = self.keys.get(&record.node_id) else {
-            return self.insert(record, now_ms, sends_left);
+            return self.insert(record, now_ms, news);
         };
         let entry = self.entries.get_mut(*key).expect("keys point to entries");
         if !record.supersedes(&entry.record) {
@@ -102,7 +110,7 @@
         }
         let before = entry.record.liveness;
         entry.record = record.clone();
-        entry.sends_left = sends_left;
+        entry.news = news;
         self.hash = self.hash.wrapping_sub(entry.hash);
         entry.hash = present_hash(record);
         self.hash = self.hash.wrapping_add(entry.hash);
@@ -120,12 +128,12 @@
         }
     }
 
-    fn insert(&mut self, record: &Record, now_ms: u64, sends_left: u32) -> Merge {
+    fn insert(&mut self, record: &Record, now_ms: u64, news: News) -> Merge {
         let hash = present_hash(record);
         let entry = Entry {
             record: record.clone(),
             changed_ms: now_ms,
-            sends_left,
+            news,
             doubt_count: 0,
             hash,
         };
@@ -142,7 +150,6 @@
 
     /// Marks a member as suspected; tells whether it was alive before.
     pub fn suspect(&mut self, key: MemberKey, now_ms: u64) -> bool {
-        let sends_left = self.sends();
         let Some(entry) = self.entries.get_mut(key) else {
             return false;
         };
@@ -152,7 +159,7 @@
         entry.record.liveness = Liveness::Suspect;
         entry.changed_ms = now_ms;
         entry.doubt_count = 0;
-        entry.sends_left = sends_left;
+        entry.news = News::heard(&entry.record, &self.own_id, &self.share);
         self.changed = true;
         true
     }
@@ -176,7 +183,6 @@
     /// Takes suspected members that did not refute for dead and drops old
     /// tombstones; returns the node ids of those newly dead.
     pub fn tick(&mut self, now_ms: u64) -> Vec<String> {
-        let sends_left = self.sends();
         let mut dead = Vec::new();
         let mut expired = Vec::new();
         for (key, entry) in self.entries.iter_mut() {
@@ -185,7 +191,7 @@
                 Liveness::Suspect if age_ms >= SUSPICION_MS => {
                     entry.record.liveness = Liveness::Dead;
                     entry.changed_ms = now_ms;
-                    entry.sends_left = sends_left;
+                    entry.news = News::heard(&entry.record, &self.own_id, &self.share);
                     self.hash = self.hash.wrapping_sub(entry.hash);
                     entry.hash = 0;
                     dead.push(entry.record.node_id.clone());
@@ -204,34 +210,41 @@
         dead
     }
 
-    /// Whether there is news that was passed on less than half of its times.
+    /// Whether there is news that should be passed on at once.
     #[must_use]
-    pub fn has_fresh_news(&self) -> bool {
-        let limit = self.sends() / 2;
-        self.entries
-            .iter()
-            .any(|(_, entry)| entry.sends_left > limit)
+    pub fn has_fresh_news(&self, reach: Reach) -> bool {
+        let mut entries = self.entries.iter();
+        entries.any(|(_, entry)| entry.news.is_fresh(reach, &self.share))
     }
 
     /// Up to `limit` pieces of news, those sent least often first.
-    pub fn take_news(&mut self, limit: usize) -> Vec<Record> {
+    pub fn take_news(&mut self, limit: usize, reach: Reach) -> Vec<Record> {
         let mut news: Vec<(u32, MemberKey)> = self
             .entries
             .iter()
-            .filter(|(_, entry)| entry.sends_left > 0)
-            .map(|(key, entry)| (entry.sends_left, key))
+            .map(|(key, entry)| (entry.news.sends_left(reach, &self.share), key))
+            .filter(|(sends_left, _)| *sends_left > 0)
             .collect();
         news.sort_unstable_by(|left, right| right.cmp(left));
         news.truncate(limit);
         let mut records = Vec::with_capacity(news.len());
         for (_, key) in news {
             let entry = self.entries.get_mut(key).expect("key comes from the table");
-            entry.sends_left -= 1;
+            entry.news.sent(reach);
             records.push(entry.record.clone());
         }
         records
     }
 
+    /// Whether a member is in the availability zone of this node.
+    #[must_use]
+    pub fn reach(&self, zone: &str) -> Reach {
+        match zone == self.own_zone {
+            true => Reach::Near,
+            false => Reach::Far,
+        }
+    }
+
     /// The entry of a member.
     #[must_use]
     pub fn get(&self, key: MemberKey) -> Option<&Entry> {
@@ -268,6 +281,7 @@
             .collect();
         members.push(own.to_member());
         members.sort_by(|left, right| left.node_id.cmp(&right.node_id));
+        self.share = self.share_among(&members);
         Some(View { members })
     }
 
@@ -276,9 +290,15 @@
         self.changed = true;
     }
 
-    fn sends(&self) -> u32 {
-        let digits = (self.entries.len() + 1).ilog10() + 1;
-        SENDS_PER_DIGIT * digits
+    fn news_of(&self, record: &Record) -> News {
+        News::heard(record, &self.own_id, &self.share)
+    }
+
+    fn share_among(&self, members: &[Member]) -> NewsShare {
+        let usable = || members.iter().filter(|member| member.is_usable());
+        let near = usable().filter(|member| member.zone == self.own_zone);
+        let zones: HashSet<&str> = usable().map(|member| member.zone.as_str()).collect();
+        NewsShare::new(usable().count(), near.count(), zones.len())
     }
 }
 
--- a/tests/membership_support/mod.rs
+++ b/tests/membership_support/mod.rs
@@ -8,8 +8,8 @@
         documents::Versions,
         keys::KeyDigest,
         membership::{
-            Liveness, MemberPorts, MemberState, Outgoing, OwnState, PeerStamp, Record, Swim,
-            SwimEvent, View, relay_rank,
+            Liveness, MemberPorts, MemberState, Outgoing, OwnState, PacketKind, PeerStamp, Record,
+            Swim, SwimEvent, View, relay_rank,
         },
     },
     rand::{Rng, SeedableRng, rngs::StdRng},
@@ -87,6 +87,8 @@
     pub sent_count: u64,
     /// Records in the packets that were sent.
     pub record_count: usize,
+    /// Records of news in packets that left their zone.
+    pub far_news_count: usize,
 }
 
 impl Fleet {
@@ -123,6 +125,7 @@
             cuts: HashSet::new(),
             sent_count: 0,
             record_count: 0,
+            far_news_count: 0,
         }
     }
 
@@ -163,6 +166,10 @@
             let Some(to) = self.hosts.iter().position(|h| h.address == outgoing.to) else {
                 continue;
             };
+            let is_far = self.hosts[from].zone != self.hosts[to].zone;
+            if is_far && outgoing.packet.kind != PacketKind::SyncPart {
+                self.far_news_count += outgoing.packet.updates.len();
+            }
             let is_cut = self
                 .cuts
                 .contains(&(self.hosts[from].zone, self.hosts[to].zone));
