Ask the own zone for its table when a node starts

Change: seeds are told apart by zone. In each tick a node asks its own zone's unknown seeds and one of another zone, and a member of its own zone. Where seeds' zones are not known (given by settings) all are asked as before.

--- a/src/daemon/hosted/discovery.rs
+++ b/src/daemon/hosted/discovery.rs
@@ -8,7 +8,7 @@
     crate::{
         event,
         events::Event,
-        membership::{Member, SeedsRecord, View, relay_rank},
+        membership::{Member, SeedAddresses, SeedsRecord, View, relay_rank},
         objects::{Condition, ObjectStore, StoreError, StoredObject},
         settings::Settings,
         timer::Timer,
@@ -34,7 +34,7 @@
     own_address: SocketAddr,
     store: S,
     view: watch::Receiver<Arc<View>>,
-    to_gossip: mpsc::Sender<Vec<SocketAddr>>,
+    to_gossip: mpsc::Sender<SeedAddresses>,
     read_ms: Option<u64>,
     expected_count: watch::Sender<Option<usize>>,
 }
@@ -46,7 +46,7 @@
     start_spread_ms: u64,
     store: S,
     view: watch::Receiver<Arc<View>>,
-    to_gossip: mpsc::Sender<Vec<SocketAddr>>,
+    to_gossip: mpsc::Sender<SeedAddresses>,
     timer: &Timer,
     shutdown: CancellationToken,
 ) -> watch::Receiver<Option<usize>> {
@@ -109,15 +109,10 @@
             *known = Some(expected_count);
             has_changed
         });
-        let known: BTreeSet<SocketAddr> = listing
-            .objects
-            .iter()
-            .flat_map(|object| read(object).addresses)
-            .filter(|address| *address != self.own_address)
-            .collect();
-        if !known.is_empty() {
+        let seeds = self.seeds(&listing.objects);
+        if seeds != SeedAddresses::default() {
             // Gossip that has ended needs no seeds.
-            let _ = self.to_gossip.send(known.into_iter().collect()).await;
+            let _ = self.to_gossip.send(seeds).await;
         }
         let own_object = listing
             .objects
@@ -128,6 +123,19 @@
         }
     }
 
+    fn seeds(&self, objects: &[StoredObject]) -> SeedAddresses {
+        let mut seeds = SeedAddresses::default();
+        for object in objects {
+            let known = match object.name == self.zone {
+                true => &mut seeds.near,
+                false => &mut seeds.far,
+            };
+            let addresses = read(object).addresses.into_iter();
+            known.extend(addresses.filter(|address| *address != self.own_address));
+        }
+        seeds
+    }
+
     /// Writes the zone's addresses if they have changed.
     async fn keep(&self, object: Option<&StoredObject>, now_ms: u64) {
         let held = object.map(read);
--- a/src/daemon/seeds.rs
+++ b/src/daemon/seeds.rs
@@ -7,7 +7,7 @@
 
 use {
     crate::{
-        membership::{Gossip, Member, View, relay_rank},
+        membership::{Gossip, Member, SeedAddresses, View, relay_rank},
         platform::{Object, Platform, Write},
         settings::Settings,
         timer::Timer,
@@ -37,7 +37,7 @@
     zone: String,
     platform: Platform,
     view: watch::Receiver<Arc<View>>,
-    to_gossip: mpsc::Sender<Vec<SocketAddr>>,
+    to_gossip: mpsc::Sender<SeedAddresses>,
     written: Vec<SocketAddr>,
 }
 
@@ -47,7 +47,7 @@
     settings: &Settings,
     platform: Platform,
     gossip: &Gossip,
-    to_gossip: mpsc::Sender<Vec<SocketAddr>>,
+    to_gossip: mpsc::Sender<SeedAddresses>,
     timer: &Timer,
     shutdown: &CancellationToken,
 ) {
@@ -86,8 +86,8 @@
         let Ok(object) = self.platform.read(OBJECT).await else {
             return;
         };
-        let addresses: Vec<SocketAddr> = parse(&object).into_values().flatten().collect();
-        if !addresses.is_empty() {
+        let addresses = self.addresses(&parse(&object));
+        if addresses != SeedAddresses::default() {
             // Gossip that has ended needs no seeds.
             let _ = self.to_gossip.send(addresses).await;
         }
@@ -103,8 +103,7 @@
         };
         let mut seeds = parse(&object);
         // Zones, or groups within one, that started apart meet through here.
-        let all = seeds.values().flatten().copied().collect();
-        let _ = self.to_gossip.send(all).await;
+        let _ = self.to_gossip.send(self.addresses(&seeds)).await;
         if addresses == self.written {
             return;
         }
@@ -120,6 +119,17 @@
         self.written = addresses;
     }
 
+    fn addresses(&self, seeds: &Seeds) -> SeedAddresses {
+        let others = seeds.iter().filter(|(zone, _)| **zone != self.zone);
+        SeedAddresses {
+            near: seeds.get(&self.zone).cloned().unwrap_or_default(),
+            far: others
+                .flat_map(|(_, addresses)| addresses)
+                .copied()
+                .collect(),
+        }
+    }
+
     /// Addresses of the zone, if this node is the one to keep them.
     fn zone_addresses(&self) -> Vec<SocketAddr> {
         let view = self.view.borrow();
--- a/src/membership/gossip.rs
+++ b/src/membership/gossip.rs
@@ -3,8 +3,8 @@
 use {
     super::{
         CodecError, Datagram, LifeCheck, LifeChecks, MemberPorts, MemberProbes, MemberQuestion,
-        OwnState, PacketCodec, PeerStamp, Record, Swim, SwimEvent, View, codec::MAX_DATAGRAM_BYTES,
-        packet::Liveness, swim::Outgoing,
+        OwnState, PacketCodec, PeerStamp, Record, SeedAddresses, Swim, SwimEvent, View,
+        codec::MAX_DATAGRAM_BYTES, packet::Liveness, swim::Outgoing,
     },
     crate::{
         documents::Hint, event, events::Event, keys::KeyDigest, settings::Settings, timer::Timer,
@@ -50,7 +50,7 @@
     /// Keys that operators revoked on this node.
     pub revocations: mpsc::Receiver<Vec<KeyDigest>>,
     /// Further addresses for the first contact.
-    pub seeds: mpsc::Receiver<Vec<SocketAddr>>,
+    pub seeds: mpsc::Receiver<SeedAddresses>,
     /// Takes hints that members hold newer documents.
     pub hints: mpsc::Sender<Hint>,
     /// Start of this process, in milliseconds since the Unix epoch.
--- a/src/membership/joining.rs
+++ b/src/membership/joining.rs
@@ -12,11 +12,19 @@
 /// Ticks in which a node that got new seeds asks for members.
 pub const JOIN_STEP_COUNT: u32 = 12;
 
-/// Last of these ticks, in which members of the own zone are asked.
-const NEAR_STEP_COUNT: u32 = 5;
+/// Unknown seeds of the own zone, and of others, that are asked in one of them.
+const NEAR_SEEDS_PER_STEP: usize = 4;
+const FAR_SEEDS_PER_STEP: usize = 1;
 
-/// Unknown seeds that are asked in one of them.
-const SEEDS_PER_STEP: usize = 4;
+/// Addresses for the first contact.
+#[derives::value]
+#[derive(Eq, Default)]
+pub struct SeedAddresses {
+    /// Members of the own availability zone.
+    pub near: Vec<SocketAddr>,
+    /// Members of other zones, and those whose zone is not known.
+    pub far: Vec<SocketAddr>,
+}
 
 impl Swim {
     // After a loss of all processes everyone starts with an empty table. Were
@@ -25,16 +33,22 @@
     // tick, and a member that is known by then, which knows more than the seeds
     // did at first.
     pub(super) fn join<R: Rng>(&mut self, now_ms: u64, rng: &mut R, out: &mut Vec<Outgoing>) {
-        let mut asked = self.unknown_seeds();
-        asked.shuffle(rng);
-        asked.truncate(SEEDS_PER_STEP);
-        // At first those of all zones, so that the zones meet; later on the tables
-        // hardly differ, and traffic between zones is paid for.
+        let mut unknown = self.unknown_seeds();
+        unknown.shuffle(rng);
+        let (mut asked, mut far): (Vec<_>, Vec<_>) = unknown
+            .into_iter()
+            .partition(|seed| self.near_seeds.contains(seed));
+        // What they answer is a whole table each, and traffic between zones is
+        // paid for; the own zone knows the others too unless all start together.
+        let has_near = !self.near_seeds.is_empty();
+        asked.truncate(NEAR_SEEDS_PER_STEP);
+        far.truncate(match has_near {
+            true => FAR_SEEDS_PER_STEP,
+            false => NEAR_SEEDS_PER_STEP,
+        });
+        asked.append(&mut far);
         let zone = self.own.zone.clone();
-        let near = match self.join_steps_left < NEAR_STEP_COUNT {
-            true => self.random_members(1, rng, |record| record.zone == zone),
-            false => Vec::new(),
-        };
+        let near = self.random_members(1, rng, |record| record.zone == zone);
         asked.extend(match near.is_empty() {
             true => self.random_members(1, rng, |_| true),
             false => near,
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -21,6 +21,7 @@
 pub use {
     codec::{CodecError, Datagram, PacketCodec},
     gossip::{Gossip, GossipError, GossipInputs, GossipTraffic},
+    joining::SeedAddresses,
     life_check::{LifeCheck, LifeChecks},
     member::{Announcement, Member, MemberPorts, MemberState, OwnState, PeerStamp, View},
     packet::{Liveness, Packet, PacketKind, Record},
--- a/src/membership/swim.rs
+++ b/src/membership/swim.rs
@@ -3,14 +3,17 @@
 use {
     super::{
         Liveness, OwnState, Packet, PacketKind, PeerStamp, Record, View,
-        joining::JOIN_STEP_COUNT,
+        joining::{JOIN_STEP_COUNT, SeedAddresses},
         news::Reach,
         probing::PROBE_PERIOD_MS,
         table::{MemberKey, MemberTable, Merge},
     },
     crate::{documents::Versions, keys::KeyDigest},
     rand::Rng,
-    std::{collections::BTreeMap, net::SocketAddr},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+    },
 };
 
 /// Parts of synchronisations that are sent at most between two ticks. A fleet
@@ -81,6 +84,8 @@
     pub(super) state: OwnState,
     pub(super) table: MemberTable,
     pub(super) seeds: Vec<SocketAddr>,
+    /// Those of the own zone.
+    pub(super) near_seeds: BTreeSet<SocketAddr>,
     pub(super) probes: BTreeMap<u64, Probe>,
     pub(super) next_sequence: u64,
     pub(super) round: u64,
@@ -108,6 +113,7 @@
             state: OwnState::default(),
             table,
             seeds,
+            near_seeds: BTreeSet::new(),
             probes: BTreeMap::new(),
             next_sequence: 1,
             round: 0,
@@ -123,8 +129,9 @@
 
     /// Adds addresses for the first contact; those that are new are asked from
     /// the next tick on.
-    pub fn add_seeds(&mut self, seeds: &[SocketAddr]) {
-        for seed in seeds {
+    pub fn add_seeds(&mut self, seeds: &SeedAddresses) {
+        self.near_seeds.extend(&seeds.near);
+        for seed in seeds.near.iter().chain(&seeds.far) {
             if !self.seeds.contains(seed) && *seed != self.own.gossip_address() {
                 self.seeds.push(*seed);
                 self.join_steps_left = JOIN_STEP_COUNT;
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -12,7 +12,7 @@
         keys::KeyDigest,
         membership::{
             Announcement, CodecError, Datagram, Liveness, MemberState, OwnState, Packet,
-            PacketCodec, PacketKind, Record, Swim, View, relays,
+            PacketCodec, PacketKind, Record, SeedAddresses, Swim, View, relays,
         },
     },
     membership_support::{Fleet, Host, record},
@@ -69,7 +69,11 @@
 fn groups_that_asked_different_seeds_meet() {
     for seed in 100..140 {
         let mut fleet = Fleet::new(2, 4, seed);
-        let seeds: Vec<SocketAddr> = fleet.hosts.iter().map(|host| host.address).collect();
+        let far: Vec<SocketAddr> = fleet.hosts.iter().map(|host| host.address).collect();
+        let seeds = SeedAddresses {
+            near: Vec::new(),
+            far,
+        };
         for host in &mut fleet.hosts {
             host.swim.add_seeds(&seeds);
         }
@@ -336,7 +340,10 @@
         ..record("n1-2", 1, 2)
     };
     fleet.hosts[1].swim = Swim::new(own, vec![seed]);
-    fleet.hosts[1].swim.add_seeds(&[seed]);
+    fleet.hosts[1].swim.add_seeds(&SeedAddresses {
+        near: vec![seed],
+        far: Vec::new(),
+    });
     fleet.run_until(2_000, Fleet::all_see_each_other);
 }
 
--- a/tests/membership_support/mod.rs
+++ b/tests/membership_support/mod.rs
@@ -9,7 +9,7 @@
         keys::KeyDigest,
         membership::{
             Liveness, MemberPorts, MemberState, Outgoing, OwnState, PacketKind, PeerStamp, Record,
-            Swim, SwimEvent, View, relay_rank,
+            SeedAddresses, Swim, SwimEvent, View, relay_rank,
         },
     },
     rand::{Rng, SeedableRng, rngs::StdRng},
@@ -76,6 +76,16 @@
     }
 }
 
+/// The seeds as a node of this zone reads them.
+pub fn seeds_of_zone(seeds: &[(u8, SocketAddr)], zone: u8) -> SeedAddresses {
+    let (near, far): (Vec<_>, Vec<_>) = seeds.iter().partition(|(other, _)| *other == zone);
+    let addresses = |seeds: Vec<(u8, SocketAddr)>| seeds.into_iter().map(|(_, seed)| seed);
+    SeedAddresses {
+        near: addresses(near).collect(),
+        far: addresses(far).collect(),
+    }
+}
+
 /// A fleet whose datagrams arrive at the next step or never.
 pub struct Fleet {
     pub hosts: Vec<Host>,
@@ -89,6 +99,7 @@
     pub record_count: usize,
     /// Records of news in packets that left their zone.
     pub far_news_count: usize,
+    pub sent: Vec<(u8, u8, Outgoing)>,
 }
 
 impl Fleet {
@@ -126,23 +137,32 @@
             sent_count: 0,
             record_count: 0,
             far_news_count: 0,
+            sent: Vec::new(),
         }
     }
 
     /// Nodes that start as a whole with the seeds that their zones left.
     pub fn started(zone_count: u8, per_zone: u8, seed: u64) -> Self {
         let mut fleet = Self::new(zone_count, per_zone, seed);
-        let zones = fleet.hosts.chunks(usize::from(per_zone));
-        let seeds: Vec<SocketAddr> = zones
-            .flat_map(|zone| zone.iter().take(SEEDS_PER_ZONE))
-            .map(|host| host.address)
-            .collect();
+        let seeds = fleet.zone_seeds();
         for host in &mut fleet.hosts {
-            host.swim.add_seeds(&seeds);
+            host.swim.add_seeds(&seeds_of_zone(&seeds, host.zone));
         }
         fleet
     }
 
+    /// What each zone leaves for nodes that start.
+    pub fn zone_seeds(&self) -> Vec<(u8, SocketAddr)> {
+        let mut seeds = Vec::new();
+        for host in &self.hosts {
+            let zone = host.zone;
+            if seeds.iter().filter(|(other, _)| *other == zone).count() < SEEDS_PER_ZONE {
+                seeds.push((zone, host.address));
+            }
+        }
+        seeds
+    }
+
     pub fn step(&mut self) {
         self.now_ms += STEP_MS;
         for index in 0..self.hosts.len() {
@@ -166,6 +186,8 @@
             let Some(to) = self.hosts.iter().position(|h| h.address == outgoing.to) else {
                 continue;
             };
+            self.sent
+                .push((self.hosts[from].zone, self.hosts[to].zone, outgoing.clone()));
             let is_far = self.hosts[from].zone != self.hosts[to].zone;
             if is_far && outgoing.packet.kind != PacketKind::SyncPart {
                 self.far_news_count += outgoing.packet.updates.len();
