Keep no room for a request's work on idle connections

Measured in a scratch copy: of some 25 KB of a used connection the HTTP library's buffers are 16, the connection's task 4.1, and the future of a request's work 4.6, which the library allocates with the connection and keeps.

Change: that future is allocated when a request begins and freed with it.

What is left: the two buffers of 8 KB of the library; giving them back while a connection is idle means serving it anew for each burst of requests, not tried.

Tests: caller_connections, callers_pipeline, listener_close pass.

--- a/src/exchange/listener.rs
+++ b/src/exchange/listener.rs
@@ -204,7 +204,9 @@
     let turns = pipeline.clone();
     let service = service_fn(move |request: Request<Incoming>| {
         let working = Working::new(&used, request.version());
-        let answer = answer_in_turn(handler.clone(), turns.clone(), request);
+        // The library keeps room for the future as long as the connection is open,
+        // and most connections are idle.
+        let answer = Box::pin(answer_in_turn(handler.clone(), turns.clone(), request));
         async move {
             let answer = answer.await;
             drop(working);
