--- a/tests/admission_downstream.rs
+++ b/tests/admission_downstream.rs
@@ -9,8 +9,7 @@
 };
 
 const STEP_US: u64 = 1000;
-/// Calls that each request makes at the deepest service, one after the other,
-/// as browsing does on the users' sites.
+/// Calls that each request makes at the deepest service, one after the other.
 const CALLS: u32 = 8;
 /// Calls a second that the deepest service serves.
 const CAPACITY_PER_S: f64 = 800.0;
