Look at the store at once where no relay of the zone reaches it

Cause: the store turns away both relays of a zone and serves other members of it.

Change: a node two of whose calls in a row failed tells so in its gossip packets; where all relays of a zone told it, other members look from an age of 0.7 s on, five times a second together. Nothing changes while one relay is served.

Ruled out: looks at a lower age in any case. Relays look each 1.5 s and their word takes up to a second, so that others would look all the time; and telling no look at all, since those turned away take the others' looks from relays.

Test: others_look_at_once_when_relays_tell_that_they_are_shut_out, with the mechanism off it fails.

--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -110,7 +110,7 @@
     );
     let running = spawn_in_force(&store, &revocations, names.clone(), shutdown.clone());
     let (client, calls) = rpc::channel();
-    let seen = spawn_follower(FollowerParts {
+    let followed = spawn_follower(FollowerParts {
         node_id: settings.node_id.clone(),
         zone: settings.zone.clone(),
         store: store.clone(),
@@ -138,7 +138,7 @@
         FreshnessTracker::new(&settings.node_id, &settings.zone),
         FreshnessInputs {
             timer: timer.clone(),
-            heard: inputs::heard(&gossip, seen),
+            heard: inputs::heard(&gossip, followed.seen),
             view: gossip.view.clone(),
             versions: inputs::versions(&store, &own_state, &shutdown),
             table,
--- a/src/documents/follower.rs
+++ b/src/documents/follower.rs
@@ -9,12 +9,13 @@
     super::{
         Document, DocumentKind, DocumentOrigin, DocumentStore, KIND_COUNT, LookBounds, Versions,
         look::{LookTask, WatchTask},
+        reach::OriginReach,
     },
     crate::{
         backoff::Backoff,
         event,
         events::Event,
-        membership::{MemberProbes, PeerStamp, View, relay_rank},
+        membership::{MemberProbes, PeerStamp, View, relay_rank, relays},
         timer::Timer,
     },
     rand::Rng,
@@ -93,6 +94,7 @@
     pub(super) view: watch::Receiver<Arc<View>>,
     pub(super) timer: Timer,
     pub(super) seen: Arc<watch::Sender<Option<u64>>>,
+    pub(super) reach: Arc<OriginReach>,
 }
 
 impl<O> Shared<O> {
@@ -108,6 +110,15 @@
             .count()
     }
 
+    /// Whether a relay of the zone reaches the origin, as far as is known.
+    pub(super) fn has_relays(&self) -> bool {
+        let view = self.view.borrow();
+        let relays = relays(&view, &self.zone);
+        relays
+            .iter()
+            .any(|relay| !self.reach.is_failing(&relay.node_id))
+    }
+
     fn is_in_zone(&self, node_id: &str) -> bool {
         let view = self.view.borrow();
         let member = view.member(node_id);
@@ -146,16 +157,23 @@
     version: u64,
 }
 
+/// What following tells.
+pub struct Followed {
+    /// Time of the last confirmed look at the platform on the timer's clock,
+    /// taken by this node or by a member whose documents it has caught up with.
+    pub seen: watch::Receiver<Option<u64>>,
+    /// Whether calls of this node to the origin fail.
+    pub is_origin_failing: watch::Receiver<bool>,
+}
+
 /// Starts following.
-///
-/// The receiver holds the time of the last confirmed look at the platform on
-/// the timer's clock, taken by this node or by a member whose documents it has
-/// caught up with.
-#[must_use]
-pub fn spawn_follower<O: DocumentOrigin, N: Neighbours>(
-    parts: FollowerParts<O, N>,
-) -> watch::Receiver<Option<u64>> {
+pub fn spawn_follower<O: DocumentOrigin, N: Neighbours>(parts: FollowerParts<O, N>) -> Followed {
     let (seen, receiver) = watch::channel(None);
+    let reach = Arc::new(OriginReach::new());
+    let followed = Followed {
+        seen: receiver,
+        is_origin_failing: reach.subscribe(),
+    };
     let shared = Shared {
         node_id: parts.node_id,
         zone: parts.zone,
@@ -165,6 +183,7 @@
         view: parts.view,
         timer: parts.timer,
         seen: Arc::new(seen),
+        reach,
     };
     let shutdown = parts.shutdown;
     let start_delay_ms = shared.bounds.start_delay_ms;
@@ -180,7 +199,7 @@
     spawn_until(&shutdown, after_start_delay(start_delay_ms, looking));
     spawn_until(&shutdown, report_not_ready(shared.clone()));
     spawn_until(&shutdown, listen(shared, parts.stamps, parts.hints, wanted));
-    receiver
+    followed
 }
 
 // A node that knows no other member yet takes itself for its zone's relay. A
@@ -213,6 +232,7 @@
         tokio::select! {
             stamp = stamps.recv() => match stamp {
                 Ok(stamp) => {
+                    shared.reach.told(&stamp.node_id, stamp.is_origin_failing);
                     want(&shared, &stamp.node_id, stamp.versions, &wanted);
                     if let Some(seen_ms) = stamp.platform_seen_ms {
                         shared.confirm(stamp.versions, seen_ms);
--- a/src/documents/look.rs
+++ b/src/documents/look.rs
@@ -61,6 +61,7 @@
         let role = LookRole {
             rank: self.shared.rank(),
             member_count: self.shared.zone_member_count(),
+            has_relays: self.shared.has_relays(),
         };
         let draw = rand::rng().random();
         self.shared.bounds.is_due(role, self.age_ms(), draw)
@@ -68,8 +69,12 @@
 
     async fn look(&self) -> Result<(), O::Error> {
         let sent_ms = self.shared.timer.now_ms();
-        let versions = self.shared.origin.look(&self.shared.store).await?;
-        self.shared.confirm(versions, sent_ms);
+        let looked = self.shared.origin.look(&self.shared.store).await;
+        match &looked {
+            Ok(_) => self.shared.reach.succeeded(),
+            Err(_) => self.shared.reach.failed(),
+        }
+        self.shared.confirm(looked?, sent_ms);
         Ok(())
     }
 
@@ -147,7 +152,10 @@
                     }
                 }
                 Ok(None) => backoff.reset(),
-                Err(_) => backoff.wait().await,
+                Err(_) => {
+                    self.shared.reach.failed();
+                    backoff.wait().await;
+                }
             }
         }
     }
--- a/src/documents/mod.rs
+++ b/src/documents/mod.rs
@@ -3,11 +3,12 @@
 mod follower;
 mod look;
 mod origin;
+mod reach;
 mod schedule;
 mod store;
 
 pub use {
-    follower::{FollowerParts, Hint, Neighbours, spawn_follower},
+    follower::{Followed, FollowerParts, Hint, Neighbours, spawn_follower},
     origin::DocumentOrigin,
     schedule::{LookBounds, LookRole, OtherLooks},
     store::DocumentStore,
--- a/src/documents/schedule.rs
+++ b/src/documents/schedule.rs
@@ -34,6 +34,11 @@
     pub age_ms: u64,
     /// Looks of all of them together, per second.
     pub rate_per_s: f64,
+    /// Age from which they look where no relay reaches the origin, in
+    /// milliseconds.
+    pub alone_age_ms: u64,
+    /// Their looks together then, per second.
+    pub alone_rate_per_s: f64,
 }
 
 /// A member's part in the looks of its availability zone.
@@ -44,6 +49,8 @@
     pub rank: Option<usize>,
     /// Members of the zone.
     pub member_count: usize,
+    /// Some relay of the zone reaches the origin, as far as is known.
+    pub has_relays: bool,
 }
 
 impl LookBounds {
@@ -58,6 +65,8 @@
         others: Some(OtherLooks {
             age_ms: 3000,
             rate_per_s: 2.0,
+            alone_age_ms: 700,
+            alone_rate_per_s: 5.0,
         }),
         first_backoff_ms: 100,
         longest_backoff_ms: 1600,
@@ -83,14 +92,18 @@
             Some(0) => is_older_than(self.first_relay_age_ms),
             Some(_) => is_older_than(self.second_relay_age_ms),
             None => self.others.is_some_and(|others| {
-                is_older_than(others.age_ms) && draw < self.share(others, role.member_count)
+                let (limit_ms, rate_per_s) = match role.has_relays {
+                    true => (others.age_ms, others.rate_per_s),
+                    false => (others.alone_age_ms, others.alone_rate_per_s),
+                };
+                is_older_than(limit_ms) && draw < self.share(rate_per_s, role.member_count)
             }),
         }
     }
 
     /// Chance of a look by one of so many members in a period.
-    fn share(&self, others: OtherLooks, member_count: usize) -> f64 {
+    fn share(&self, rate_per_s: f64, member_count: usize) -> f64 {
         let period_s = self.period_ms as f64 / 1000.0;
-        others.rate_per_s * period_s / member_count.max(1) as f64
+        rate_per_s * period_s / member_count.max(1) as f64
     }
 }
--- a/src/membership/codec.rs
+++ b/src/membership/codec.rs
@@ -138,6 +138,7 @@
         versions.set(wire_length(index), *version);
     }
     builder.set_platform_age_ms(packet.platform_age_ms.unwrap_or(NEVER_MS));
+    builder.set_origin_failing(packet.is_origin_failing);
     builder.set_table_hash(packet.table_hash);
     let mut updates = builder
         .reborrow()
@@ -201,6 +202,7 @@
         kind: read_kind(reader)?,
         versions,
         platform_age_ms: Some(reader.get_platform_age_ms()).filter(|age_ms| *age_ms != NEVER_MS),
+        is_origin_failing: reader.get_origin_failing(),
         table_hash: reader.get_table_hash(),
         updates,
         revocations,
--- a/src/membership/member.rs
+++ b/src/membership/member.rs
@@ -134,6 +134,8 @@
     /// Age of its last confirmed look at the platform, if it had one, as a
     /// point on its own monotonic clock in milliseconds.
     pub platform_seen_ms: Option<u64>,
+    /// Its calls to the documents' origin fail.
+    pub is_origin_failing: bool,
 }
 
 /// What a member told in reply to a probe of this node.
@@ -152,6 +154,8 @@
     /// Its last confirmed look at the platform, on this node's monotonic
     /// clock, counted back from when the probe was sent.
     pub platform_seen_ms: Option<u64>,
+    /// Its calls to the documents' origin fail.
+    pub is_origin_failing: bool,
     /// When this node sent the probe.
     pub probe_sent_ms: u64,
 }
--- a/src/membership/packet.rs
+++ b/src/membership/packet.rs
@@ -138,6 +138,8 @@
     pub versions: Versions,
     /// Age of the sender's last confirmed look at the platform.
     pub platform_age_ms: Option<u64>,
+    /// Calls of the sender to the documents' origin fail.
+    pub is_origin_failing: bool,
     /// Sum of the hashes of the sender's records.
     pub table_hash: u64,
     /// News about other members.
--- a/src/membership/spreading.rs
+++ b/src/membership/spreading.rs
@@ -103,6 +103,7 @@
             kind,
             versions: self.state.versions,
             platform_age_ms: seen_ms.map(|seen_ms| now_ms.saturating_sub(seen_ms)),
+            is_origin_failing: self.state.is_origin_failing,
             table_hash: self.table.hash(&self.own),
             updates: Vec::new(),
             revocations: Vec::new(),
--- a/src/membership/swim.rs
+++ b/src/membership/swim.rs
@@ -328,6 +328,7 @@
             zone: packet.sender.zone.clone(),
             versions: packet.versions,
             platform_seen_ms,
+            is_origin_failing: packet.is_origin_failing,
             probe_sent_ms: probe.sent_ms,
         }));
         self.sync_if_different(packet, now_ms, out);
--- a/src/objects/follower.rs
+++ b/src/objects/follower.rs
@@ -65,9 +65,11 @@
     let (freshness_sender, freshness) = watch::channel(Snapshot::cut_off());
     let documents = parts.follower.store.clone();
     let shutdown = parts.follower.shutdown.clone();
+    let followed = spawn_follower(parts.follower);
     let enforcement = Enforcement {
         documents,
-        seen: spawn_follower(parts.follower),
+        seen: followed.seen,
+        is_origin_failing: followed.is_origin_failing,
         confirmed_ms: parts.confirmed_ms,
         applied_version: 0,
         apply,
@@ -87,6 +89,7 @@
 struct Enforcement<A> {
     documents: DocumentStore,
     seen: watch::Receiver<Option<u64>>,
+    is_origin_failing: watch::Receiver<bool>,
     confirmed_ms: u64,
     applied_version: u64,
     apply: A,
@@ -107,11 +110,13 @@
             if let Some(document) = document {
                 self.take(&document);
             }
-            self.tell(seen_ms);
+            let is_origin_failing = *self.is_origin_failing.borrow_and_update();
+            self.tell(seen_ms, is_origin_failing);
             tokio::select! {
                 changed = newest.changed() => if changed.is_err() { return },
                 changed = evacuations.changed() => if changed.is_err() { return },
                 changed = self.seen.changed() => if changed.is_err() { return },
+                changed = self.is_origin_failing.changed() => if changed.is_err() { return },
             }
         }
     }
@@ -123,14 +128,15 @@
         }
     }
 
-    fn tell(&self, seen_ms: Option<u64>) {
+    fn tell(&self, seen_ms: Option<u64>, is_origin_failing: bool) {
         let mut versions = self.documents.versions();
         versions.0[DocumentKind::Configuration.index()] = self.applied_version;
         self.own_state.send_if_modified(|own| {
-            let is_changed = own.versions != versions || own.platform_seen_ms != seen_ms;
+            let before = own.clone();
             own.versions = versions;
             own.platform_seen_ms = seen_ms;
-            is_changed
+            own.is_origin_failing = is_origin_failing;
+            *own != before
         });
         if let Some(seen_ms) = seen_ms {
             let until_ms = seen_ms + self.confirmed_ms;
--- a/src/schema/gossip.capnp
+++ b/src/schema/gossip.capnp
@@ -47,4 +47,6 @@
   tableHash @6 :UInt64;
   updates @7 :List(Record);
   revocations @8 :List(Data);
+  # Calls of the sender to the documents' origin fail.
+  originFailing @9 :Bool;
 }
--- a/tests/documents.rs
+++ b/tests/documents.rs
@@ -193,7 +193,7 @@
         let (view, view_receiver) = watch::channel(members.clone());
         let (stamps, stamp_receiver) = broadcast::channel(64);
         let (hints, hint_receiver) = mpsc::channel(64);
-        let seen = spawn_follower(FollowerParts {
+        let followed = spawn_follower(FollowerParts {
             node_id: node_id.to_owned(),
             zone: zone.to_owned(),
             store: store.clone(),
@@ -215,7 +215,7 @@
             stamps,
             hints,
             timer,
-            seen,
+            seen: followed.seen,
             shutdown,
         }
     }
@@ -252,6 +252,7 @@
             zone: "a".to_owned(),
             versions,
             platform_seen_ms,
+            is_origin_failing: false,
             probe_sent_ms: self.timer.now_ms(),
         };
         self.stamps.send(stamp).expect("the follower listens");
--- a/tests/documents_schedule.rs
+++ b/tests/documents_schedule.rs
@@ -8,9 +8,19 @@
 const BOUNDS: LookBounds = LookBounds::PAID;
 
 const fn role(rank: Option<usize>, member_count: usize) -> LookRole {
-    LookRole { rank, member_count }
+    LookRole {
+        rank,
+        member_count,
+        has_relays: true,
+    }
 }
 
+const WITHOUT_RELAYS: LookRole = LookRole {
+    rank: None,
+    member_count: 16,
+    has_relays: false,
+};
+
 #[test]
 fn members_look_in_turn_as_the_last_look_ages() {
     struct Case {
@@ -70,6 +80,27 @@
             draw: 0.5,
             is_due: false,
         },
+        Case {
+            name: "no relay reaches the origin, and it was asked lately",
+            role: WITHOUT_RELAYS,
+            age_ms: Some(699),
+            draw: 0.0,
+            is_due: false,
+        },
+        Case {
+            name: "no relay reaches the origin",
+            role: WITHOUT_RELAYS,
+            age_ms: Some(700),
+            draw: 0.06,
+            is_due: true,
+        },
+        Case {
+            name: "no relay reaches the origin, and it is another one's turn",
+            role: WITHOUT_RELAYS,
+            age_ms: Some(700),
+            draw: 0.07,
+            is_due: false,
+        },
         Case {
             name: "nothing confirmed yet",
             role: role(Some(0), 1),
--- a/tests/freshness.rs
+++ b/tests/freshness.rs
@@ -217,6 +217,7 @@
                 zone: reply.zone.to_owned(),
                 versions: Versions([4, 5, reply.slices_version, 0]),
                 platform_seen_ms: reply.look_age_ms.map(|age_ms| NOW_MS - age_ms),
+                is_origin_failing: false,
                 probe_sent_ms: NOW_MS - reply.probe_age_ms,
             });
         }
@@ -260,6 +261,7 @@
         zone: "b".to_owned(),
         versions: Versions([4, 5, 7, 0]),
         platform_seen_ms: Some(NOW_MS),
+        is_origin_failing: false,
         probe_sent_ms: NOW_MS,
     });
     assert_eq!(tracker.snapshot(NOW_MS).freshness, Freshness::CutOff);
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -478,6 +478,7 @@
         },
         versions: Versions([1, 2, 3, 4]),
         platform_age_ms: Some(4),
+        is_origin_failing: true,
         table_hash: 5,
         updates: vec![Record {
             liveness: Liveness::Suspect,
@@ -496,6 +497,7 @@
     let bare = Packet {
         kind: PacketKind::Ack,
         platform_age_ms: None,
+        is_origin_failing: false,
         updates: Vec::new(),
         revocations: Vec::new(),
         ..packet
--- a/tests/membership_questions.rs
+++ b/tests/membership_questions.rs
@@ -79,6 +79,7 @@
             kind: PacketKind::SyncPart,
             versions: Default::default(),
             platform_age_ms: None,
+            is_origin_failing: false,
             table_hash: 0,
             updates: Vec::new(),
             revocations: Vec::new(),
--- a/tests/objects_fleet.rs
+++ b/tests/objects_fleet.rs
@@ -3,8 +3,8 @@
 mod objects_support;
 
 use {
-    dogwoodbridge::documents::LookBounds,
-    objects_support::{BOUNDS, CONFIRMED_MS, Fleet, Mood},
+    dogwoodbridge::documents::{LookBounds, OtherLooks},
+    objects_support::{BOUNDS, CONFIRMED_MS, Fleet, Mood, WATCH_MS},
     rand::{Rng, SeedableRng, rngs::StdRng},
     std::{sync::atomic::Ordering, time::Duration},
 };
@@ -15,6 +15,17 @@
     ..BOUNDS
 };
 
+/// Other members look late, unless no relay reaches the store.
+const LATE_OTHERS: LookBounds = LookBounds {
+    others: Some(OtherLooks {
+        age_ms: 600_000,
+        rate_per_s: 40.0,
+        alone_age_ms: 30,
+        alone_rate_per_s: 100.0,
+    }),
+    ..BOUNDS
+};
+
 /// Were every node to ask the store, its calls would grow with the fleet and a
 /// large one would be refused.
 #[tokio::test(flavor = "multi_thread")]
@@ -51,6 +62,32 @@
     }
 }
 
+/// The store turns away both relays of a zone while the configuration changes.
+/// Members that it serves waited for the relays' word until it was too old, and
+/// used the replaced version longer than the bound.
+#[tokio::test(flavor = "multi_thread")]
+async fn others_look_at_once_when_relays_tell_that_they_are_shut_out() {
+    for mood in [Mood::Down, Mood::Silent] {
+        let mut fleet = Fleet::new(1, 6, LATE_OTHERS);
+        assert!(fleet.all_apply(1).await);
+        let now_ms = fleet.timer.now_ms();
+        assert!(fleet.all_confirmed_after(now_ms).await);
+        for relay in fleet.relays() {
+            fleet.store.set(relay, mood);
+        }
+        // Until their last watches have ended, which may still hear of a change.
+        tokio::time::sleep(Duration::from_millis(2 * WATCH_MS)).await;
+        let revision = fleet.put();
+        assert!(fleet.all_apply(revision).await, "{mood:?}");
+        // The relays are served again, and the others leave it to them.
+        for relay in fleet.relays() {
+            fleet.store.set(relay, Mood::Well);
+        }
+        let revision = fleet.put();
+        assert!(fleet.all_apply(revision).await, "{mood:?}");
+    }
+}
+
 /// One zone has no way to the store. Its nodes go on with what the other zones
 /// confirm.
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/objects_support/mod.rs
+++ b/tests/objects_support/mod.rs
@@ -56,6 +56,8 @@
     others: Some(OtherLooks {
         age_ms: 120,
         rate_per_s: 40.0,
+        alone_age_ms: 30,
+        alone_rate_per_s: 100.0,
     }),
     first_backoff_ms: 10,
     longest_backoff_ms: 40,
@@ -553,6 +555,7 @@
             zone: self.view.members[subject].zone.clone(),
             versions: told.versions,
             platform_seen_ms: told.platform_seen_ms,
+            is_origin_failing: told.is_origin_failing,
             probe_sent_ms: self.timer.now_ms(),
         };
         // The follower may have ended.
