Take a store without history for one that is reached

Cause: while the store forgets its history each watch of a relay fails, and two failures in a row had it told as shut out, though its looks succeed; all others of its zone would ask the store five times a second meanwhile.

Change: an error that is an answer (history gone, conflict, not found) does not count.

Test: a_store_without_history_is_left_to_the_relays, fails without the change (4 calls for 1).

--- a/src/documents/follower.rs
+++ b/src/documents/follower.rs
@@ -129,6 +129,16 @@
         Backoff::new(self.bounds.first_backoff_ms, self.bounds.longest_backoff_ms)
     }
 
+    /// A call of this node to the origin failed.
+    pub(super) fn note_failure(&self, error: &O::Error)
+    where
+        O: DocumentOrigin,
+    {
+        if !O::is_answer(error) {
+            self.reach.failed();
+        }
+    }
+
     /// Takes over a confirmed look, if this node holds all that it saw.
     // A look says: these were the newest versions at that time. A node that
     // holds less and took the time alone would call itself fresh while it
--- a/src/documents/look.rs
+++ b/src/documents/look.rs
@@ -72,7 +72,7 @@
         let looked = self.shared.origin.look(&self.shared.store).await;
         match &looked {
             Ok(_) => self.shared.reach.succeeded(),
-            Err(_) => self.shared.reach.failed(),
+            Err(error) => self.shared.note_failure(error),
         }
         self.shared.confirm(looked?, sent_ms);
         Ok(())
@@ -152,8 +152,8 @@
                     }
                 }
                 Ok(None) => backoff.reset(),
-                Err(_) => {
-                    self.shared.reach.failed();
+                Err(error) => {
+                    self.shared.note_failure(&error);
                     backoff.wait().await;
                 }
             }
--- a/src/documents/origin.rs
+++ b/src/documents/origin.rs
@@ -28,4 +28,9 @@
         kind: DocumentKind,
         held_version: u64,
     ) -> impl Future<Output = Result<Option<Document>, Self::Error>> + Send;
+
+    /// Whether the error is an answer: the origin was reached and serves this node.
+    fn is_answer(_error: &Self::Error) -> bool {
+        false
+    }
 }
--- a/src/objects/origin.rs
+++ b/src/objects/origin.rs
@@ -168,6 +168,13 @@
     const KINDS: &'static [DocumentKind] =
         &[DocumentKind::Configuration, DocumentKind::Evacuations];
 
+    fn is_answer(error: &StoreError) -> bool {
+        matches!(
+            error,
+            StoreError::HistoryGone | StoreError::Conflict | StoreError::NotFound
+        )
+    }
+
     async fn look(&self, store: &DocumentStore) -> Result<Versions, StoreError> {
         let (configuration, evacuations) = tokio::join!(self.list(), self.look_for_evacuations());
         if let Some(found) = evacuations {
--- a/tests/objects_fleet.rs
+++ b/tests/objects_fleet.rs
@@ -88,6 +88,33 @@
     }
 }
 
+/// The store forgets its history, so that each watch of the relays fails while it
+/// serves them. Taken for shut out, they would have all others ask it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_store_without_history_is_left_to_the_relays() {
+    let mut fleet = Fleet::new(1, 6, LATE_OTHERS);
+    assert!(fleet.all_apply(1).await);
+    let now_ms = fleet.timer.now_ms();
+    assert!(fleet.all_confirmed_after(now_ms).await);
+    fleet.set_all(Mood::Forgetful);
+    let relays = fleet.relays();
+    let others: Vec<usize> = (0..fleet.nodes.len())
+        .filter(|node| !relays.contains(node))
+        .collect();
+    let call_count = |fleet: &Fleet| -> usize {
+        let counts = others.iter().map(|node| fleet.store.call_count(*node));
+        counts.sum()
+    };
+    let before_count = call_count(&fleet);
+    for _ in 0..5 {
+        let revision = fleet.put();
+        assert!(fleet.all_apply(revision).await);
+        let now_ms = fleet.timer.now_ms();
+        assert!(fleet.all_confirmed_after(now_ms).await);
+    }
+    assert_eq!(call_count(&fleet), before_count);
+}
+
 /// One zone has no way to the store. Its nodes go on with what the other zones
 /// confirm.
 #[tokio::test(flavor = "multi_thread")]
