Hand a divider's tokens over when the divider changes

Callers saw: 429 "over-quota" far within their rate, at every node and for every workspace, for 0.1 s of the rate (browse 0.2 s, longer while few nodes had reported) each time the node that divides the rates drained, and again when its replacement joined.

Cause: the bucket of a rate lives at the divider. The next divider started with an empty one, below the reserve of more urgent classes.

Load only decided whether the node still held tokens.

Change: a divider that drains sends its tokens to the next one before gossip tells of the drain and relays reports for a second. A node that joins and is preferred requests them once it has a configuration, and relays reports to the present divider until then, 150 ms at most. The old divider keeps no token, a repeated datagram counts once, a lost one costs the tokens.

--- a/src/events.rs
+++ b/src/events.rs
@@ -83,6 +83,8 @@
     SlotSuspected = 502, Warn, "A slot is marked as suspected in the slice table.";
     FreshnessChanged = 503, Warn, "The node's freshness state changed.";
     DividerSilent = 504, Info, "The node that divides the quota does not respond; the next one is queried.";
+    DividerChanged = 505, Info, "This node reports its need of quota tokens to another divider.";
+    QuotaHandedOver = 506, Info, "This node handed the quota tokens that it divided over to the next divider.";
     GuardUnsure = 510, Warn, "The history of an idempotency key is unknown; the request is not executed.";
     ControlRequest = 600, Info, "An operator's request was executed.";
     ControlRejected = 601, Warn, "An operator's request was rejected.";
--- a/src/model/outcome.rs
+++ b/src/model/outcome.rs
@@ -121,6 +121,8 @@
     ZoneEvacuated = 29, "zone-evacuated", 503;
     /// The request is not allowed to run in the region of the target.
     OutsideRegions = 30, "outside-regions", 503;
+    /// No divider granted or denied a token of the workspace's rate in time.
+    QuotaUnavailable = 31, "quota-unavailable", 503;
 }
 
 impl fmt::Display for Reason {
--- a/src/quota/divided.rs
+++ b/src/quota/divided.rs
@@ -239,11 +239,14 @@
         let decision = match self.take(workspace, rate, class, now_us)? {
             TakeResult::Decided(decision) => decision,
             TakeResult::Waiting(receiver) => {
-                timeout(Duration::from_millis(TOKEN_WAIT_MS), receiver)
-                    .await
-                    .ok()
-                    .and_then(Result::ok)
-                    .unwrap_or(Err(NO_GRANT_RETRY_MS))
+                match timeout(Duration::from_millis(TOKEN_WAIT_MS), receiver).await {
+                    Ok(Ok(decision)) => decision,
+                    // Says nothing about the workspace's rate.
+                    Ok(Err(_)) | Err(_) => {
+                        let refusal = Refusal::not_run(Reason::QuotaUnavailable);
+                        return Err(refusal.with_retry_after_ms(NO_GRANT_RETRY_MS));
+                    }
+                }
             }
         };
         decision.map_err(|retry_after_ms| {
--- a/src/quota/division.rs
+++ b/src/quota/division.rs
@@ -71,11 +71,40 @@
 #[derive(Debug, Clone)]
 struct Account {
     bucket: RefillBucket,
+    /// Tokens of the previous divider that the bucket has no room for yet: its
+    /// size grows as the reporters switch to this divider.
+    handed_over_tokens: f64,
+    /// Time by which all reporters have switched.
+    handed_over_until_us: u64,
     /// Processes that have requested tokens; a new one adds its initial tokens
     /// at its first request.
     known_process_ids: HashSet<u64>,
 }
 
+impl Account {
+    fn new(since_us: u64) -> Self {
+        Self {
+            bucket: RefillBucket::new(since_us),
+            handed_over_tokens: 0.0,
+            handed_over_until_us: 0,
+            known_process_ids: HashSet::new(),
+        }
+    }
+
+    /// Moves tokens of the previous divider into the bucket.
+    fn add_handed_over(&mut self, rate: Rate, now_us: u64) {
+        if now_us >= self.handed_over_until_us {
+            self.handed_over_tokens = 0.0;
+            return;
+        }
+        let before = self.bucket.level();
+        self.bucket.add(self.handed_over_tokens);
+        let after = self.bucket.level();
+        let left = self.handed_over_tokens - (after - before);
+        self.handed_over_tokens = left.min(f64::from(rate.burst_count) - after).max(0.0);
+    }
+}
+
 /// Shares that reporters have lent to this node. Pure state: performs no I/O
 /// and reads no clock.
 #[derive(Debug, Clone, Default)]
@@ -159,13 +188,11 @@
         let account = self
             .accounts
             .entry(workspace.to_owned())
-            .or_insert_with(|| Account {
-                bucket: RefillBucket::new(lent_since_us),
-                known_process_ids: HashSet::new(),
-            });
+            .or_insert_with(|| Account::new(lent_since_us));
+        account.bucket.skip_to(lent_since_us);
+        account.bucket.advance(rate, lent_ratio, now_us);
+        account.add_handed_over(rate, now_us);
         let bucket = &mut account.bucket;
-        bucket.skip_to(lent_since_us);
-        bucket.advance(rate, lent_ratio, now_us);
         let is_new = self.new_process_ids.contains(&reporter.process_id);
         if account.known_process_ids.insert(reporter.process_id) && is_new {
             bucket.add(initial_tokens(rate) / member_count.max(1) as f64);
@@ -194,6 +221,48 @@
         grant
     }
 
+    /// Takes all tokens, for the next divider. Grants nothing from the time
+    /// before `now_us` any more.
+    pub fn hand_over<'a>(
+        &mut self,
+        rates: impl IntoIterator<Item = (&'a str, Rate)>,
+        member_count: usize,
+        now_us: u64,
+    ) -> Vec<(String, f64)> {
+        let reporter_count = self.reporter_count(now_us);
+        let lent_ratio = reporter_count as f64 / member_count.max(reporter_count).max(1) as f64;
+        let lent_since_us = self.lent_since_us;
+        let mut tokens = Vec::new();
+        for (workspace, rate) in rates {
+            let mut account = self
+                .accounts
+                .remove(workspace)
+                .unwrap_or_else(|| Account::new(lent_since_us));
+            account.bucket.skip_to(lent_since_us);
+            account.bucket.advance(rate, lent_ratio, now_us);
+            account.add_handed_over(rate, now_us);
+            let token_count = account.bucket.level() + account.handed_over_tokens;
+            tokens.push((workspace.to_owned(), token_count));
+        }
+        *self = Self::default();
+        match reporter_count {
+            0 => Vec::new(),
+            _ => tokens,
+        }
+    }
+
+    /// Adds the tokens that the previous divider handed over.
+    pub fn accept_handover(&mut self, tokens: &[(String, f64)], now_us: u64) {
+        for (workspace, token_count) in tokens {
+            let account = self
+                .accounts
+                .entry(workspace.clone())
+                .or_insert_with(|| Account::new(now_us));
+            account.handed_over_tokens += token_count.max(0.0);
+            account.handed_over_until_us = now_us + LEASE_US;
+        }
+    }
+
     fn ahead_total(&self, workspace: &str, now_us: u64) -> u32 {
         self.active_shares(now_us)
             .filter_map(|lent_share| lent_share.ahead_counts.get(workspace))
--- a/src/quota/mod.rs
+++ b/src/quota/mod.rs
@@ -4,6 +4,7 @@
 mod bucket;
 mod divided;
 mod divider_choice;
+mod divider_role;
 mod division;
 mod gate;
 mod ledger;
@@ -24,6 +25,7 @@
     bucket::{Bucket, capacity},
     divided::DividedQuota,
     divider_choice::DividerChoice,
+    divider_role::{DividerRole, ReportAction},
     division::{ClassCounts, Division, LEASE_US, Reporter, TokenGrant, TokenNeed},
     gate::{LeasedQuota, QuotaInputs, Rates, spawn},
     messages::{
--- a/src/quota/refill.rs
+++ b/src/quota/refill.rs
@@ -53,6 +53,12 @@
         self.level = (self.level + token_count).min(self.burst_count);
     }
 
+    /// Tokens in the bucket.
+    #[must_use]
+    pub const fn level(&self) -> f64 {
+        self.level
+    }
+
     /// Tokens above the reserve, which is a ratio of the burst. The last token
     /// is never reserved, so that a small bucket serves all classes.
     #[must_use]
--- a/src/quota/sharing.rs
+++ b/src/quota/sharing/mod.rs
@@ -1,26 +1,32 @@
 //! Exchanges token needs and grants between nodes by datagrams.
 //!
 //! The next report makes up for a lost datagram. A divider that does not reply
-//! is replaced by the next candidate.
+//! is replaced by the next candidate, which starts with empty buckets. One that
+//! drains or is preceded by a node that joins hands its tokens over.
+
+mod datagrams;
+mod handover;
+mod takeover;
 
 use {
     super::{
-        DividedQuota, Division, Rates, Reporter, TokenGrant, TokenNeed,
-        divider_choice::DividerChoice, outstanding::OutstandingReports,
+        DividedQuota, DividerChoice, DividerRole, Division, OutstandingReports, Rates,
+        ReportAction, Reporter, TokenGrant,
     },
     crate::{
         event,
         events::Event,
         membership::{Member, MemberState, View},
         model::Names,
-        peer::{FleetAuth, TAG_BYTES},
+        peer::FleetAuth,
         timer::Timer,
     },
-    serde::{Deserialize, Serialize},
+    datagrams::{HandoverPart, Message, Report},
+    handover::{ReceivedHandovers, split},
     std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration},
+    takeover::divider_candidates,
     tokio::{net::UdpSocket, sync::watch},
     tokio_util::sync::CancellationToken,
-    xxhash_rust::xxh3::xxh3_64,
 };
 
 /// Interval between two reports. A share stays lent for five intervals, so that
@@ -35,32 +41,6 @@
 const DEAD_SHARE_US: u64 = 30_000_000;
 const MAX_DATAGRAM_BYTES: usize = 16 << 10;
 
-/// Message between nodes.
-#[derive(Debug, Serialize, Deserialize)]
-enum Message {
-    /// Tokens that a node needs.
-    Report(Report),
-    /// Tokens granted in reply to a report.
-    Grants {
-        process_id: u64,
-        sent_us: u64,
-        grants: Vec<(String, TokenGrant)>,
-    },
-}
-
-#[derive(Debug, Serialize, Deserialize)]
-struct Report {
-    node_id: String,
-    /// Random id of the process.
-    process_id: u64,
-    /// Whether nothing was granted to the process yet.
-    is_new: bool,
-    /// Time of sending, on the reporter's clock.
-    sent_us: u64,
-    /// Needs by workspace name.
-    needs: HashMap<String, TokenNeed>,
-}
-
 /// Inputs of rate sharing from its node.
 pub struct SharingInputs {
     /// Id of this node.
@@ -90,9 +70,15 @@
     quota: DividedQuota,
     division: Division,
     choice: DividerChoice,
+    role: DividerRole,
+    /// Parts of the handover of this node, sent again if one is lost.
+    handover: Vec<HandoverPart>,
+    received_handovers: ReceivedHandovers,
     outstanding: OutstandingReports,
     /// Whether nothing was granted to this process yet.
     is_new: bool,
+    /// Node id of the divider that got the last report.
+    divider_id: Option<String>,
     /// When each dead member was first seen dead.
     dead_since_us: HashMap<String, u64>,
 }
@@ -110,8 +96,12 @@
         quota,
         division: Division::new(),
         choice: DividerChoice::new(),
+        role: DividerRole::new(),
+        handover: Vec::new(),
+        received_handovers: ReceivedHandovers::default(),
         outstanding: OutstandingReports::new(rand::random()),
         is_new: true,
+        divider_id: None,
         dead_since_us: HashMap::new(),
     };
     tokio::spawn(async move {
@@ -128,6 +118,7 @@
         let mut ticks = self.inputs.timer.subscribe(PERIOD_MS);
         let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
         let quota = self.quota.clone();
+        self.follow_candidates().await;
         loop {
             let has_waiting = quota.has_waiting();
             tokio::select! {
@@ -142,6 +133,7 @@
                         self.report(now_us).await;
                     }
                 }
+                Ok(()) = self.inputs.view.changed() => self.follow_candidates().await,
                 () = quota.wait_until_tokens_needed() => self.request_tokens().await,
                 received = self.socket.recv_from(&mut buffer) => {
                     // A send to a closed port surfaces as an error of a later
@@ -155,6 +147,7 @@
     }
 
     async fn on_tick(&mut self, now_us: u64) {
+        self.request_handover(now_us).await;
         if !self.update_member_count(now_us) {
             return;
         }
@@ -178,7 +171,12 @@
 
     /// Reports this node's needs to the divider.
     async fn report(&mut self, now_us: u64) {
+        self.follow_changed_candidates().await;
         let (node_id, address) = self.select_divider(now_us);
+        if self.divider_id.as_ref() != Some(&node_id) {
+            event!(Event::DividerChanged, "divider={node_id}");
+            self.divider_id = Some(node_id.clone());
+        }
         let report = Report {
             node_id: self.inputs.node_id.clone(),
             process_id: self.outstanding.process_id(),
@@ -188,8 +186,7 @@
         };
         if node_id == self.inputs.node_id {
             self.choice.record_reply(now_us);
-            let grants = self.grants(&report, now_us);
-            self.apply_grants(&grants, now_us);
+            self.report_to_itself(report, now_us).await;
             return;
         }
         if self.choice.record_report(now_us) {
@@ -210,25 +207,37 @@
     }
 
     async fn receive(&mut self, datagram: &[u8], sender: SocketAddr) {
-        let Some(message) = self.decode(datagram) else {
+        let Some(message) = Message::decode(datagram, &self.inputs.auth) else {
             event!(
                 Event::ContextForged,
                 "quota datagram from {sender} rejected"
             );
             return;
         };
+        self.follow_changed_candidates().await;
         let now_us = self.inputs.timer.now_us();
         match message {
             Message::Report(report) => {
-                let (process_id, sent_us) = (report.process_id, report.sent_us);
-                let grants = self.grants(&report, now_us);
-                let reply = Message::Grants {
-                    process_id,
-                    sent_us,
-                    grants,
-                };
-                self.send(&reply, sender).await;
+                self.request_handover(now_us).await;
+                match self.role.report_action(now_us) {
+                    ReportAction::Grant => self.reply(&report, sender, now_us).await,
+                    ReportAction::Relay(node_id) => {
+                        let relayed = Message::Relayed {
+                            report,
+                            reporter: sender,
+                        };
+                        self.send_to_member(&relayed, &node_id).await;
+                    }
+                }
+            }
+            // The reporter repeats a report that arrives before the handover.
+            Message::Relayed { report, reporter } => {
+                if self.role.is_granting() {
+                    self.reply(&report, reporter, now_us).await;
+                }
             }
+            Message::TakeOver { node_id } => self.hand_over(&node_id, sender, now_us).await,
+            Message::Handover(part) => self.receive_handover(&part, now_us),
             Message::Grants {
                 process_id,
                 sent_us,
@@ -310,12 +319,7 @@
     /// Node id and address of the divider to report to.
     fn select_divider(&mut self, now_us: u64) -> (String, SocketAddr) {
         let view = self.inputs.view.borrow();
-        let mut candidates: Vec<&Member> = view
-            .members
-            .iter()
-            .filter(|member| member.is_usable())
-            .collect();
-        candidates.sort_by_cached_key(|member| xxh3_64(member.node_id.as_bytes()));
+        let candidates = divider_candidates(&view);
         let index = self.choice.select_index(candidates.len(), now_us);
         // The last node of a fleet divides for itself even while it leaves;
         // otherwise its callers would be refused until it has stopped.
@@ -327,25 +331,12 @@
     }
 
     async fn send(&self, message: &Message, to: SocketAddr) {
-        let mut datagram = match postcard::to_stdvec(message) {
-            Ok(datagram) => datagram,
+        match message.encode(&self.inputs.auth) {
+            // The next report makes up for a lost datagram.
+            Ok(datagram) => drop(self.socket.send_to(&datagram, to).await),
             Err(error) => {
                 log::error!(target: "dogwood", "quota message cannot be encoded: {error}");
-                return;
             }
-        };
-        let tag = self.inputs.auth.tag(&datagram);
-        datagram.extend_from_slice(&tag);
-        // The next report makes up for a lost datagram.
-        let _ = self.socket.send_to(&datagram, to).await;
-    }
-
-    fn decode(&self, datagram: &[u8]) -> Option<Message> {
-        let length = datagram.len().checked_sub(TAG_BYTES)?;
-        let (content, tag) = datagram.split_at(length);
-        if !self.inputs.auth.is_valid_tag(content, tag) {
-            return None;
         }
-        postcard::from_bytes(content).ok()
     }
 }
--- a/tests/quota_division.rs
+++ b/tests/quota_division.rs
@@ -53,6 +53,8 @@
 struct Fleet {
     nodes: Vec<Node>,
     process_count: u64,
+    /// Preferred divider; the nodes after it follow.
+    first_index: usize,
     rng: StdRng,
     now_us: u64,
     admitted_us: VecDeque<u64>,
@@ -69,6 +71,7 @@
                 .map(|index| Node::new(index as u64, 0))
                 .collect(),
             process_count: NODE_COUNT as u64,
+            first_index: 0,
             rng: StdRng::seed_from_u64(11),
             now_us: 0,
             admitted_us: VecDeque::new(),
@@ -87,7 +90,11 @@
     /// Runs for `seconds`. `demand` returns each node's requests per second,
     /// `group` the partition that a node is in.
     fn run(&mut self, seconds: u64, demand: impl Fn(usize) -> f64, group: impl Fn(usize) -> usize) {
-        let until_us = self.now_us + seconds * SECOND_US;
+        self.run_ms(seconds * 1000, demand, group);
+    }
+
+    fn run_ms(&mut self, ms: u64, demand: impl Fn(usize) -> f64, group: impl Fn(usize) -> usize) {
+        let until_us = self.now_us + ms * 1000;
         while self.now_us < until_us {
             self.now_us += STEP_US;
             if self.now_us.is_multiple_of(PERIOD_US) {
@@ -152,6 +159,7 @@
     fn report(&mut self, index: usize, group: &impl Fn(usize) -> usize) {
         let now_us = self.now_us;
         let divider = (0..NODE_COUNT)
+            .map(|rank| (self.first_index + rank) % NODE_COUNT)
             .find(|other| group(*other) == group(index))
             .expect("a node reaches itself");
         let node_id = index.to_string();
@@ -171,6 +179,13 @@
         node.holdings.apply_grant(&grant, now_us);
     }
 
+    /// Makes another node the divider; returns the tokens of the previous one.
+    fn change_divider(&mut self, index: usize) -> Vec<(String, f64)> {
+        let previous = &mut self.nodes[self.first_index].division;
+        self.first_index = index;
+        previous.hand_over([(WORKSPACE, RATE)], NODE_COUNT, self.now_us)
+    }
+
     fn served_ratio(&self) -> f64 {
         self.admitted_count as f64 / self.request_count.max(1) as f64
     }
@@ -342,3 +357,46 @@
         assert!(count <= 200, "{name}: {count}");
     }
 }
+
+/// A workspace sends eight times its rate while the divider changes several times
+/// a second and some handovers are lost. Tokens that count at two dividers would
+/// admit more than the rate.
+#[test]
+fn handovers_grant_no_token_twice() {
+    let overload = |_| 100.0;
+    let mut fleet = Fleet::new();
+    fleet.run(10, overload, one_group);
+    for number in 1..=60 {
+        let tokens = fleet.change_divider(number * 5 % NODE_COUNT);
+        let is_lost = number % 7 == 0;
+        if !is_lost {
+            let division = &mut fleet.nodes[fleet.first_index].division;
+            division.accept_handover(&tokens, fleet.now_us);
+        }
+        fleet.run_ms(300, overload, one_group);
+    }
+    let max_count = fleet.max_in_window as f64;
+    assert!(max_count <= WINDOW_LIMIT, "{max_count} of {WINDOW_LIMIT}");
+}
+
+/// The divider changes while a workspace is far within its rate and its bucket is
+/// full. An empty bucket at the new divider would refuse its next requests.
+#[test]
+fn a_handover_keeps_a_full_bucket() {
+    for class in Class::ALL {
+        let mut fleet = Fleet::new();
+        fleet.class = class;
+        fleet.run(6, |_| 1.0, one_group);
+        let tokens = fleet.change_divider(1);
+        let division = &mut fleet.nodes[1].division;
+        division.accept_handover(&tokens, fleet.now_us);
+        (fleet.request_count, fleet.admitted_count) = (0, 0);
+        fleet.run(2, |_| 5.0, one_group);
+        assert_eq!(
+            fleet.admitted_count,
+            fleet.request_count,
+            "{}",
+            class.name()
+        );
+    }
+}
