Apply an evacuation to the send gate before the routes

Callers saw: after a short evacuation the whole load returned to targets that may have become cold.

Cause: two tasks followed the evacuations, one for the routes and one for the gate. Callers are refused as soon as the routes have changed. An evacuation taken back before the other task ran was no change for it, and the target was not suspected to be cold.

Change: one task applies the list to the gate, then to the routes. The new test holds the gate's lock: before, the routes changed first.

--- a/src/node/evacuation.rs
+++ b/src/node/evacuation.rs
@@ -2,28 +2,18 @@
 
 use {
     super::{Node, Policies},
-    std::sync::Arc,
+    crate::conf::Evacuations,
 };
 
-/// Keeps the gate of the local target closed while its zone is evacuated. Queued
-/// requests are refused as not run, so that the sending nodes choose other targets;
-/// running requests complete.
-pub async fn follow_evacuations<P: Policies>(node: Arc<Node<P>>) {
-    let mut evacuations = node.evacuations.clone();
-    loop {
-        let is_evacuated = evacuations
-            .borrow_and_update()
-            .contains(&node.settings.zone);
-        let is_changed = node.target.gate().set_evacuated(is_evacuated);
-        if is_changed && is_evacuated {
-            node.admission().refuse_waiting(node.timer.now_us());
-        }
-        let changed = tokio::select! {
-            () = node.stopped.cancelled() => return,
-            changed = evacuations.changed() => changed,
-        };
-        if changed.is_err() {
-            return;
-        }
+/// Closes or opens the gate of the local target. Queued requests are refused as not
+/// run, so that the sending nodes choose other targets; running requests complete.
+///
+/// Must precede the change of the routes: an evacuation that callers see without the
+/// gate would end without the suspicion that the target is cold.
+pub fn apply_evacuations<P: Policies>(node: &Node<P>, evacuations: &Evacuations) {
+    let is_evacuated = evacuations.contains(&node.settings.zone);
+    let is_changed = node.target.gate().set_evacuated(is_evacuated);
+    if is_changed && is_evacuated {
+        node.admission().refuse_waiting(node.timer.now_us());
     }
 }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -12,7 +12,6 @@
 pub use {
     admission_table::{AdmissionTable, DRAIN_ANNOUNCE_US, Ticket, admit},
     calls::{CallHandle, CallTable, InFlightCall},
-    evacuation::follow_evacuations,
     guarded::{Home, KeyGuard, dispatch, serve_at_home},
     loop_lag::LoopLag,
     route_table::{RouteTable, TargetLocation},
--- a/src/node/start.rs
+++ b/src/node/start.rs
@@ -1,9 +1,7 @@
 //! Starts the HTTP listeners and background tasks of a node.
 
 use {
-    super::{
-        Node, Policies, follow_evacuations, follow_members, follow_probe_responses, run_ticks,
-    },
+    super::{Node, Policies, follow_members, follow_probe_responses, run_ticks},
     crate::{
         control::serve_admin, egress::serve_egress, event, events::Event, exchange::bind,
         ingress::serve_callers, peer::serve_peers, shutdown,
@@ -37,7 +35,6 @@
     tasks.spawn(run_ticks(Arc::clone(node)));
     tasks.spawn(follow_members(Arc::clone(node)));
     tasks.spawn(follow_probe_responses(Arc::clone(node)));
-    tasks.spawn(follow_evacuations(Arc::clone(node)));
     tasks.spawn(serve_callers(Arc::clone(node), callers));
     tasks.spawn(serve_peers(Arc::clone(node), peers));
     tasks.spawn(serve_egress(Arc::clone(node), egress));
--- a/src/node/tasks.rs
+++ b/src/node/tasks.rs
@@ -1,7 +1,7 @@
 //! Background tasks that update the state of a node.
 
 use {
-    super::{NOT_CUT_OFF, Node, Policies, route_table::FleetState},
+    super::{NOT_CUT_OFF, Node, Policies, evacuation::apply_evacuations, route_table::FleetState},
     crate::{
         dialect::Dialect,
         event,
@@ -47,7 +47,8 @@
     }
 }
 
-/// Updates the routing policy's targets from membership and evacuations.
+/// Updates the local target's gate and the routing policy's targets from membership and
+/// evacuations.
 pub async fn follow_members<P: Policies>(node: Arc<Node<P>>) {
     let mut view = node.view.clone();
     let mut own = node.own_state.subscribe();
@@ -56,6 +57,7 @@
         let members = Arc::clone(&view.borrow_and_update());
         let own_state = own.borrow_and_update().clone();
         let evacuated_zones = Arc::clone(&evacuations.borrow_and_update());
+        apply_evacuations(&node, &evacuated_zones);
         node.routes().sync(
             FleetState {
                 view: &members,
--- a/tests/evacuation.rs
+++ b/tests/evacuation.rs
@@ -3,12 +3,19 @@
 mod local_mesh;
 
 use {
-    dogwoodbridge::conf::{CompiledConfiguration, Evacuations},
+    dogwoodbridge::{
+        conf::{CompiledConfiguration, Evacuations},
+        model::{Class, RegionSet},
+        routing::RouteRequest,
+    },
     local_mesh::{
         client,
         mesh::{Instance, KEY, Mesh},
     },
-    std::{sync::Arc, time::Duration},
+    std::{
+        sync::{Arc, mpsc},
+        time::Duration,
+    },
 };
 
 /// Longest wait for a condition; conditions normally hold much sooner.
@@ -125,3 +132,38 @@
     assert_eq!(refusal.header("dogwood-outcome"), "not-run");
     get_until(instance, 200).await;
 }
+
+/// Guards against routes that follow an evacuation before the send gate does: callers
+/// saw it, the gate missed a short one and let the whole load through afterwards.
+#[tokio::test(flavor = "multi_thread")]
+async fn routes_follow_an_evacuation_after_the_send_gate() {
+    let mesh = Mesh::start(&["a"]).await;
+    let instance = &mesh.instances[0];
+    let request = RouteRequest {
+        service: instance.node.names.service("a"),
+        class: Class::Standard,
+        regions: RegionSet::ANY,
+    };
+    let can_pick = || {
+        let now_us = instance.node.timer.now_us();
+        instance.node.routes().pick(request, &[], now_us).is_ok()
+    };
+    let (locked_sender, locked) = mpsc::channel();
+    let (unlock, unlocked) = mpsc::channel::<()>();
+    let node = Arc::clone(&instance.node);
+    let holder = std::thread::spawn(move || {
+        let _gate = node.target.gate();
+        locked_sender.send(()).unwrap();
+        let _ = unlocked.recv();
+    });
+    locked.recv().unwrap();
+    set_evacuated(instance, true);
+    for _ in 0..20 {
+        assert!(can_pick(), "the routes changed before the gate");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    drop(unlock);
+    holder.join().unwrap();
+    get_until(instance, 503).await;
+    assert!(!can_pick());
+}
