Read what arrived before a deadline that is noticed late

Callers saw: 504 deadline-exceeded, outcome unknown, from a node whose process had been held up past the deadline, although the target's answer waited in the node's socket.

Cause: on resuming, the time limit and the answer are ready at once; the limit wakes the request, the answer must first be read by the connection's task.

Evidence: datapath a_drain_aborts_no_request failed once with 504. 42 runs of the file at load 26 and 12 with repeated pauses of 0.1 to 0.4 s passed; one pause that reaches past the deadline fails it with the same status and reason (6 of 12 runs, pauses of 1.6 to 3.2 s). A real node that is stopped after its target got the request and continued after the deadline answered 504 in 3 of 3 runs; the target had answered after 0.2 s.

Change: a limit noticed 20 ms late or later leaves 50 ms to read what has arrived, at both ends of a hop.

--- a/src/egress/attempts.rs
+++ b/src/egress/attempts.rs
@@ -15,6 +15,7 @@
         retry::RetryPolicy,
         routing::{AttemptResult, RoutePolicy, RouteRequest, TargetKey},
         target::serve_local,
+        timer::timeout_unless_suspended,
     },
     std::{sync::Arc, time::Duration},
 };
@@ -242,7 +243,7 @@
 /// Sends to another node; fails with an unknown outcome at the attempt's time limit.
 pub async fn send<P: Policies>(node: &Node<P>, link: &PeerLink, attempt: Attempt<'_>) -> HopResult {
     let sending = peer::send(link, attempt, &node.auth, &node.names);
-    match tokio::time::timeout(attempt.time_left, sending).await {
+    match timeout_unless_suspended(attempt.time_left, sending).await {
         Ok(hop) => hop,
         Err(_) => HopResult::failed(Refusal::unknown(Reason::DeadlineExceeded), 0),
     }
--- a/src/target/serve.rs
+++ b/src/target/serve.rs
@@ -18,6 +18,7 @@
         },
         node::{CallHandle, InFlightCall, Node, Policies, Ticket, admit},
         retry::RetryPolicy,
+        timer::timeout_unless_suspended,
     },
     std::{sync::Arc, time::Duration},
     tokio_util::sync::CancellationToken,
@@ -178,7 +179,7 @@
     };
     let execution = run_at_target(node, context, running, outbound, remaining_us);
     let limit = Duration::from_micros(remaining_us);
-    match tokio::time::timeout(limit, execution).await {
+    match timeout_unless_suspended(limit, execution).await {
         Ok(result) => result,
         Err(_) => (Err(Refusal::unknown(Reason::DeadlineExceeded)), 0),
     }
--- a/src/timer.rs
+++ b/src/timer.rs
@@ -2,8 +2,11 @@
 
 use {
     nix::time::{ClockId, clock_gettime},
-    std::time::{Duration, Instant, SystemTime, UNIX_EPOCH},
-    tokio::time::{Interval, MissedTickBehavior},
+    std::{
+        pin::pin,
+        time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    },
+    tokio::time::{Interval, MissedTickBehavior, error::Elapsed, timeout, timeout_at},
     tokio_util::sync::CancellationToken,
 };
 
@@ -20,6 +23,32 @@
     pub now_us: u64,
 }
 
+/// Delay from which a time limit counts as noticed late, several times the delay of a
+/// thread on a shared core.
+const LATE_AFTER: Duration = Duration::from_millis(20);
+/// Time for responses that arrived before a time limit that was noticed late.
+const LATE_GRACE: Duration = Duration::from_millis(50);
+
+/// Awaits a response for at most `limit`.
+///
+/// A process that was suspended finds the elapsed limit and the response that arrived
+/// before it at the same time. It reads the response before it gives up.
+pub async fn timeout_unless_suspended<F: Future>(
+    limit: Duration,
+    response: F,
+) -> Result<F::Output, Elapsed> {
+    let deadline = tokio::time::Instant::now() + limit;
+    let mut response = pin!(response);
+    let elapsed = match timeout_at(deadline, response.as_mut()).await {
+        Ok(response) => return Ok(response),
+        Err(elapsed) => elapsed,
+    };
+    if deadline.elapsed() < LATE_AFTER {
+        return Err(elapsed);
+    }
+    timeout(LATE_GRACE, response).await
+}
+
 impl Tick {
     /// Time of the tick in milliseconds.
     #[must_use]
