Wait until the test mesh's nodes know all targets

Not a fault of the product: a_crashed_target_is_removed_and_others_serve failed once at load 20 with 502 not-run connection-lost.

Cause: the mesh waited 50 ms for the tasks that update the routes. A node whose task ran later knew its own target only and, when that crashed, tried it again until its retries were used up.

Change: the mesh waits until every node routes to all targets. The tests and their checks are unchanged.

--- a/tests/local_mesh/mesh.rs
+++ b/tests/local_mesh/mesh.rs
@@ -117,11 +117,25 @@
             Arc::clone(&mesh.instances),
             fake_members,
         ));
-        // Background tasks update the routing tables.
-        tokio::time::sleep(Duration::from_millis(50)).await;
+        mesh.wait_until_routed(services).await;
         mesh
     }
 
+    /// Waits until every node routes to all targets. A node that knows its own target
+    /// only has no other to try.
+    async fn wait_until_routed(&self, services: &[&str]) {
+        for instance in self.instances.iter() {
+            let node = &instance.node;
+            for service in services {
+                let key = node.names.service(service);
+                let expected_count = services.iter().filter(|other| *other == service).count();
+                while node.routes().target_count(key) < expected_count {
+                    tokio::time::sleep(Duration::from_millis(5)).await;
+                }
+            }
+        }
+    }
+
     pub fn publish_membership(&self) {
         publish_membership(&self.instances, &self.fake_members);
     }
