--- a/src/quota/divider_role.rs
+++ b/src/quota/divider_role.rs
@@ -46,7 +46,7 @@
 #[derive(Debug, Default)]
 pub struct DividerRole {
     role: Role,
-    /// First candidate at the last update.
+    /// First candidate of the last order.
     first_id: Option<String>,
     /// Node whose handover arrived last, and when.
     received: Option<(String, u64)>,
@@ -62,7 +62,7 @@
     /// Applies the order of candidates. A node that becomes the first one takes
     /// over from the previous first one or, if it has just started, from the
     /// next one.
-    pub fn update(&mut self, own_id: &str, candidate_ids: &[String], now_us: u64) {
+    pub fn set_candidates(&mut self, own_id: &str, candidate_ids: &[String], now_us: u64) {
         let is_alone = candidate_ids.iter().all(|id| id == own_id);
         let is_starting = self.first_id.is_none() && is_alone;
         if is_starting || candidate_ids.first() == self.first_id.as_ref() {
@@ -83,7 +83,7 @@
         }
     }
 
-    /// Whether this node was the first candidate at the last update.
+    /// Whether this node was the first candidate of the last order.
     #[must_use]
     pub fn is_first(&self, own_id: &str) -> bool {
         self.first_id.as_deref() == Some(own_id)
@@ -91,7 +91,7 @@
 
     /// Node to request the handover from now, if any. A node that is not ready,
     /// since it has no configuration, could not grant anything yet.
-    pub fn take_over_from(&mut self, is_ready: bool, now_us: u64) -> Option<String> {
+    pub fn due_request(&mut self, is_ready: bool, now_us: u64) -> Option<String> {
         let Role::TakingOver {
             previous_id,
             since_us,
--- a/src/quota/sharing/takeover.rs
+++ b/src/quota/sharing/takeover.rs
@@ -43,7 +43,7 @@
         };
         let was_first = self.role.is_first(&self.inputs.node_id);
         self.role
-            .update(&self.inputs.node_id, &candidate_ids, now_us);
+            .set_candidates(&self.inputs.node_id, &candidate_ids, now_us);
         if let Some(successor_id) = candidate_ids.first().filter(|_| was_first && is_draining)
             && let Some(address) = self.member_address(successor_id)
         {
@@ -55,7 +55,7 @@
     /// Requests the tokens of the previous divider if this node takes over.
     pub(super) async fn request_handover(&mut self, now_us: u64) {
         let is_ready = !self.inputs.rates.borrow().is_empty();
-        let Some(previous_id) = self.role.take_over_from(is_ready, now_us) else {
+        let Some(previous_id) = self.role.due_request(is_ready, now_us) else {
             return;
         };
         match self.member_address(&previous_id) {
--- a/src/timer.rs
+++ b/src/timer.rs
@@ -16,37 +16,17 @@
 /// Period of these tasks while the node is idle.
 pub const IDLE_TICK_MS: u64 = 100;
 
-/// Monotonic time of this process, in microseconds since its timer started.
-#[derives::key]
-pub struct Tick {
-    /// Time of the tick.
-    pub now_us: u64,
-}
-
 /// Delay from which a time limit counts as noticed late, several times the delay of a
 /// thread on a shared core.
 const LATE_AFTER: Duration = Duration::from_millis(20);
 /// Time for responses that arrived before a time limit that was noticed late.
 const LATE_GRACE: Duration = Duration::from_millis(50);
 
-/// Awaits a response for at most `limit`.
-///
-/// A process that was suspended finds the elapsed limit and the response that arrived
-/// before it at the same time. It reads the response before it gives up.
-pub async fn timeout_unless_suspended<F: Future>(
-    limit: Duration,
-    response: F,
-) -> Result<F::Output, Elapsed> {
-    let deadline = tokio::time::Instant::now() + limit;
-    let mut response = pin!(response);
-    let elapsed = match timeout_at(deadline, response.as_mut()).await {
-        Ok(response) => return Ok(response),
-        Err(elapsed) => elapsed,
-    };
-    if deadline.elapsed() < LATE_AFTER {
-        return Err(elapsed);
-    }
-    timeout(LATE_GRACE, response).await
+/// Monotonic time of this process, in microseconds since its timer started.
+#[derives::key]
+pub struct Tick {
+    /// Time of the tick.
+    pub now_us: u64,
 }
 
 impl Tick {
@@ -157,3 +137,23 @@
         .unwrap_or(Duration::ZERO);
     u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
 }
+
+/// Awaits a response for at most `limit`.
+///
+/// A process that was suspended finds the elapsed limit and the response that arrived
+/// before it at the same time. It reads the response before it gives up.
+pub async fn timeout_unless_suspended<F: Future>(
+    limit: Duration,
+    response: F,
+) -> Result<F::Output, Elapsed> {
+    let deadline = tokio::time::Instant::now() + limit;
+    let mut response = pin!(response);
+    let elapsed = match timeout_at(deadline, response.as_mut()).await {
+        Ok(response) => return Ok(response),
+        Err(elapsed) => elapsed,
+    };
+    if deadline.elapsed() < LATE_AFTER {
+        return Err(elapsed);
+    }
+    timeout(LATE_GRACE, response).await
+}
