Quarantine requests that crash target after target

Cause: nothing remembered the request. A connection that broke under a request ended as connection-lost, whether the target closed it or crashed, and every attempt and every repeat began with a clean sheet at each node.

Change: the node beside a target identifies the requests that ran when it crashed (connections broke and the target refuses a new one, or a new process starts without notice) by a keyed digest of workspace, host, method, path and body. Nodes exchange these reports over the gossip socket. A request that ran at three crashes and has not completed since is refused as not run, with the time until its quarantine ends, at the node where it enters and beside the target. A completion anywhere clears it. From the second crash on such requests run one at a time at a target, and of the requests at a crash only the strongest suspects are charged.

Why it works: the verdict follows the request instead of the attempt, reaches members directly and by rounds, is repeated to nodes that start or were cut off, and no node has to be asked before a request goes on.

--- a/src/egress/announce.rs
+++ b/src/egress/announce.rs
@@ -9,6 +9,7 @@
         exchange::{Collected, ResponseBody, collect},
         membership::Announcement,
         node::{Node, Policies},
+        quarantine::is_end_planned,
         target::{NoticeStatus, PoolTarget},
     },
     hyper::{Request, Response, body::Incoming},
@@ -86,6 +87,7 @@
         started_unix_ms,
         connection_count,
     };
+    let was_end_planned = is_end_planned(node);
     let was_cold = node.target.gate().is_cold(now_us);
     let has_restarted = node.target.announce(target, cold_left_ms, now_us);
     let size = TargetSize {
@@ -103,6 +105,7 @@
         }
     }
     if has_restarted {
+        node.quarantine.replace_process(was_end_planned, now_us);
         event!(
             Event::TargetAnnounced,
             "service={service} instance={instance_id} slots={slot_count} cold_left_ms={cold_left_ms}"
--- a/src/egress/attempts.rs
+++ b/src/egress/attempts.rs
@@ -11,6 +11,7 @@
         model::{RegionSet, ServiceKey, WorkspaceKey, begins_chain},
         node::{Node, Policies, TargetLocation},
         peer::{self, Attempt, HopResult, PeerLink},
+        quarantine::{IdentifiedRequest, check_quarantine},
         retry::CallKey,
         retry::RetryPolicy,
         routing::{AttemptResult, RoutePolicy, RouteRequest, TargetKey},
@@ -151,6 +152,7 @@
             | Reason::Draining
             | Reason::NotReady
             | Reason::ConnectionLost
+            | Reason::TargetCrashed
             | Reason::BadAnswer
             | Reason::TooManyConnections
             | Reason::TargetShed
@@ -174,6 +176,7 @@
     if remaining_us == 0 {
         return Err(Refusal::not_run(Reason::TooLate));
     }
+    check_quarantine(node, identify(call, outbound))?;
     let picked = node.routes().pick(route_request(call), tried, started_us);
     let (target, location) = match picked {
         Ok(picked) => picked,
@@ -232,6 +235,14 @@
     hop.result
 }
 
+const fn identify<'a>(call: &Call, outbound: &'a OutboundRequest) -> IdentifiedRequest<'a> {
+    IdentifiedRequest {
+        workspace: call.workspace,
+        service: call.service,
+        outbound,
+    }
+}
+
 const fn route_request(call: &Call) -> RouteRequest {
     RouteRequest {
         service: call.service,
@@ -300,9 +311,10 @@
     match result {
         Ok(_) => AttemptResult::Completed,
         Err(refusal) => match refusal.reason {
-            Reason::ConnectionLost | Reason::BadAnswer | Reason::DeadlineExceeded => {
-                AttemptResult::Failed
-            }
+            Reason::ConnectionLost
+            | Reason::TargetCrashed
+            | Reason::BadAnswer
+            | Reason::DeadlineExceeded => AttemptResult::Failed,
             _ => AttemptResult::Refused,
         },
     }
--- a/src/events.rs
+++ b/src/events.rs
@@ -67,6 +67,7 @@
     NoticeOutdated = 313, Info, "A notice of the target is older than the current state and is ignored.";
     NoticeRejected = 314, Warn, "A notice of the target is invalid.";
     TargetCold = 315, Info, "The target is cold; its requests are limited to its sustainable rate.";
+    TargetCrashed = 316, Warn, "The target ended without notice; the requests that ran are suspected to be the cause.";
     RoutePicked = 400, Info, "A target was picked for a request.";
     RouteRefused = 401, Info, "No target could be picked for a request.";
     TargetEjected = 402, Warn, "A target fails or is slow and is ejected: it gets no new requests for a limited time.";
@@ -76,6 +77,8 @@
     RequestRefused = 410, Info, "A request was refused or abandoned.";
     RequestRetried = 411, Info, "A request was retried within its retry budget.";
     AttemptRefused = 412, Info, "The target's node ended an attempt without a response of the target.";
+    RequestQuarantined = 413, Warn, "A request ran at several crashes of targets and is refused for a limited time.";
+    RequestCleared = 414, Info, "A target completed a suspected request; its crashes no longer count.";
     ContextForged = 420, Warn, "A context, handle or internal header was received from a sender that may not set it.";
     ClockDiffers = 421, Warn, "A node's clock differs by more than the maximum age of a context; it is sent this node's time.";
     BankChosen = 500, Debug, "Another node became the pool node of a workspace and keeps its quota tokens.";
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod objects;
 pub mod peer;
 pub mod platform;
+pub mod quarantine;
 pub mod quota;
 pub mod reference;
 pub mod retry;
--- a/src/membership/codec.rs
+++ b/src/membership/codec.rs
@@ -9,6 +9,7 @@
     crate::{
         documents::{KIND_COUNT, Versions},
         keys::KeyDigest,
+        quarantine::ReportPacket,
         schema::gossip_capnp::{packet, record},
     },
     capnp::{message::ReaderOptions, serialize_packed},
@@ -30,6 +31,9 @@
 /// Maximum number of records or digests in one packet.
 const MAX_LIST_LENGTH: u32 = 64;
 
+/// First byte of reports about crashed targets; packed Cap'n Proto messages never begin with it.
+const REPORTS_MARKER: u8 = 0xfe;
+
 /// Encodes the absence of a confirmed poll of the platform.
 const NO_PLATFORM_POLL_MS: u64 = u64::MAX;
 
@@ -45,6 +49,9 @@
     /// It is marked as a liveness probe but cannot be decoded as one.
     #[error("the liveness probe is malformed: {0}")]
     MalformedLivenessProbe(#[from] postcard::Error),
+    /// It is marked as reports but cannot be decoded as such.
+    #[error("the reports are malformed: {0}")]
+    MalformedReports(#[source] postcard::Error),
     /// A text field is not UTF-8.
     #[error("a text field of the datagram is not UTF-8")]
     NotUtf8,
@@ -96,6 +103,13 @@
         self.tagged(&body.expect("a Vec accepts all writes"))
     }
 
+    /// Encodes reports about crashed targets as a datagram.
+    #[must_use]
+    pub fn encode_reports(&self, packet: &ReportPacket) -> Vec<u8> {
+        let body = postcard::to_extend(packet, vec![REPORTS_MARKER]);
+        self.tagged(&body.expect("a Vec accepts all writes"))
+    }
+
     /// Verifies the tag of a datagram and decodes it.
     pub fn decode(&self, datagram: &[u8]) -> Result<Datagram, CodecError> {
         let (tag, body) = datagram
@@ -108,6 +122,12 @@
             Some((&LIVENESS_PROBE_MARKER, encoded_probe)) => Ok(Datagram::LivenessProbe(
                 postcard::from_bytes(encoded_probe)?,
             )),
+            Some((&REPORTS_MARKER, encoded_packet)) => {
+                let packet = postcard::from_bytes(encoded_packet);
+                packet
+                    .map(Datagram::Reports)
+                    .map_err(CodecError::MalformedReports)
+            }
             _ => decode_packet(body).map(|packet| Datagram::Packet(Box::new(packet))),
         }
     }
@@ -120,6 +140,8 @@
     Packet(Box<Packet>),
     /// A liveness probe of this node, or the response to a probe that it sent.
     LivenessProbe(LivenessProbe),
+    /// Reports about crashed targets.
+    Reports(ReportPacket),
 }
 
 fn decode_packet(body: &[u8]) -> Result<Packet, CodecError> {
--- a/src/membership/gossip.rs
+++ b/src/membership/gossip.rs
@@ -205,6 +205,12 @@
                     self.send_liveness_probe(probe, to).await;
                 }
             }
+            MemberQuery::Reports(node_id, packet) => {
+                if let Some(to) = self.swim.gossip_address(&node_id) {
+                    let datagram = self.codec.encode_reports(&packet);
+                    self.send_datagram(&datagram, to).await;
+                }
+            }
             MemberQuery::Stamp(node_id) => self.swim.request_stamp(&node_id, now_ms, out),
         }
     }
@@ -226,6 +232,7 @@
                     self.gossip.probes.record_response(node_id);
                 }
             }
+            Ok(Datagram::Reports(packet)) => self.gossip.probes.record_reports(packet),
             Ok(Datagram::Packet(packet)) => {
                 let now_ms = self.timer.now_ms();
                 self.swim
--- a/src/membership/probes.rs
+++ b/src/membership/probes.rs
@@ -1,6 +1,9 @@
-//! Requests to single members, outside gossip's regular rounds.
+//! Messages to single members, outside gossip's regular rounds.
 
-use tokio::sync::{broadcast, mpsc};
+use {
+    crate::quarantine::ReportPacket,
+    tokio::sync::{broadcast, mpsc},
+};
 
 /// Requests queued for gossip, and responses queued for each subscriber.
 const CHANNEL_LENGTH: usize = 256;
@@ -14,14 +17,17 @@
     /// Requests a `PeerStamp`: the documents that it holds and when their
     /// origin was last polled.
     Stamp(String),
+    /// Sends it reports of crashed targets.
+    Reports(String, ReportPacket),
 }
 
-/// Sends requests to members and publishes which ones responded; clones share
-/// both channels.
+/// Sends requests to members and publishes their responses and reports; clones share
+/// all channels.
 #[derive(Debug, Clone)]
 pub struct MemberProbes {
     requests: mpsc::Sender<MemberQuery>,
     responses: broadcast::Sender<String>,
+    reports: broadcast::Sender<ReportPacket>,
 }
 
 impl MemberProbes {
@@ -31,10 +37,12 @@
     pub fn new() -> (Self, mpsc::Receiver<MemberQuery>) {
         let (requests, request_receiver) = mpsc::channel(CHANNEL_LENGTH);
         let responses = broadcast::channel(CHANNEL_LENGTH).0;
+        let reports = broadcast::channel(CHANNEL_LENGTH).0;
         (
             Self {
                 requests,
                 responses,
+                reports,
             },
             request_receiver,
         )
@@ -55,6 +63,25 @@
             .try_send(MemberQuery::Stamp(node_id.to_owned()));
     }
 
+    /// Sends reports of crashed targets to a member; dropped likewise if the queue is full.
+    pub fn send_reports(&self, node_id: &str, packet: ReportPacket) {
+        let _ = self
+            .requests
+            .try_send(MemberQuery::Reports(node_id.to_owned(), packet));
+    }
+
+    /// Subscribes to the reports that members send from now on.
+    #[must_use]
+    pub fn subscribe_reports(&self) -> broadcast::Receiver<ReportPacket> {
+        self.reports.subscribe()
+    }
+
+    /// Publishes reports that a member sent.
+    pub fn record_reports(&self, packet: ReportPacket) {
+        // Sending fails if there are no subscribers.
+        let _ = self.reports.send(packet);
+    }
+
     /// Subscribes to the node ids of members that respond from now on.
     #[must_use]
     pub fn subscribe_responses(&self) -> broadcast::Receiver<String> {
--- a/src/model/outcome.rs
+++ b/src/model/outcome.rs
@@ -123,6 +123,10 @@
     OutsideRegions = 30, "outside-regions", 503;
     /// No divider granted or denied a token of the workspace's rate in time.
     QuotaUnavailable = 31, "quota-unavailable", 503;
+    /// The request crashed targets and is quarantined.
+    Quarantined = 32, "quarantined", 503;
+    /// The target crashed while the request ran.
+    TargetCrashed = 33, "target-crashed", 502;
 }
 
 impl fmt::Display for Reason {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -32,6 +32,7 @@
         membership::{MemberProbes, OwnState, View},
         model::{AdmissionLevel, Class, Names, RegionKey, RegionSet, WorkspaceKey},
         peer::{FleetAuth, SeenAttempts},
+        quarantine::Quarantine,
         quota::QuotaGate,
         retry::{RetryPolicy, RetryShareLimits},
         routing::RoutePolicy,
@@ -151,6 +152,8 @@
     pub auth: FleetAuth,
     /// Ids of attempts received from other nodes.
     pub seen_attempts: SeenAttempts,
+    /// Requests that crash targets.
+    pub quarantine: Quarantine,
     /// Connections to the local target.
     pub target: Arc<TargetPool>,
     /// Number of open caller connections.
@@ -193,6 +196,7 @@
         Arc::new(Self {
             auth,
             seen_attempts: SeenAttempts::new(),
+            quarantine: Quarantine::new(),
             target: TargetPool::new(inputs.settings.ip),
             region: inputs.names.region(&inputs.settings.region),
             settings: inputs.settings,
--- a/src/node/start.rs
+++ b/src/node/start.rs
@@ -4,7 +4,7 @@
     super::{Node, Policies, follow_members, follow_probe_responses, run_ticks},
     crate::{
         control::serve_admin, egress::serve_egress, event, events::Event, exchange::bind,
-        ingress::serve_callers, peer::serve_peers, shutdown,
+        ingress::serve_callers, peer::serve_peers, quarantine::exchange_reports, shutdown,
     },
     std::{net::SocketAddr, sync::Arc},
     tokio::net::TcpListener,
@@ -35,6 +35,7 @@
     tasks.spawn(run_ticks(Arc::clone(node)));
     tasks.spawn(follow_members(Arc::clone(node)));
     tasks.spawn(follow_probe_responses(Arc::clone(node)));
+    tasks.spawn(exchange_reports(Arc::clone(node)));
     tasks.spawn(serve_callers(Arc::clone(node), callers));
     tasks.spawn(serve_peers(Arc::clone(node), peers));
     tasks.spawn(serve_egress(Arc::clone(node), egress));
--- a/src/node/tasks.rs
+++ b/src/node/tasks.rs
@@ -40,6 +40,7 @@
             node.loop_lag().record_tick(tick.now_us);
         }
         node.admission().tick(tick.now_us);
+        node.quarantine.tick(tick.now_us);
         node.routes().tick(tick.now_us);
         probe_silent_nodes(&node, tick.now_us);
         remove_silent_target(&node, tick.now_ms());
--- a/src/peer/headers.rs
+++ b/src/peer/headers.rs
@@ -149,6 +149,13 @@
         self.verify(&[content], tag)
     }
 
+    /// Keyed digest of these parts in this order.
+    #[must_use]
+    pub fn keyed_digest(&self, parts: &[&[u8]]) -> u64 {
+        let tag = self.compute_tag(parts);
+        u64::from_le_bytes(std::array::from_fn(|index| tag[index]))
+    }
+
     fn compute_tag(&self, parts: &[&[u8]]) -> [u8; TAG_BYTES] {
         let full_tag = self.compute_mac(parts).finalize().into_bytes();
         std::array::from_fn(|index| full_tag[index])
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -20,7 +20,7 @@
     hyper::{
         Method, Request, Response, body::Incoming, header::HeaderValue, http::uri::PathAndQuery,
     },
-    std::{sync::Arc, time::Duration},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::net::TcpListener,
 };
 
@@ -151,9 +151,14 @@
     strip_hop_by_hop(&mut parts.headers);
     let uri = parts.uri.into_parts();
     let path = uri.path_and_query;
+    let own_address = SocketAddr::new(node.settings.reachable_ip(), node.settings.peer_port);
     Ok(OutboundRequest {
         method: parts.method,
-        host: uri.authority.map(|authority| authority.to_string()),
+        // The sender fills in this node's address if the caller's host is not forwarded.
+        host: uri
+            .authority
+            .map(|authority| authority.to_string())
+            .filter(|host| *host != own_address.to_string()),
         path: path.unwrap_or_else(|| PathAndQuery::from_static("/")),
         headers: parts.headers,
         body,
--- a/src/target/pool.rs
+++ b/src/target/pool.rs
@@ -8,6 +8,7 @@
     hyper::client::conn::http1,
     hyper_util::rt::TokioIo,
     std::{
+        io::ErrorKind,
         net::{IpAddr, SocketAddr},
         sync::{Arc, Mutex, MutexGuard},
         time::{Duration, Instant},
@@ -16,6 +17,8 @@
 };
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// The same for a connection that replaces a broken one: a request waits for the result.
+const REPLACE_TIMEOUT: Duration = Duration::from_millis(50);
 
 /// Why no connection to the target is available.
 #[derive(Debug, thiserror::Error)]
@@ -146,12 +149,7 @@
                 }
                 state.open_connection_count += 1;
             }
-            let pooled = PooledConnection {
-                pool: Arc::clone(self),
-                generation: state.generation,
-                instance_id: target.instance_id,
-                connection: idle,
-            };
+            let pooled = self.pooled(&state, target.instance_id, idle);
             (SocketAddr::new(self.ip, target.port), pooled)
         };
         if pooled.connection.is_none() {
@@ -168,6 +166,49 @@
         Ok(pooled)
     }
 
+    /// Opens a connection in place of one that broke; returns whether the target refused it,
+    /// so that nothing listens any more.
+    pub async fn replace_lost_connection(self: &Arc<Self>) -> bool {
+        let (address, mut pooled) = {
+            let mut state = self.lock_state();
+            let Some(target) = state.target.clone() else {
+                return false;
+            };
+            if state.open_connection_count >= target.connection_count {
+                return false;
+            }
+            state.open_connection_count += 1;
+            (
+                SocketAddr::new(self.ip, target.port),
+                self.pooled(&state, target.instance_id, None),
+            )
+        };
+        let connecting = tokio::time::timeout(REPLACE_TIMEOUT, connect(self.ip, address));
+        match connecting.await {
+            Ok(Ok(connection)) => {
+                pooled.connection = Some(connection);
+                pooled.return_to_pool(None);
+                false
+            }
+            Ok(Err(PoolError::Connect(error))) => error.kind() == ErrorKind::ConnectionRefused,
+            Ok(Err(_)) | Err(_) => false,
+        }
+    }
+
+    fn pooled(
+        self: &Arc<Self>,
+        state: &State,
+        instance_id: String,
+        connection: Option<Connection>,
+    ) -> PooledConnection {
+        PooledConnection {
+            pool: Arc::clone(self),
+            generation: state.generation,
+            instance_id,
+            connection,
+        }
+    }
+
     /// The send gate of the target.
     ///
     /// # Panics
--- a/src/target/serve.rs
+++ b/src/target/serve.rs
@@ -17,6 +17,9 @@
             begins_chain,
         },
         node::{CallHandle, InFlightCall, Node, Policies, Ticket, admit},
+        quarantine::{
+            IdentifiedRequest, RequestDigest, enter_target, record_completed, record_lost,
+        },
         retry::RetryPolicy,
         timer::timeout_unless_suspended,
     },
@@ -152,6 +155,11 @@
         return refused(refusal);
     }
     let deadline_us = node.timer.now_us() + context.remaining_us;
+    let limit = Duration::from_micros(context.remaining_us);
+    let _isolation = match enter_target(node, identify(context, outbound), limit).await {
+        Ok(isolation) => isolation,
+        Err(refusal) => return refused(refusal),
+    };
     let arrival = Arrival {
         class: context.class,
         workspace: context.workspace,
@@ -226,6 +234,17 @@
         .is_some_and(|target| node.names.service(&target.service) == service)
 }
 
+const fn identify<'a>(
+    context: &RequestContext,
+    outbound: &'a OutboundRequest,
+) -> IdentifiedRequest<'a> {
+    IdentifiedRequest {
+        workspace: context.workspace,
+        service: context.service,
+        outbound,
+    }
+}
+
 fn is_revoked<P: Policies>(node: &Node<P>, context: &RequestContext) -> bool {
     node.running().revoked.contains(&context.key)
 }
@@ -257,6 +276,8 @@
 ) -> (Result<ForwardedResponse, Refusal>, u8) {
     let handle = running.call.handle();
     let remaining_ms = remaining_us / 1000;
+    let request = identify(context, outbound);
+    let sent_us = node.timer.now_us();
     let try_pass = || try_pass_gate(node, context);
     let sent = exchange(
         &node.dialect,
@@ -268,16 +289,33 @@
     )
     .await;
     match sent {
-        Err(refusal) => running.fail(TargetResult::Failed, refusal),
-        Ok(target_response) => handle_response(node, running, target_response, remaining_us).await,
+        Err(refusal) => {
+            let refusal = record_lost(node, request, refusal).await;
+            running.fail(TargetResult::Failed, refusal)
+        }
+        Ok(target_response) => {
+            let sent = SentRequest {
+                request,
+                sent_us,
+                remaining_us,
+            };
+            handle_response(node, running, target_response, sent).await
+        }
     }
 }
 
+/// A request that the target has begun to respond to.
+struct SentRequest<'a> {
+    request: IdentifiedRequest<'a>,
+    sent_us: u64,
+    remaining_us: u64,
+}
+
 async fn handle_response<P: Policies>(
-    node: &Node<P>,
+    node: &Arc<Node<P>>,
     running: RunningRequest<P>,
     target_response: TargetResponse,
-    remaining_us: u64,
+    sent: SentRequest<'_>,
 ) -> (Result<ForwardedResponse, Refusal>, u8) {
     let TargetResponse {
         response,
@@ -308,9 +346,17 @@
         node.downstream().record_request_end(class, has_failed);
     }
     match collect(&mut body, node.settings.buffered_answer_bytes).await {
-        Err(_) => running.fail(TargetResult::Failed, Refusal::unknown(Reason::BadAnswer)),
+        Err(_) => {
+            let refusal = Refusal::unknown(Reason::BadAnswer);
+            let refusal = record_lost(node, sent.request, refusal).await;
+            running.fail(TargetResult::Failed, refusal)
+        }
         Ok(Collected::Complete(bytes)) => {
             connection.return_to_pool(signal.idle_limit);
+            // A server error may have cut the run short of what crashes the target.
+            if signal.refusal.is_none() && !parts.status.is_server_error() {
+                record_completed(node, sent.request, sent.sent_us);
+            }
             if let Some(refusal) = signal.refusal {
                 return running.fail(result, refusal);
             }
@@ -322,8 +368,10 @@
             )
         }
         Ok(Collected::TooLarge(head)) => {
-            let limit = Duration::from_micros(remaining_us);
+            let limit = Duration::from_micros(sent.remaining_us);
             let stream = StreamedResponse {
+                node: Arc::clone(node),
+                digest: sent.request.digest(node),
                 running,
                 connection,
                 idle_limit: signal.idle_limit,
@@ -340,16 +388,22 @@
 
 /// What a streamed response holds until it ends.
 struct StreamedResponse<P: Policies> {
+    node: Arc<Node<P>>,
+    digest: RequestDigest,
     running: RunningRequest<P>,
     connection: PooledConnection,
     idle_limit: Option<Duration>,
 }
 
 fn finish_stream<P: Policies>(stream: StreamedResponse<P>, is_complete: bool) {
+    let StreamedResponse { node, digest, .. } = stream;
     if is_complete {
+        node.quarantine
+            .record_completion(digest, node.timer.now_ms());
         stream.connection.return_to_pool(stream.idle_limit);
         stream.running.end(TargetResult::Completed);
     } else {
+        node.quarantine.record_loss(digest, node.timer.now_us());
         drop(stream.connection);
         stream.running.end(TargetResult::Failed);
     }
