Keep to the limit that a target names, and leave a leaving target alone

Callers saw nothing yet: the targets took what came.

Cause: what a target says in its answers was passed on and not read, but for its load, its keep-alive and not-executed.

Change: dialects read the limit and the leaving from each response of the registered process. The send gate beside the target, which every request passes, holds the limit as a token bucket (burst of half a second) and the smaller of it and the cold rate. What it refuses has not run (target-limited), costs no retry and no failure, and the node reports a load by which routers prefer other targets. A response that names none ends the limit if its request was sent after the limit was last named. A target that says it leaves drains like one whose heartbeat says so; its process is named in responses and gossip, so that nodes remember it when the node beside it restarts.

Why it works: one counter beside the target is exact for the fleet, and no node has to be asked.

--- a/benches/gossip.rs
+++ b/benches/gossip.rs
@@ -127,6 +127,7 @@
         slot_count: 150,
         connection_count: 1000,
         draining: false,
+        process_id: 3,
     };
     OwnState {
         target: Some(target),
--- a/src/dialect/mod.rs
+++ b/src/dialect/mod.rs
@@ -11,7 +11,9 @@
 pub use {
     caller_request::{CallerRequest, Tenant},
     native::Native,
-    target::{Heartbeat, NoticeError, TargetCall, TargetNotice, TargetSignal, TargetState},
+    target::{
+        Heartbeat, LimitSignal, NoticeError, TargetCall, TargetNotice, TargetSignal, TargetState,
+    },
 };
 
 use {
--- a/src/dialect/native.rs
+++ b/src/dialect/native.rs
@@ -3,14 +3,14 @@
 
 use {
     super::{
-        CallerRequest, Dialect, Heartbeat, NoticeError, TargetCall, TargetNotice, TargetSignal,
-        TargetState, Tenant,
+        CallerRequest, Dialect, Heartbeat, LimitSignal, NoticeError, TargetCall, TargetNotice,
+        TargetSignal, TargetState, Tenant,
     },
     crate::{
         conf::{CompiledConfiguration, WorkspaceRules},
         exchange::{
-            CALL, DEADLINE, ForwardedResponse, KEY, ResponseBody, SHED, refusal_response,
-            response_from_result,
+            CALL, DEADLINE, ForwardedResponse, KEY, LEAVING, LIMIT_PER_S, ResponseBody, SHED,
+            refusal_response, response_from_result,
         },
         ingress::{
             Rejection, check_idempotency_key, parse_deadline_ms, split_path, strip_request_headers,
@@ -145,6 +145,11 @@
             is_shed: is_shed(response.status()),
             idle_limit: None,
             busy_ratio: None,
+            limit: LimitSignal::from_header(response.headers().get(LIMIT_PER_S)),
+            is_leaving: response
+                .headers()
+                .get(LEAVING)
+                .is_some_and(|value| value == "1"),
         }
     }
 
--- a/src/dialect/target.rs
+++ b/src/dialect/target.rs
@@ -1,6 +1,10 @@
 //! Messages between a node and its local target, decoded.
 
-use {crate::model::Refusal, hyper::HeaderMap, std::time::Duration};
+use {
+    crate::model::Refusal,
+    hyper::{HeaderMap, header::HeaderValue},
+    std::time::Duration,
+};
 
 /// A request that is sent to the local target.
 #[derive(Debug, Clone, Copy)]
@@ -30,6 +34,39 @@
     pub idle_limit: Option<Duration>,
     /// Share of slots in use as reported in the response, 0.0 to 1.0.
     pub busy_ratio: Option<f64>,
+    /// Limit that the target names.
+    pub limit: LimitSignal,
+    /// Whether the target reports that it will exit.
+    pub is_leaving: bool,
+}
+
+/// What a response says about the requests that the target takes from all nodes together.
+#[derives::value]
+#[derive(Copy)]
+pub enum LimitSignal {
+    /// It names no limit.
+    NotNamed,
+    /// Requests per second, finite and not negative.
+    PerS(f64),
+    /// It names a limit that cannot be read; what it named before stays.
+    Unreadable,
+}
+
+impl LimitSignal {
+    /// Decodes the value of a header, if the response has it.
+    #[must_use]
+    pub fn from_header(value: Option<&HeaderValue>) -> Self {
+        let Some(value) = value else {
+            return Self::NotNamed;
+        };
+        let limit_per_s = value
+            .to_str()
+            .ok()
+            .and_then(|text| text.trim().parse::<f64>().ok());
+        limit_per_s
+            .filter(|limit_per_s| limit_per_s.is_finite() && *limit_per_s >= 0.0)
+            .map_or(Self::Unreadable, Self::PerS)
+    }
 }
 
 /// Whether a target accepts requests.
--- a/src/egress/announce.rs
+++ b/src/egress/announce.rs
@@ -90,12 +90,13 @@
     let was_end_planned = is_end_planned(node);
     let was_cold = node.target.gate().is_cold(now_us);
     let has_restarted = node.target.announce(target, cold_left_ms, now_us);
+    let process_id = node.target.process_id();
     let size = TargetSize {
         slot_count,
         connection_count,
         is_exact: P::Dialect::SLOTS_ARE_EXACT,
     };
-    let is_draining = state == TargetState::Draining;
+    let is_draining = state == TargetState::Draining || node.target.is_leaving();
     {
         let mut admission = node.admission();
         admission.set_size(size, has_restarted, now_us);
@@ -124,6 +125,7 @@
             slot_count,
             connection_count,
             draining: is_draining,
+            process_id,
         },
     );
 }
@@ -139,6 +141,18 @@
     if !is_present {
         return;
     }
+    drain_target(node);
+}
+
+/// Records that the local target said in a response that it leaves.
+pub fn record_leaving_response<P: Policies>(node: &Node<P>) {
+    if node.target.set_leaving() {
+        event!(Event::TargetLeaving, "is_present=true");
+        drain_target(node);
+    }
+}
+
+fn drain_target<P: Policies>(node: &Node<P>) {
     node.admission().drain(node.timer.now_us());
     node.own_state.send_if_modified(|own_state| {
         let Some(target) = &mut own_state.target else {
--- a/src/egress/attempts.rs
+++ b/src/egress/attempts.rs
@@ -15,7 +15,7 @@
         retry::CallKey,
         retry::RetryPolicy,
         routing::{AttemptResult, RoutePolicy, RouteRequest, TargetKey},
-        target::serve_local,
+        target::{UNKNOWN_PROCESS_ID, serve_local},
         timer::timeout_unless_suspended,
     },
     std::{sync::Arc, time::Duration},
@@ -130,6 +130,7 @@
             | Reason::NoTarget
             | Reason::NotReady
             | Reason::TargetCold
+            | Reason::TargetLimited
             | Reason::ZoneEvacuated
             | Reason::OutsideRegions
     );
@@ -139,7 +140,10 @@
 /// Whether the target's node sends it no further requests for a while. A retry would
 /// most likely be refused by other targets for the same reason.
 fn is_target_paused(refusal: Refusal) -> bool {
-    let is_paused = matches!(refusal.reason, Reason::TargetCold | Reason::ZoneEvacuated);
+    let is_paused = matches!(
+        refusal.reason,
+        Reason::TargetCold | Reason::TargetLimited | Reason::ZoneEvacuated
+    );
     refusal.outcome == Outcome::NotRun && is_paused
 }
 
@@ -157,6 +161,7 @@
             | Reason::TooManyConnections
             | Reason::TargetShed
             | Reason::TargetCold
+            | Reason::TargetLimited
             | Reason::ZoneEvacuated
             | Reason::OutsideRegions
     );
@@ -208,6 +213,7 @@
                 result,
                 unspent,
                 level: Some(node.level(call.class)),
+                leaving_process_id: node.target.leaving_process_id(),
             }
         }
         TargetLocation::Peer(link) => {
@@ -231,6 +237,11 @@
     {
         node.downstream().record_level(level, node.timer.now_us());
     }
+    if hop.leaving_process_id != UNKNOWN_PROCESS_ID {
+        let now_ms = node.timer.now_ms();
+        node.routes()
+            .record_leaving(target, hop.leaving_process_id, now_ms);
+    }
     outstanding.end(attempt_result(&hop.result), hop.level);
     hop.result
 }
--- a/src/egress/mod.rs
+++ b/src/egress/mod.rs
@@ -4,6 +4,7 @@
 mod attempts;
 mod child;
 
+pub use announce::record_leaving_response;
 pub use attempts::{Call, request_context, run_attempts, send};
 
 use {
--- a/src/exchange/headers.rs
+++ b/src/exchange/headers.rs
@@ -39,6 +39,11 @@
 /// report by accident that it did not run itself.
 pub const SHED: HeaderName = HeaderName::from_static("dogwood-shed");
 
+/// Requests per second that a target takes from all nodes together, a decimal number.
+pub const LIMIT_PER_S: HeaderName = HeaderName::from_static("dogwood-limit-per-s");
+/// Set to `1` by a target that will exit.
+pub const LEAVING: HeaderName = HeaderName::from_static("dogwood-leaving");
+
 const INTERNAL_PREFIX: &str = "dogwood-";
 
 const HOP_BY_HOP: [HeaderName; 8] = [
--- a/src/exchange/mod.rs
+++ b/src/exchange/mod.rs
@@ -10,8 +10,9 @@
 pub use {
     body::{Collected, ResponseBody, TruncatedBody, collect, discard, stream_body},
     headers::{
-        ANSWER, ANSWER_AUTH, AUTH, CALL, CLOCK, CONTEXT, DEADLINE, IDEMPOTENCY_KEY, KEY, OUTCOME,
-        REASON, RETRY_AFTER_MS, SHED, is_internal, strip_hop_by_hop, strip_internal,
+        ANSWER, ANSWER_AUTH, AUTH, CALL, CLOCK, CONTEXT, DEADLINE, IDEMPOTENCY_KEY, KEY, LEAVING,
+        LIMIT_PER_S, OUTCOME, REASON, RETRY_AFTER_MS, SHED, is_internal, strip_hop_by_hop,
+        strip_internal,
     },
     listener::{Handler, ListenerLimits, bind, serve},
     pipeline::{EarlyResponse, Pipeline},
--- a/src/membership/codec.rs
+++ b/src/membership/codec.rs
@@ -199,6 +199,7 @@
         target.set_slot_count(announcement.slot_count);
         target.set_connection_count(announcement.connection_count);
         target.set_draining(announcement.draining);
+        target.set_process_id(announcement.process_id);
     }
 }
 
@@ -244,6 +245,7 @@
             slot_count: target.get_slot_count(),
             connection_count: target.get_connection_count(),
             draining: target.get_draining(),
+            process_id: target.get_process_id(),
         })
     } else {
         None
--- a/src/membership/member.rs
+++ b/src/membership/member.rs
@@ -32,6 +32,8 @@
     pub connection_count: u32,
     /// It requested to receive no new requests.
     pub draining: bool,
+    /// Differs between processes of the target; 0 if unknown.
+    pub process_id: u64,
 }
 
 /// Ports of a member, all on its reachable address.
--- a/src/model/outcome.rs
+++ b/src/model/outcome.rs
@@ -127,6 +127,8 @@
     Quarantined = 32, "quarantined", 503;
     /// The target crashed while the request ran.
     TargetCrashed = 33, "target-crashed", 502;
+    /// The limit that the target names is reached.
+    TargetLimited = 34, "target-limited", 503;
 }
 
 impl fmt::Display for Reason {
--- a/src/node/guarded.rs
+++ b/src/node/guarded.rs
@@ -12,6 +12,7 @@
         model::{Names, Outcome, Reason, Refusal, RequestContext, ServiceKey, WorkspaceKey},
         peer::{Attempt, HopResult},
         retry::RetryPolicy,
+        target::UNKNOWN_PROCESS_ID,
     },
     hyper::{
         HeaderMap, StatusCode,
@@ -74,6 +75,7 @@
                 result,
                 unspent,
                 level: None,
+                leaving_process_id: UNKNOWN_PROCESS_ID,
             }
         }
         Home::Node(home) => send_to_home(node, &home, &context, outbound, remaining_us).await,
--- a/src/node/route_table.rs
+++ b/src/node/route_table.rs
@@ -10,6 +10,7 @@
         peer::PeerLink,
         routing::{Distance, RoutePolicy, RouteRequest, TargetInfo, TargetKey},
         settings::Settings,
+        target::UNKNOWN_PROCESS_ID,
     },
     std::{
         collections::{BTreeMap, HashMap},
@@ -51,8 +52,14 @@
     info: TargetInfo,
     identity: NodeIdentity,
     location: TargetLocation,
+    process_id: u64,
 }
 
+/// Time for which a process that leaves is remembered, in milliseconds.
+const LEAVING_RETENTION_MS: u64 = 600_000;
+/// Maximum number of processes that are remembered; the oldest are dropped.
+const MAX_LEAVING_COUNT: usize = 1024;
+
 /// The routing policy and the nodes of its targets.
 #[derive(Debug)]
 pub struct RouteTable<R> {
@@ -60,6 +67,9 @@
     rows: BTreeMap<String, Row>,
     links: HashMap<String, (NodeIdentity, Arc<PeerLink>)>,
     node_names: HashMap<TargetKey, String>,
+    /// Processes of targets that leave, with the time at which that was last reported. The
+    /// nodes beside them may forget it when they restart.
+    leaving: BTreeMap<u64, u64>,
 }
 
 impl<R: RoutePolicy> Default for RouteTable<R> {
@@ -77,6 +87,23 @@
             rows: BTreeMap::new(),
             links: HashMap::new(),
             node_names: HashMap::new(),
+            leaving: BTreeMap::new(),
+        }
+    }
+
+    /// Records that a process of this target said that it leaves: it gets no new requests, even
+    /// if the node beside it restarts and announces it again.
+    pub fn record_leaving(&mut self, target: TargetKey, process_id: u64, now_ms: u64) {
+        if !self.remember_leaving(process_id, now_ms) {
+            return;
+        }
+        let node = self.node_names.get(&target);
+        let Some(row) = node.and_then(|node| self.rows.get_mut(node)) else {
+            return;
+        };
+        if row.process_id == process_id {
+            row.info.draining = true;
+            self.policy.update(target, row.info);
         }
     }
 
@@ -85,6 +112,21 @@
         &mut self.policy
     }
 
+    /// Returns whether it was not known.
+    fn remember_leaving(&mut self, process_id: u64, now_ms: u64) -> bool {
+        if process_id == UNKNOWN_PROCESS_ID || self.leaving.insert(process_id, now_ms).is_some() {
+            return false;
+        }
+        self.leaving
+            .retain(|_, last_ms| now_ms.saturating_sub(*last_ms) < LEAVING_RETENTION_MS);
+        if self.leaving.len() > MAX_LEAVING_COUNT {
+            let oldest = self.leaving.iter().min_by_key(|(_, last_ms)| **last_ms);
+            let oldest_id = oldest.map(|(process_id, _)| *process_id);
+            oldest_id.map(|process_id| self.leaving.remove(&process_id));
+        }
+        true
+    }
+
     /// Picks a target and returns how it is reached.
     pub fn pick(
         &mut self,
@@ -197,8 +239,12 @@
             let Some(target) = member.target.as_ref().filter(|_| is_in_fleet(member.state)) else {
                 continue;
             };
+            if target.draining {
+                self.remember_leaving(target.process_id, now_us / 1000);
+            }
             let info = TargetInfo {
                 draining: target.draining
+                    || self.leaving.contains_key(&target.process_id)
                     || member.state == MemberState::Draining
                     || evacuations.contains(&member.zone),
                 ..target_info(
@@ -211,11 +257,17 @@
             };
             let identity = member_identity(member);
             removed_nodes.retain(|node| *node != member.node_id);
-            self.upsert(&member.node_id, info, identity, now_us);
+            self.upsert(&member.node_id, info, identity, target.process_id, now_us);
         }
         if let Some(target) = &own.target {
+            if target.draining {
+                self.remember_leaving(target.process_id, now_us / 1000);
+            }
             let info = TargetInfo {
-                draining: target.draining || own.draining || evacuations.contains(&settings.zone),
+                draining: target.draining
+                    || self.leaving.contains_key(&target.process_id)
+                    || own.draining
+                    || evacuations.contains(&settings.zone),
                 ..target_info(
                     target,
                     (names.zone(&settings.zone), names.region(&settings.region)),
@@ -229,7 +281,7 @@
                 started_unix_ms: 0,
             };
             removed_nodes.retain(|node| *node != settings.node_id);
-            self.upsert(&settings.node_id, info, identity, now_us);
+            self.upsert(&settings.node_id, info, identity, target.process_id, now_us);
         }
         for node in removed_nodes {
             self.remove(&node);
@@ -254,8 +306,16 @@
         self.links = links;
     }
 
-    fn upsert(&mut self, node: &str, info: TargetInfo, identity: NodeIdentity, now_us: u64) {
+    fn upsert(
+        &mut self,
+        node: &str,
+        info: TargetInfo,
+        identity: NodeIdentity,
+        process_id: u64,
+        now_us: u64,
+    ) {
         if let Some(row) = self.rows.get_mut(node) {
+            row.process_id = process_id;
             if row.identity == identity && row.info.service == info.service {
                 if row.info != info {
                     row.info = info;
@@ -276,6 +336,7 @@
             info,
             identity,
             location,
+            process_id,
         };
         self.rows.insert(node.to_owned(), row);
     }
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -11,6 +11,7 @@
             IDEMPOTENCY_KEY, OutboundRequest, ResponseBody, collect, stream_body,
         },
         model::{AdmissionLevel, Names, Reason, Refusal, RequestContext},
+        target::UNKNOWN_PROCESS_ID,
     },
     bytes::Bytes,
     http_body_util::Full,
@@ -27,6 +28,8 @@
     pub unspent: u8,
     /// Admission level of the peer, if it responded.
     pub level: Option<AdmissionLevel>,
+    /// Process of the peer's target that said in a response that it leaves; 0 if none did.
+    pub leaving_process_id: u64,
 }
 
 impl HopResult {
@@ -37,6 +40,7 @@
             result: Err(refusal),
             unspent,
             level: None,
+            leaving_process_id: UNKNOWN_PROCESS_ID,
         }
     }
 }
@@ -103,6 +107,7 @@
         result,
         unspent: metadata.unspent.min(context.retry_allotment),
         level: Some(metadata.level),
+        leaving_process_id: metadata.leaving_process_id,
     }
 }
 
--- a/src/peer/headers.rs
+++ b/src/peer/headers.rs
@@ -106,6 +106,8 @@
     pub unspent: u8,
     /// Admission level of the responding node.
     pub level: AdmissionLevel,
+    /// Process of its target that said in a response that it leaves; 0 if none did.
+    pub leaving_process_id: u64,
 }
 
 /// Signs and verifies headers and datagrams with the fleet secret.
@@ -268,6 +270,7 @@
     builder.set_load_percent(metadata.level.load_percent);
     builder.set_below_percent(metadata.level.below_percent);
     builder.set_draining(metadata.level.draining);
+    builder.set_leaving_process(metadata.leaving_process_id);
     to_header_value(&message)
 }
 
@@ -302,6 +305,7 @@
             below_percent: reader.get_below_percent(),
             draining: reader.get_draining(),
         },
+        leaving_process_id: reader.get_leaving_process(),
     })
 }
 
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -75,6 +75,7 @@
         refusal: result.as_ref().err().copied(),
         unspent,
         level,
+        leaving_process_id: node.target.leaving_process_id(),
     };
     let value = encode_response_metadata(&metadata);
     let proof = node.auth.sign(&[value.as_bytes()]);
--- a/src/schema/gossip.capnp
+++ b/src/schema/gossip.capnp
@@ -12,6 +12,8 @@
   slotCount @1 :UInt32;
   connectionCount @2 :UInt32;
   draining @3 :Bool;
+  # Differs between processes of the target; 0 if unknown.
+  processId @4 :UInt64;
 }
 
 struct Record {
--- a/src/schema/peer.capnp
+++ b/src/schema/peer.capnp
@@ -42,4 +42,6 @@
   attemptId @9 :UInt64;
   # Load that the calls of its target meet, in percent.
   belowPercent @10 :UInt16;
+  # Process of the target that said in a response that it leaves; 0 if none did.
+  leavingProcess @11 :UInt64;
 }
--- a/src/target/gate.rs
+++ b/src/target/gate.rs
@@ -1,4 +1,4 @@
-//! Limits what is sent to the local target while it is cold or its zone is evacuated.
+//! Limits what is sent to the local target while it is cold or limited or its zone is evacuated.
 //!
 //! A cold target handles only a few requests per second. When all targets of a
 //! service restart together under the usual load, each fails, restarts cold and
@@ -6,7 +6,11 @@
 //! through its node, so the limit holds here whatever state other nodes assume.
 
 use {
-    crate::model::{CLASS_COUNT, Class},
+    super::NamedLimit,
+    crate::{
+        dialect::LimitSignal,
+        model::{CLASS_COUNT, Class},
+    },
     std::collections::VecDeque,
 };
 
@@ -34,11 +38,27 @@
     ChainInProgress,
 }
 
+impl Priority {
+    /// Share of a limit, in percent, up to which such requests are sent.
+    #[must_use]
+    pub const fn share_percent(self) -> u32 {
+        match self {
+            Self::NewChain(class) => NEW_CHAIN_SHARES_PERCENT[class.index()],
+            Self::ChainInProgress => 100,
+        }
+    }
+}
+
 /// Why a request must not be sent now.
 #[derives::key]
 pub enum GateClosed {
     /// The target's availability zone is evacuated.
     Evacuated,
+    /// The limit that the target names is reached.
+    Limited {
+        /// Time until the request could be sent, in microseconds.
+        left_us: u64,
+    },
     /// The target is cold and its limit is reached.
     Cold {
         /// Time until the target is warm as it reported, in microseconds; `None`
@@ -61,6 +81,7 @@
     sent_at_us: VecDeque<u64>,
     /// Requests that a cold target may receive in any second; 0: unlimited.
     cold_limit_per_s: u32,
+    named_limit: NamedLimit,
 }
 
 impl Default for SendGate {
@@ -79,9 +100,22 @@
             missing_warm_heartbeat_count: WARM_HEARTBEAT_COUNT,
             sent_at_us: VecDeque::new(),
             cold_limit_per_s: 0,
+            named_limit: NamedLimit::new(),
         }
     }
 
+    /// Records what a response to a request sent at `sent_us` said about the target's limit;
+    /// returns the new limit, in requests per second, if it changed.
+    pub fn record_limit(
+        &mut self,
+        signal: LimitSignal,
+        sent_us: u64,
+        now_us: u64,
+    ) -> Option<Option<f64>> {
+        let is_changed = self.named_limit.record_response(signal, sent_us, now_us);
+        is_changed.then(|| self.named_limit.rate_per_s())
+    }
+
     /// Records how much longer the target stays cold, as its heartbeat reports.
     ///
     /// Unless the process is new, a heartbeat cannot shorten a cold time reported
@@ -92,6 +126,7 @@
             left_us => now_us + left_us.min(MAX_COLD_US),
         };
         if is_new_process {
+            self.named_limit.forget();
             self.cold_until_us = new_cold_until_us;
             self.missing_warm_heartbeat_count = 0;
             return;
@@ -138,6 +173,8 @@
         if self.is_evacuated {
             return Err(GateClosed::Evacuated);
         }
+        let limited = self.named_limit.check(priority, now_us);
+        limited.map_err(|left_us| GateClosed::Limited { left_us })?;
         if !self.is_cold(now_us) {
             return Ok(());
         }
@@ -145,11 +182,7 @@
             0 => Some(self.cold_until_us.saturating_sub(now_us)),
             _ => None,
         };
-        let share_percent = match priority {
-            Priority::NewChain(class) => NEW_CHAIN_SHARES_PERCENT[class.index()],
-            Priority::ChainInProgress => 100,
-        };
-        let allowed_count = (cold_limit_per_s * share_percent / 100).max(1);
+        let allowed_count = (cold_limit_per_s * priority.share_percent() / 100).max(1);
         match self.recent_count(now_us) < allowed_count {
             true => Ok(()),
             false => Err(GateClosed::Cold { left_us }),
@@ -164,6 +197,7 @@
         now_us: u64,
     ) -> Result<(), GateClosed> {
         self.check(priority, cold_limit_per_s, now_us)?;
+        self.named_limit.record_send();
         // Recorded while the target is warm, too: requests sent just before it
         // became cold count against the limit.
         self.sent_at_us.push_back(now_us);
@@ -173,9 +207,14 @@
         Ok(())
     }
 
-    /// Load of a cold target in percent; 0 if it is warm.
+    /// Load in percent of a cold or limited target; 0 if it is warm and names no limit.
     #[must_use]
-    pub fn load_percent(&self, now_us: u64) -> u16 {
+    pub fn load_percent(&mut self, now_us: u64) -> u16 {
+        self.cold_load_percent(now_us)
+            .max(self.named_limit.load_percent(now_us))
+    }
+
+    fn cold_load_percent(&self, now_us: u64) -> u16 {
         if !self.is_cold(now_us) {
             return 0;
         }
--- a/src/target/gate_check.rs
+++ b/src/target/gate_check.rs
@@ -54,6 +54,10 @@
     let jitter_ms = rand::random::<u32>() % GATE_RETRY_JITTER_MS;
     let (reason, retry_after_ms) = match gate_closed {
         GateClosed::Evacuated => (Reason::ZoneEvacuated, GATE_RETRY_AFTER_MS),
+        GateClosed::Limited { left_us } => {
+            let left_ms = u32::try_from(left_us / 1000).unwrap_or(u32::MAX);
+            (Reason::TargetLimited, left_ms)
+        }
         GateClosed::Cold { left_us } => {
             let left_ms = left_us.and_then(|left_us| u32::try_from(left_us / 1000).ok());
             (Reason::TargetCold, left_ms.unwrap_or(GATE_RETRY_AFTER_MS))
--- a/src/target/mod.rs
+++ b/src/target/mod.rs
@@ -3,6 +3,7 @@
 mod exchange;
 mod gate;
 mod gate_check;
+mod named_limit;
 mod pool;
 mod registration;
 mod serve;
@@ -10,7 +11,8 @@
 pub use {
     exchange::{TargetResponse, exchange},
     gate::{GateClosed, Priority, SendGate},
-    pool::{PoolError, PoolTarget, PooledConnection, TargetPool},
+    named_limit::NamedLimit,
+    pool::{PoolError, PoolTarget, PooledConnection, TargetPool, UNKNOWN_PROCESS_ID},
     registration::{NoticeStatus, Registration},
     serve::serve_local,
 };
--- a/src/target/pool.rs
+++ b/src/target/pool.rs
@@ -8,12 +8,14 @@
     hyper::client::conn::http1,
     hyper_util::rt::TokioIo,
     std::{
+        hash::{Hash, Hasher},
         io::ErrorKind,
         net::{IpAddr, SocketAddr},
         sync::{Arc, Mutex, MutexGuard},
         time::{Duration, Instant},
     },
     tokio::task::AbortHandle,
+    xxhash_rust::xxh3::Xxh3,
 };
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -47,6 +49,9 @@
 /// connection is lost, and whether it ran is unknown.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
 
+/// Process id of a target that has neither an instance id nor a start time.
+pub const UNKNOWN_PROCESS_ID: u64 = 0;
+
 /// A target as registered with the pool.
 #[derives::value]
 #[derive(Eq)]
@@ -61,6 +66,20 @@
     pub connection_count: u32,
 }
 
+impl PoolTarget {
+    /// Differs between processes of all targets; the same after a restart of the node.
+    #[must_use]
+    pub fn process_id(&self, ip: IpAddr) -> u64 {
+        if self.instance_id.is_empty() && self.started_unix_ms == 0 {
+            return UNKNOWN_PROCESS_ID;
+        }
+        let mut hash = Xxh3::new();
+        (ip, self.port, self.started_unix_ms).hash(&mut hash);
+        self.instance_id.hash(&mut hash);
+        hash.finish().max(1)
+    }
+}
+
 #[derive(Debug)]
 struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
@@ -78,6 +97,10 @@
 struct State {
     target: Option<PoolTarget>,
     last_heartbeat_ms: u64,
+    /// Whether the current process said in a response that it leaves.
+    is_leaving: bool,
+    /// The last process that said so.
+    leaving_process_id: u64,
     // Incremented when the target changes, so that no connection to the previous
     // process is returned to the pool.
     generation: u64,
@@ -117,6 +140,10 @@
         state.target = Some(target);
         if !is_same_process {
             state.reset();
+            let process_id = state.process_id(self.ip);
+            // It may return after a silence.
+            state.is_leaving =
+                process_id != UNKNOWN_PROCESS_ID && process_id == state.leaving_process_id;
         }
         let cold_left_us = cold_left_ms.saturating_mul(1000);
         self.gate()
@@ -137,6 +164,35 @@
         true
     }
 
+    /// Process id of the registered target.
+    #[must_use]
+    pub fn process_id(&self) -> u64 {
+        self.lock_state().process_id(self.ip)
+    }
+
+    /// Records that the target said in a response that it leaves; returns whether that is new.
+    pub fn set_leaving(&self) -> bool {
+        let mut state = self.lock_state();
+        state.leaving_process_id = state.process_id(self.ip);
+        state.target.is_some() && !std::mem::replace(&mut state.is_leaving, true)
+    }
+
+    /// Whether the target said in a response that it leaves.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.lock_state().is_leaving
+    }
+
+    /// Process id of the target if it said in a response that it leaves.
+    #[must_use]
+    pub fn leaving_process_id(&self) -> u64 {
+        let state = self.lock_state();
+        match state.is_leaving {
+            true => state.leaving_process_id,
+            false => UNKNOWN_PROCESS_ID,
+        }
+    }
+
     /// Returns an idle connection or opens a new one.
     pub async fn acquire(self: &Arc<Self>) -> Result<PooledConnection, PoolError> {
         let (address, mut pooled) = {
@@ -223,8 +279,14 @@
 }
 
 impl State {
+    fn process_id(&self, ip: IpAddr) -> u64 {
+        let target = self.target.as_ref();
+        target.map_or(UNKNOWN_PROCESS_ID, |target| target.process_id(ip))
+    }
+
     fn reset(&mut self) {
         self.generation += 1;
+        self.is_leaving = false;
         self.idle.clear();
         self.open_connection_count = 0;
     }
@@ -278,6 +340,12 @@
         &self.instance_id
     }
 
+    /// Whether the target process at the other end is the registered one.
+    #[must_use]
+    pub fn is_current(&self) -> bool {
+        self.pool.lock_state().generation == self.generation
+    }
+
     /// Sender for the request.
     pub fn sender(&mut self) -> Option<&mut http1::SendRequest<Full<Bytes>>> {
         self.connection
--- a/src/target/serve.rs
+++ b/src/target/serve.rs
@@ -7,6 +7,8 @@
     },
     crate::{
         admission::{Arrival, LoadReport, TargetResult},
+        dialect::TargetSignal,
+        egress::record_leaving_response,
         event,
         events::Event,
         exchange::{
@@ -289,6 +291,9 @@
     )
     .await;
     match sent {
+        Err(refusal) if refusal.reason == Reason::TargetLimited => {
+            running.fail(TargetResult::Cancelled, refusal)
+        }
         Err(refusal) => {
             let refusal = record_lost(node, request, refusal).await;
             running.fail(TargetResult::Failed, refusal)
@@ -329,6 +334,10 @@
             received_us,
         });
     }
+    // A response that may belong to another request is still the target's.
+    if connection.is_current() {
+        record_signal(node, &signal, sent.sent_us);
+    }
     if let Some(refusal) = signal
         .refusal
         .filter(|refusal| refusal.outcome != Outcome::NotRun)
@@ -386,6 +395,21 @@
     }
 }
 
+/// Records what the target says about itself in a response.
+fn record_signal<P: Policies>(node: &Node<P>, signal: &TargetSignal, sent_us: u64) {
+    let now_us = node.timer.now_us();
+    let changed = node
+        .target
+        .gate()
+        .record_limit(signal.limit, sent_us, now_us);
+    if let Some(limit_per_s) = changed {
+        event!(Event::TargetLimited, "limit_per_s={limit_per_s:?}");
+    }
+    if signal.is_leaving {
+        record_leaving_response(node);
+    }
+}
+
 /// What a streamed response holds until it ends.
 struct StreamedResponse<P: Policies> {
     node: Arc<Node<P>>,
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -228,6 +228,7 @@
         slot_count: 150,
         connection_count: 1000,
         draining: false,
+        process_id: 3,
     };
     let running = OwnState {
         target: Some(target.clone()),
@@ -473,6 +474,7 @@
         slot_count: 4,
         connection_count: 9,
         draining: true,
+        process_id: 3,
     };
     Packet {
         sender: Record {
