--- a/benches/quarantine.rs
+++ b/benches/quarantine.rs
@@ -98,32 +98,52 @@
     beside_count: usize,
     /// Part of them that repeat after a failure, as the cause does.
     repeat_share: f64,
+    /// Whether each target crashes before the reports of the earlier crashes arrive there.
+    are_reports_late: bool,
 }
 
-const CASES: [WrongVerdictCase; 4] = [
+const CASES: [WrongVerdictCase; 6] = [
     WrongVerdictCase {
         name: "4 targets, 25 beside, a third repeats",
         target_count: 4,
         beside_count: 25,
         repeat_share: 0.33,
+        are_reports_late: false,
     },
     WrongVerdictCase {
         name: "4 targets, 80 beside, all repeat",
         target_count: 4,
         beside_count: 80,
         repeat_share: 1.0,
+        are_reports_late: false,
     },
     WrongVerdictCase {
         name: "2 targets, 80 beside, all repeat",
         target_count: 2,
         beside_count: 80,
         repeat_share: 1.0,
+        are_reports_late: false,
     },
     WrongVerdictCase {
         name: "48 targets, 80 beside, all repeat",
         target_count: 48,
         beside_count: 80,
         repeat_share: 1.0,
+        are_reports_late: false,
+    },
+    WrongVerdictCase {
+        name: "4 targets, 25 beside, a third repeats, reports late",
+        target_count: 4,
+        beside_count: 25,
+        repeat_share: 0.33,
+        are_reports_late: true,
+    },
+    WrongVerdictCase {
+        name: "4 targets, 80 beside, all repeat, reports late",
+        target_count: 4,
+        beside_count: 80,
+        repeat_share: 1.0,
+        are_reports_late: true,
     },
 ];
 
@@ -144,7 +164,7 @@
     let mut crash_key = 0;
     while !matches!(table.verdict(CAUSE, 0), Verdict::Quarantined { .. }) {
         let is_alone = |digest| table.verdict(digest, 0) == Verdict::Suspected { runs_alone: true };
-        let cause_runs_alone = is_alone(CAUSE);
+        let cause_runs_alone = is_alone(CAUSE) && !case.are_reports_late;
         let mut digests: Vec<RequestDigest> = beside
             .iter()
             .copied()
@@ -153,7 +173,16 @@
         digests.push(CAUSE);
         let key = CrashKey(crash_key);
         crash_key += 1;
-        table.record_crash(&Crash { key, digests }, 0);
+        if case.are_reports_late {
+            let report = CrashReport {
+                crash: key,
+                age_ms: 0,
+                digests,
+            };
+            table.merge_crash(&report, 0);
+        } else {
+            table.record_crash(&Crash { key, digests }, 0);
+        }
         // The target of the crash is down; the others share what repeats.
         let cause_target = targets[1..].choose(&mut rng);
         beside.retain(|_| {
--- a/src/target/mod.rs
+++ b/src/target/mod.rs
@@ -6,6 +6,7 @@
 mod named_limit;
 mod pool;
 mod registration;
+mod running;
 mod serve;
 
 pub use {
--- a/src/target/serve.rs
+++ b/src/target/serve.rs
@@ -4,6 +4,7 @@
     super::{
         PooledConnection, TargetResponse, exchange,
         gate_check::{check_gate, try_pass_gate},
+        running::RunningRequest,
     },
     crate::{
         admission::{Arrival, LoadReport, TargetResult},
@@ -18,7 +19,7 @@
             Class, MAX_DEPTH, Outcome, Reason, Refusal, RequestContext, ServiceKey, WorkspaceKey,
             begins_chain,
         },
-        node::{CallHandle, InFlightCall, Node, Policies, Ticket, admit},
+        node::{InFlightCall, Node, Policies, admit},
         quarantine::{
             IdentifiedRequest, RequestDigest, enter_target, record_completed, record_lost,
         },
@@ -33,68 +34,6 @@
 /// spreads the callers. Admitted shares change within a second.
 const THROTTLED_RETRY_AFTER_MS: (u32, u32) = (400, 800);
 
-/// A request that runs at the target. Dropping it cancels its downstream calls.
-struct RunningRequest<P: Policies> {
-    ticket: Ticket<P>,
-    call: CallHandle<P>,
-    /// Class of a request that starts a call chain.
-    new_class: Option<Class>,
-    _run_time: RunTimeRecorder<P>,
-}
-
-/// Records the run time of a request when dropped.
-struct RunTimeRecorder<P: Policies> {
-    node: Arc<Node<P>>,
-    new_class: Option<Class>,
-    started_us: u64,
-}
-
-impl<P: Policies> RunTimeRecorder<P> {
-    fn new(node: &Arc<Node<P>>, new_class: Option<Class>) -> Self {
-        Self {
-            node: Arc::clone(node),
-            new_class,
-            started_us: node.timer.now_us(),
-        }
-    }
-}
-
-impl<P: Policies> Drop for RunTimeRecorder<P> {
-    fn drop(&mut self) {
-        let run_us = self.node.timer.now_us().saturating_sub(self.started_us);
-        self.node
-            .downstream()
-            .work_shares
-            .end(self.new_class, run_us);
-    }
-}
-
-impl<P: Policies> RunningRequest<P> {
-    /// Completes the request; returns the unspent retry allotment.
-    fn end(self, result: TargetResult) -> u8 {
-        let remainder = self.call.end();
-        self.ticket.end(result);
-        remainder.unspent
-    }
-
-    /// Completes the request with a refusal, marked as exhausted if a child call
-    /// exhausted its retries: retrying further up would multiply those retries.
-    fn fail(
-        self,
-        result: TargetResult,
-        refusal: Refusal,
-    ) -> (Result<ForwardedResponse, Refusal>, u8) {
-        let remainder = self.call.end();
-        self.ticket.end(result);
-        let exhausted = refusal.exhausted || remainder.is_exhausted;
-        let refusal = Refusal {
-            exhausted,
-            ..refusal
-        };
-        (Err(refusal), remainder.unspent)
-    }
-}
-
 /// Serves a request at the local target; returns the response and the unspent retry
 /// allotment.
 pub async fn serve_local<P: Policies>(
@@ -180,13 +119,8 @@
     if remaining_us == 0 {
         return refused(Refusal::not_run(Reason::TooLate));
     }
-    let call = CallHandle::new(node, in_flight_call(node, context, deadline_us));
-    let running = RunningRequest {
-        ticket,
-        call,
-        new_class,
-        _run_time: RunTimeRecorder::new(node, new_class),
-    };
+    let call = in_flight_call(node, context, deadline_us);
+    let running = RunningRequest::new(node, ticket, call, new_class);
     let execution = run_at_target(node, context, running, outbound, remaining_us);
     let limit = Duration::from_micros(remaining_us);
     match timeout_unless_suspended(limit, execution).await {
@@ -276,7 +210,7 @@
     outbound: &OutboundRequest,
     remaining_us: u64,
 ) -> (Result<ForwardedResponse, Refusal>, u8) {
-    let handle = running.call.handle();
+    let handle = running.handle();
     let remaining_ms = remaining_us / 1000;
     let request = identify(context, outbound);
     let sent_us = node.timer.now_us();
@@ -350,7 +284,7 @@
     } else {
         TargetResult::Completed
     };
-    if let Some(class) = running.new_class.filter(|_| signal.refusal.is_none()) {
+    if let Some(class) = running.new_class().filter(|_| signal.refusal.is_none()) {
         let has_failed = parts.status.is_server_error();
         node.downstream().record_request_end(class, has_failed);
     }
