Shorten the first quarantine; end it at different times at different nodes

A wrong verdict kept a caller's request away for 10 minutes, and after a target that crashes at every request (a bad release) this would befall all requests that were repeated meanwhile. The first quarantine now takes 2 minutes and half of that more, by node; it doubles with each further crash, up to 64 minutes. Without the spread all nodes would try the request again at once, each at another target (tests/quarantine.rs: quarantines_end_at_different_times_at_different_nodes).

--- a/src/quarantine/state.rs
+++ b/src/quarantine/state.rs
@@ -46,7 +46,10 @@
     #[must_use]
     pub fn new() -> Self {
         Self {
-            state: Mutex::default(),
+            state: Mutex::new(State {
+                suspects: SuspectTable::new().with_extension_seed(rand::random()),
+                ..State::default()
+            }),
             has_suspects: AtomicBool::new(false),
             isolation: Semaphore::new(1),
             own_report_queued: Notify::new(),
--- a/src/quarantine/suspects.rs
+++ b/src/quarantine/suspects.rs
@@ -3,6 +3,7 @@
 use {
     super::{Completion, Crash, CrashKey, CrashReport, RequestDigest},
     std::collections::{BTreeMap, HashMap},
+    xxhash_rust::xxh3::xxh3_64_with_seed,
 };
 
 /// Crashes after which a request is refused.
@@ -10,9 +11,11 @@
 /// Crashes from which a request runs alone among suspects at a target.
 const ISOLATION_COUNT: usize = CRASH_LIMIT - 1;
 /// Duration of the first quarantine, in milliseconds; it doubles with each further crash.
-pub const QUARANTINE_MS: u64 = 600_000;
+pub const QUARANTINE_MS: u64 = 120_000;
 /// Maximum number of doublings.
-const MAX_DOUBLINGS: usize = 4;
+const MAX_DOUBLINGS: usize = 5;
+/// Maximum extension of a quarantine at one node, as a part of its duration.
+const MAX_EXTENSION_RATIO: f64 = 0.5;
 /// Time after its last crash for which a request below the limit stays suspected.
 pub const SUSPICION_MS: u64 = 600_000;
 /// Crashes that are remembered for each request.
@@ -65,16 +68,19 @@
         last_crash_ms.max(self.completed_ms).unwrap_or(0)
     }
 
-    /// Until when it is refused; `None` below the limit.
-    fn quarantined_until_ms(&self) -> Option<u64> {
+    /// Until when it is refused, with an extension of 0 to 1 of the longest one; `None` below
+    /// the limit.
+    fn quarantined_until_ms(&self, extension: f64) -> Option<u64> {
         let crash_count = self.crash_count();
         let doublings = crash_count.checked_sub(CRASH_LIMIT)?.min(MAX_DOUBLINGS);
         let last_ms = self.counted().next_back().map_or(0, |(_, at_ms)| *at_ms);
-        Some(last_ms + (QUARANTINE_MS << doublings))
+        let duration_ms = QUARANTINE_MS << doublings;
+        let extension_ms = duration_ms as f64 * MAX_EXTENSION_RATIO * extension;
+        Some(last_ms + duration_ms + extension_ms as u64)
     }
 
     fn forgotten_at_ms(&self) -> u64 {
-        let until_ms = self.quarantined_until_ms().unwrap_or(0);
+        let until_ms = self.quarantined_until_ms(1.0).unwrap_or(0);
         until_ms.max(self.last_event_ms()) + SUSPICION_MS
     }
 
@@ -97,6 +103,7 @@
 #[derive(Debug, Default)]
 pub struct SuspectTable {
     suspects: HashMap<RequestDigest, Suspect>,
+    extension_seed: Option<u64>,
 }
 
 impl SuspectTable {
@@ -106,6 +113,15 @@
         Self::default()
     }
 
+    /// Extends each quarantine by a part that depends on this seed, which differs between
+    /// nodes. Otherwise they would all try a request again at the same moment, and it could
+    /// crash as many targets.
+    #[must_use]
+    pub const fn with_extension_seed(mut self, seed: u64) -> Self {
+        self.extension_seed = Some(seed);
+        self
+    }
+
     /// Number of requests in the table.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -128,7 +144,7 @@
         if crash_count == 0 || now_ms >= suspect.forgotten_at_ms() {
             return Verdict::Clear;
         }
-        match suspect.quarantined_until_ms() {
+        match suspect.quarantined_until_ms(self.extension(digest)) {
             Some(until_ms) if now_ms < until_ms => Verdict::Quarantined {
                 left_ms: until_ms - now_ms,
             },
@@ -170,7 +186,7 @@
 
     /// Merges another node's report; returns the part that was new.
     pub fn merge_crash(&mut self, report: &CrashReport, now_ms: u64) -> Option<CrashReport> {
-        if report.age_ms > SUSPICION_MS + (QUARANTINE_MS << MAX_DOUBLINGS) {
+        if report.age_ms > SUSPICION_MS + 2 * (QUARANTINE_MS << MAX_DOUBLINGS) {
             return None;
         }
         let at_ms = now_ms.saturating_sub(report.age_ms);
@@ -252,6 +268,13 @@
         (crashes.into_values().collect(), completions)
     }
 
+    fn extension(&self, digest: RequestDigest) -> f64 {
+        self.extension_seed.map_or(0.0, |seed| {
+            let hash = xxh3_64_with_seed(&digest.0.to_le_bytes(), seed);
+            hash as f64 / u64::MAX as f64
+        })
+    }
+
     fn drop_surplus(&mut self, now_ms: u64) {
         if self.suspects.len() <= MAX_SUSPECT_COUNT {
             return;
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -184,6 +184,29 @@
     }
 }
 
+/// Guards against nodes that all try a refused request again at the same moment.
+#[test]
+fn quarantines_end_at_different_times_at_different_nodes() {
+    let mut left_times_ms: Vec<u64> = (0..20)
+        .map(|seed| {
+            let mut table = SuspectTable::new().with_extension_seed(seed);
+            for crash in 0..CRASH_LIMIT as u64 {
+                table.merge_crash(&report(crash, 0, &[REQUEST]), NOW_MS);
+            }
+            match table.verdict(REQUEST, NOW_MS) {
+                Verdict::Quarantined { left_ms } => left_ms,
+                verdict => panic!("{verdict:?}"),
+            }
+        })
+        .collect();
+    left_times_ms.sort_unstable();
+    assert!(left_times_ms[0] >= QUARANTINE_MS);
+    assert!(left_times_ms[19] <= QUARANTINE_MS * 3 / 2);
+    assert!(left_times_ms[19] - left_times_ms[0] > QUARANTINE_MS / 4);
+    left_times_ms.dedup();
+    assert_eq!(left_times_ms.len(), 20);
+}
+
 /// Guards against innocent requests that are refused since they ran beside a known cause.
 #[test]
 fn a_strongly_suspected_request_explains_a_crash() {
