Let one call crash at most two targets, however fast they end

The node that makes the attempts now counts the crashes of the call itself, and waits 50 ms before the one retry, in which the report reaches the other nodes.

--- a/src/egress/attempts.rs
+++ b/src/egress/attempts.rs
@@ -32,6 +32,12 @@
 /// Most retries, after attempts that reached no target, outside the retry budget.
 const MAX_FREE_RETRIES: usize = 3;
 
+/// Most targets that may crash during one call.
+const MAX_CRASHED_TARGETS: usize = 2;
+/// Time before a retry after a crash. Reports of the crash reach the other nodes meanwhile;
+/// without them the request could crash one target after another.
+const CRASH_RETRY_DELAY: Duration = Duration::from_millis(50);
+
 /// A call that this node sends to a target.
 #[derives::value]
 #[derive(Copy, Eq)]
@@ -74,6 +80,7 @@
 ) -> Result<ForwardedResponse, Refusal> {
     let mut tried = Vec::new();
     let mut free_retry_count = 0;
+    let mut crashed_count = 0;
     let mut may_have_run = false;
     loop {
         let refusal = match attempt(node, call, outbound, &mut tried).await {
@@ -108,6 +115,13 @@
         if is_target_paused(refusal) {
             return Err(refusal.with_exhausted());
         }
+        if refusal.reason == Reason::TargetCrashed {
+            crashed_count += 1;
+            if crashed_count >= MAX_CRASHED_TARGETS {
+                return Err(refusal.with_exhausted());
+            }
+            tokio::time::sleep(CRASH_RETRY_DELAY).await;
+        }
         if !node.retries().try_retry(call.retry, call.service, now_us) {
             return Err(refusal.with_exhausted());
         }
--- a/tests/local_mesh/mesh.rs
+++ b/tests/local_mesh/mesh.rs
@@ -23,9 +23,10 @@
     },
     sha2::{Digest, Sha256},
     std::{
+        collections::HashMap,
         net::{IpAddr, Ipv4Addr, SocketAddr},
         sync::{
-            Arc, Mutex,
+            Arc, LazyLock, Mutex,
             atomic::{AtomicU16, Ordering},
         },
         time::Duration,
@@ -261,7 +262,7 @@
         running: running_receiver,
         evacuations: evacuations_receiver,
         view: view_receiver,
-        probes: always_alive_probes(),
+        probes: mesh_probes(&node_id),
         own_state,
         freshness: freshness_receiver,
     });
@@ -279,14 +280,27 @@
     }
 }
 
-/// Probes to which every member responds immediately.
-fn always_alive_probes() -> MemberProbes {
+/// Probes of all nodes of this process, by node id.
+static PROBES: LazyLock<Mutex<HashMap<String, MemberProbes>>> = LazyLock::new(Mutex::default);
+
+/// Probes to which every member responds immediately; reports reach the other nodes.
+fn mesh_probes(own_id: &str) -> MemberProbes {
     let (probes, mut questions) = MemberProbes::new();
     let responder = probes.clone();
+    PROBES
+        .lock()
+        .unwrap()
+        .insert(own_id.to_owned(), probes.clone());
     tokio::spawn(async move {
         while let Some(question) = questions.recv().await {
-            if let MemberQuery::Liveness(node_id) = question {
-                responder.record_response(node_id);
+            match question {
+                MemberQuery::Liveness(node_id) => responder.record_response(node_id),
+                MemberQuery::Reports(node_id, packet) => {
+                    if let Some(receiver) = PROBES.lock().unwrap().get(&node_id) {
+                        receiver.record_reports(packet);
+                    }
+                }
+                MemberQuery::Stamp(_) => {}
             }
         }
     });
--- a/tests/local_mesh/target.rs
+++ b/tests/local_mesh/target.rs
@@ -159,6 +159,10 @@
             }
             ("big", Some(bytes)) => complete_response(200, &"x".repeat(bytes.parse().unwrap())),
             ("cut", Some(bytes)) => truncated_response(bytes.parse().unwrap()),
+            ("crash", _) => {
+                self.stop.cancel();
+                std::future::pending().await
+            }
             ("shed", _) => shed_response(),
             ("cut-then-shed", Some(bytes)) if self.executions().len() <= 1 => {
                 truncated_response(bytes.parse().unwrap())
