Log why a failed attempt was not retried

Retry budget, allotment, deadline, attempts and a missing target could not be told apart.

The decision moves from the loop in attempts.rs to retry_rules.rs, which does no I/O, and returns what denied the retry. E415 RetryDenied logs it, unless a retry could not have helped or a hop below has denied it. The retry policies tell whether the call's allotment or the service's share is spent. No decision changes.

--- a/src/egress/attempts.rs
+++ b/src/egress/attempts.rs
@@ -1,13 +1,14 @@
 //! Attempts of a call: picks a target, sends, and retries within the retry budget.
 
 use {
+    super::retry_rules::{AttemptHistory, RetryDenial, RetryKind},
     crate::{
         dialect::Dialect,
         event,
         events::Event,
         exchange::{ForwardedResponse, OutboundRequest},
         keys::KeyDigest,
-        model::{AdmissionLevel, Class, Outcome, Reason, Refusal, RequestContext, RequestId},
+        model::{AdmissionLevel, Class, Reason, Refusal, RequestContext, RequestId},
         model::{RegionSet, ServiceKey, WorkspaceKey, begins_chain},
         node::{Node, Policies, TargetLocation},
         peer::{self, Attempt, HopResult, PeerLink},
@@ -29,11 +30,6 @@
 /// The margin is at most the remaining time divided by this.
 const HOP_MARGIN_DIVISOR: u64 = 10;
 
-/// Most retries, after attempts that reached no target, outside the retry budget.
-const MAX_FREE_RETRIES: usize = 3;
-
-/// Most targets that may crash during one call.
-const MAX_CRASHED_TARGETS: usize = 2;
 /// Time before a retry after a crash. Reports of the crash reach the other nodes meanwhile;
 /// without them the request could crash one target after another.
 const CRASH_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -79,109 +75,61 @@
     outbound: &OutboundRequest,
 ) -> Result<ForwardedResponse, Refusal> {
     let mut tried = Vec::new();
-    let mut free_retry_count = 0;
-    let mut crashed_count = 0;
-    let mut may_have_run = false;
+    let mut history = AttemptHistory::new();
     loop {
         let refusal = match attempt(node, call, outbound, &mut tried).await {
             Ok(response) => return Ok(response),
-            Err(refusal) => refusal,
-        };
-        // A refused retry says nothing about an earlier attempt. If its `not-run` were
-        // passed on, the caller would be told that the request did not run although a
-        // target may have executed it.
-        may_have_run |= refusal.outcome == Outcome::Unknown;
-        let refusal = match may_have_run {
-            true => Refusal {
-                outcome: Outcome::Unknown,
-                ..refusal
-            },
-            false => refusal,
+            Err(refusal) => history.record(refusal),
         };
-        if !may_retry(call, refusal) {
-            return Err(refusal);
-        }
-        let now_us = node.timer.now_us();
-        if now_us >= call.deadline_us {
-            return Err(refusal);
-        }
-        // A node that has died but is still a member would otherwise exhaust the retries
-        // of a service with little traffic, and callers would be refused although another
-        // target is idle. Nothing ran, so these retries cannot multiply load.
-        if never_reached_target(refusal) && !may_have_run && free_retry_count < MAX_FREE_RETRIES {
-            free_retry_count += 1;
-            continue;
-        }
-        if is_target_paused(refusal) {
-            return Err(refusal.with_exhausted());
+        if let Err(denial) = prepare_retry(node, call, &mut history, refusal).await {
+            log_denial(call, refusal, denial, tried.len());
+            return Err(match denial.is_exhausted() {
+                true => refusal.with_exhausted(),
+                false => refusal,
+            });
         }
-        if refusal.reason == Reason::TargetCrashed {
-            crashed_count += 1;
-            if crashed_count >= MAX_CRASHED_TARGETS {
-                return Err(refusal.with_exhausted());
-            }
-            tokio::time::sleep(CRASH_RETRY_DELAY).await;
-        }
-        if !node.retries().try_retry(call.retry, call.service, now_us) {
-            return Err(refusal.with_exhausted());
-        }
-        node.metrics.retries.inc();
-        let (id, reason, tried_count) = (call.request_id, refusal.reason, tried.len());
-        event!(
-            Event::RequestRetried,
-            "request={id} reason={reason} tried={tried_count}"
-        );
     }
 }
 
-/// Whether the attempt ended before the target: its node could not be connected to, or
-/// does not or not yet send requests to it.
-fn never_reached_target(refusal: Refusal) -> bool {
-    let is_before_target = matches!(
-        refusal.reason,
-        Reason::ConnectionLost
-            | Reason::Draining
-            | Reason::NoTarget
-            | Reason::NotReady
-            | Reason::TargetCold
-            | Reason::TargetLimited
-            | Reason::ZoneEvacuated
-            | Reason::OutsideRegions
+/// Waits until the call may be retried and spends its budget; fails if it may not.
+async fn prepare_retry<P: Policies>(
+    node: &Node<P>,
+    call: &Call,
+    history: &mut AttemptHistory,
+    refusal: Refusal,
+) -> Result<(), RetryDenial> {
+    let now_us = node.timer.now_us();
+    match history.decide(call, refusal, now_us)? {
+        RetryKind::Free => return Ok(()),
+        RetryKind::Budgeted => {}
+        RetryKind::AfterCrash => tokio::time::sleep(CRASH_RETRY_DELAY).await,
+    }
+    spend_retry(node, call, now_us)?;
+    let (id, reason, tried_count) = (call.request_id, refusal.reason, history.failed_count());
+    event!(
+        Event::RequestRetried,
+        "request={id} reason={reason} tried={tried_count}"
     );
-    refusal.outcome == Outcome::NotRun && is_before_target
+    Ok(())
 }
 
-/// Whether the target's node sends it no further requests for a while. A retry would
-/// most likely be refused by other targets for the same reason.
-fn is_target_paused(refusal: Refusal) -> bool {
-    let is_paused = matches!(
-        refusal.reason,
-        Reason::TargetCold | Reason::TargetLimited | Reason::ZoneEvacuated
-    );
-    refusal.outcome == Outcome::NotRun && is_paused
+fn spend_retry<P: Policies>(node: &Node<P>, call: &Call, now_us: u64) -> Result<(), RetryDenial> {
+    let mut retries = node.retries();
+    retries.check_retry(call.retry, call.service, now_us)?;
+    retries.try_retry(call.retry, call.service, now_us);
+    node.metrics.retries.inc();
+    Ok(())
 }
 
-/// Whether a retry can succeed and cannot execute the request twice.
-fn may_retry(call: &Call, refusal: Refusal) -> bool {
-    let is_safe = call.repeatable || refusal.outcome == Outcome::NotRun;
-    let can_succeed = matches!(
-        refusal.reason,
-        Reason::Overloaded
-            | Reason::Draining
-            | Reason::NotReady
-            | Reason::ConnectionLost
-            | Reason::TargetCrashed
-            | Reason::BadAnswer
-            | Reason::TooManyConnections
-            | Reason::TargetShed
-            | Reason::TargetCold
-            | Reason::TargetLimited
-            | Reason::ZoneEvacuated
-            | Reason::OutsideRegions
+fn log_denial(call: &Call, refusal: Refusal, denial: RetryDenial, tried_count: usize) {
+    if denial == RetryDenial::Final {
+        return;
+    }
+    let (id, reason, why) = (call.request_id, refusal.reason, denial.name());
+    event!(
+        Event::RetryDenied,
+        "request={id} reason={reason} denied={why} tried={tried_count}"
     );
-    // The picked node has just lost its target; other targets may be available.
-    let has_lost_target = refusal.reason == Reason::NoTarget;
-    is_safe && (can_succeed || has_lost_target) && !refusal.exhausted
 }
 
 async fn attempt<P: Policies>(
@@ -202,6 +150,9 @@
         Err(refusal) => {
             let (id, reason) = (call.request_id, refusal.reason);
             event!(Event::RouteRefused, "request={id} reason={reason}");
+            if !tried.is_empty() {
+                log_denial(call, refusal, RetryDenial::NoTarget, tried.len());
+            }
             // No other target is left to try at this hop.
             return Err(refusal.with_exhausted());
         }
--- a/src/egress/mod.rs
+++ b/src/egress/mod.rs
@@ -3,6 +3,7 @@
 mod announce;
 mod attempts;
 mod child;
+mod retry_rules;
 
 pub use announce::record_leaving_response;
 pub use attempts::{Call, request_context, run_attempts, send};
--- a/src/events.rs
+++ b/src/events.rs
@@ -80,6 +80,7 @@
     AttemptRefused = 412, Info, "The target's node ended an attempt without a response of the target.";
     RequestQuarantined = 413, Warn, "A request ran at several crashes of targets and is refused for a limited time.";
     RequestCleared = 414, Info, "A target completed a suspected request; its crashes no longer count.";
+    RetryDenied = 415, Info, "A failed or unanswered attempt was not retried; tells what denied it.";
     ContextForged = 420, Warn, "A context, handle or internal header was received from a sender that may not set it.";
     ClockDiffers = 421, Warn, "A node's clock differs by more than the maximum age of a context; it is sent this node's time.";
     BankChosen = 500, Debug, "Another node became the pool node of a workspace and keeps its quota tokens.";
--- a/src/retry/chain_budget.rs
+++ b/src/retry/chain_budget.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        CallKey, ChildAllotment, ChildAllotmentKey, RetryPolicy, RetryShareLimits,
+        BudgetLimit, CallKey, ChildAllotment, ChildAllotmentKey, RetryPolicy, RetryShareLimits,
         share::RetryShare,
     },
     crate::{arena::Arena, model::ServiceKey},
@@ -90,11 +90,26 @@
         self.share(service).record_first_attempt(now_us);
     }
 
+    fn check_retry(
+        &mut self,
+        call: CallKey,
+        service: ServiceKey,
+        now_us: u64,
+    ) -> Result<(), BudgetLimit> {
+        if self.calls.get(call).is_none_or(|call| call.available == 0) {
+            return Err(BudgetLimit::Allotment);
+        }
+        if !self.share(service).may_retry(now_us) {
+            return Err(BudgetLimit::Share);
+        }
+        Ok(())
+    }
+
     fn try_retry(&mut self, call: CallKey, service: ServiceKey, now_us: u64) -> bool {
-        let has_allotment = self.calls.get(call).is_some_and(|call| call.available > 0);
-        if !has_allotment || !self.share(service).try_retry(now_us) {
+        if self.check_retry(call, service, now_us).is_err() {
             return false;
         }
+        self.share(service).record_retry(now_us);
         if let Some(call) = self.calls.get_mut(call) {
             call.available -= 1;
         }
--- a/src/retry/mod.rs
+++ b/src/retry/mod.rs
@@ -36,6 +36,15 @@
     pub allotment: u8,
 }
 
+/// Limit that denies a retry.
+#[derives::key]
+pub enum BudgetLimit {
+    /// The call has no allotment left.
+    Allotment,
+    /// Retries at the service have reached their share of its first attempts.
+    Share,
+}
+
 /// Decides whether a failed attempt may be retried.
 ///
 /// Allotment is moved from a call to its child calls and returns with their
@@ -63,8 +72,17 @@
     /// Counts a first attempt at a service.
     fn record_first_attempt(&mut self, service: ServiceKey, now_us: u64);
 
-    /// Requests one more attempt at a service; returns whether it is allowed and
-    /// spends allotment if so.
+    /// Checks whether one more attempt at a service is allowed, without spending
+    /// allotment.
+    fn check_retry(
+        &mut self,
+        call: CallKey,
+        service: ServiceKey,
+        now_us: u64,
+    ) -> Result<(), BudgetLimit>;
+
+    /// Requests one more attempt at a service; returns whether it is allowed, as
+    /// [`Self::check_retry`] tells, and spends allotment if so.
     fn try_retry(&mut self, call: CallKey, service: ServiceKey, now_us: u64) -> bool;
 
     /// Removes a call and returns its unspent retries, which go back to its parent.
--- a/src/retry/naive.rs
+++ b/src/retry/naive.rs
@@ -1,7 +1,9 @@
 //! Baseline for comparisons: the same number of retries at every hop.
 
 use {
-    super::{CallKey, ChildAllotment, ChildAllotmentKey, RetryPolicy, RetryShareLimits},
+    super::{
+        BudgetLimit, CallKey, ChildAllotment, ChildAllotmentKey, RetryPolicy, RetryShareLimits,
+    },
     crate::{arena::Arena, model::ServiceKey},
 };
 
@@ -46,6 +48,18 @@
 
     fn record_first_attempt(&mut self, _service: ServiceKey, _now_us: u64) {}
 
+    fn check_retry(
+        &mut self,
+        call: CallKey,
+        _service: ServiceKey,
+        _now_us: u64,
+    ) -> Result<(), BudgetLimit> {
+        match self.calls.get(call) {
+            Some(available) if *available > 0 => Ok(()),
+            _ => Err(BudgetLimit::Allotment),
+        }
+    }
+
     fn try_retry(&mut self, call: CallKey, _service: ServiceKey, _now_us: u64) -> bool {
         match self.calls.get_mut(call) {
             Some(available) if *available > 0 => {
--- a/src/retry/share.rs
+++ b/src/retry/share.rs
@@ -58,15 +58,16 @@
         self.bucket(now_us).first_count += 1;
     }
 
-    /// Counts a retry if the limits allow it; returns whether they do.
-    pub fn try_retry(&mut self, now_us: u64) -> bool {
+    /// Whether the limits allow a retry.
+    #[must_use]
+    pub fn may_retry(&self, now_us: u64) -> bool {
         let (first_count, retry_count) = self.counts(now_us);
-        let allowed_count = self.limits.floor_count + first_count * self.limits.percent / 100;
-        if retry_count >= allowed_count {
-            return false;
-        }
+        retry_count < self.limits.floor_count + first_count * self.limits.percent / 100
+    }
+
+    /// Counts a retry.
+    pub fn record_retry(&mut self, now_us: u64) {
         self.bucket(now_us).retry_count += 1;
-        true
     }
 
     /// Bucket of the current time, cleared if it counts an earlier time span.
