Remove the retry allotment of a cancelled attempt

A caller that disconnects, or a parent call that ends, drops the attempts in progress. The child allotment of such an attempt was returned only after its response, so its arena entry stayed until the process ended: memory grew with every cancelled call. Callers saw nothing. Found by reading, while an attempt was made something that can be dropped beside another.

The attempt, its place in the router's count and its allotment become one value, TargetAttempt in attempt.rs. Dropping it before it has ended records a cancelled attempt, as before, and now also a lost allotment. call.rs gets the call and its request context. No other behaviour changes.

--- a/src/egress/mod.rs
+++ b/src/egress/mod.rs
@@ -1,12 +1,18 @@
 //! Egress: receives the local target's notices and sends its downstream calls.
 
 mod announce;
+mod attempt;
 mod attempts;
+mod call;
 mod child;
 mod retry_rules;
 
-pub use announce::record_leaving_response;
-pub use attempts::{Call, request_context, run_attempts, send};
+pub use {
+    announce::record_leaving_response,
+    attempt::send,
+    attempts::run_attempts,
+    call::{Call, request_context},
+};
 
 use {
     crate::{
--- a/tests/datapath.rs
+++ b/tests/datapath.rs
@@ -355,6 +355,32 @@
     assert!(!mesh[1].target.executions()[0].is_completed);
 }
 
+/// A caller disconnects. The retry allotment of its attempt would stay in memory for ever.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cancelled_attempt_leaves_no_retry_allotment() {
+    let mesh = Mesh::start(&["b", "a"]).await;
+    let mut connection = client::connect(mesh[0].caller_address()).await;
+    let request = client::request("GET", "/a/slow/2000", &[("dogwood-key", KEY)], b"");
+    let caller = tokio::spawn(async move {
+        let _ = connection.send_request(request).await;
+    });
+    while mesh[1].target.executions().is_empty() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    assert_eq!(mesh[0].node.retries().child_allotment_count(), 1);
+    caller.abort();
+    for instance in mesh.instances.iter() {
+        while instance.node.in_flight_count() > 0 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        let retries = instance.node.retries();
+        assert_eq!(
+            (retries.call_count(), retries.child_allotment_count()),
+            (0, 0)
+        );
+    }
+}
+
 /// A request that may still run at the caller's deadline must not be reported as not run.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_expired_deadline_is_reported_with_an_unknown_outcome() {
