Keep a call whose node is silent until a retry is certain

Callers got 502 connection-lost and 503 no-target with an unknown outcome while their request ran and its response was 10 to 30 ms away. One catalog node drained, the other stood still for 350 ms: 13 and 26 of about 900 requests were unknown, after 330 to 730 ms.

Cause: a node without a response to probes for 300 ms is silent, and send_while_responsive then gave up every repeatable call that waited there, before it was known whether a retry is allowed or any target can be picked. NodeHeard follows NodeSilent after 12 to 50 ms.

Ruled out: load alone.

Change: an attempt at a silent node goes on. Once the nodes of all running attempts are silent, a retry is reserved: a target is picked and the budget spent. Without both, the call waits and checks again every 50 ms, since another target may return. The retry runs beside the attempt and the first response is returned; the other is cancelled.

What ends a call that waits and has no retry: its response, its deadline, or the connection's keep-alive, at most 4 s after the node stood still. It may be longer than before until a caller learns that a node is lost.

Unrepeatable calls wait as before. A retry still needs the budget, so no more is sent than before. A refusal of a retry that runs beside an attempt has an unknown outcome.

--- a/lab/tests/shutdown.rs
+++ b/lab/tests/shutdown.rs
@@ -246,3 +246,59 @@
     }
     check_orders(&mesh, &seen, "surge");
 }
+
+struct PauseCase {
+    name: &'static str,
+    pause_ms: u64,
+    drains: bool,
+}
+
+const PAUSE_CASES: [PauseCase; 3] = [
+    PauseCase {
+        name: "a short pause while the other node drains",
+        pause_ms: 350,
+        drains: true,
+    },
+    PauseCase {
+        name: "a long pause while the other node drains",
+        pause_ms: 700,
+        drains: true,
+    },
+    PauseCase {
+        name: "a long pause beside another node",
+        pause_ms: 700,
+        drains: false,
+    },
+];
+
+const PAUSE_COUNT: usize = 4;
+const BETWEEN_PAUSES: Duration = Duration::from_millis(300);
+
+/// One node of a service drains and the other stands still for a moment. Calls at the one
+/// that stood still were given up, and no other target was left for a retry.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_stands_still_loses_no_request() {
+    for case in &PAUSE_CASES {
+        let mut mesh = start().await;
+        let load = ClosedLoad::start(&mesh, CALLER_COUNT).await;
+        sleep(LOAD_BEFORE).await;
+        if case.drains {
+            let address = mesh.instances[0].control_address().to_string();
+            mesh.ctl_ok(&["drain", &address]).await.expect("it drains");
+        }
+        for _ in 0..PAUSE_COUNT {
+            sleep(BETWEEN_PAUSES).await;
+            let node = mesh.instances[2].node.as_mut().expect("a node");
+            node.pause().await.expect("paused");
+            sleep(Duration::from_millis(case.pause_ms)).await;
+            node.resume().expect("resumed");
+        }
+        if case.drains {
+            wait_node_exit(&mut mesh.instances[0]).await;
+        }
+        sleep(LOAD_AFTER).await;
+        let seen = load.finish().await;
+        seen.assert_all_whole(case.name);
+        check_orders(&mesh, &seen, case.name);
+    }
+}
--- a/src/egress/attempt.rs
+++ b/src/egress/attempt.rs
@@ -19,14 +19,15 @@
     std::{sync::Arc, time::Duration},
 };
 
-/// An attempt at a target, which the router counts as outstanding until it ends. Dropping it
-/// before records a cancelled one.
+/// An attempt at a picked target, which the router counts as outstanding until it ends.
+/// Dropping it before records a cancelled one.
 pub struct TargetAttempt<'a, P: Policies> {
     node: &'a Arc<Node<P>>,
     call: &'a Call,
     outbound: &'a OutboundRequest,
     target: TargetKey,
     location: TargetLocation,
+    tried_count: usize,
     started_us: u64,
     child: Option<ChildAllotment>,
     has_ended: bool,
@@ -48,38 +49,47 @@
         let picked = node.routes().pick(route_request(call), tried, started_us);
         // No other target is left to try at this hop.
         let (target, location) = picked.map_err(Refusal::with_exhausted)?;
-        log_pick(node, call, target, tried.len());
-        if tried.is_empty() {
-            node.retries()
-                .record_first_attempt(call.service, started_us);
-        }
-        node.metrics.attempts.inc();
-        // A target's calls without a handle belong to no chain: the downstream node could not
-        // spend an allotment, and a lost response would lose the allotment too.
-        let child =
-            (!P::Dialect::CALLS_USE_CALLER_PORT).then(|| node.retries().allot_to_child(call.retry));
         Ok(Self {
             node,
             call,
             outbound,
             target,
             location,
+            tried_count: tried.len(),
             started_us,
-            child,
+            child: None,
             has_ended: false,
         })
     }
 
-    /// Target that was picked.
-    pub const fn target(&self) -> TargetKey {
-        self.target
+    /// Where the attempt goes.
+    pub fn destination(&self) -> Destination {
+        Destination {
+            target: self.target,
+            link: match &self.location {
+                TargetLocation::Local => None,
+                TargetLocation::Peer(link) => Some(Arc::clone(link)),
+            },
+        }
     }
 
     /// Sends the request and records the result.
     pub async fn send(mut self) -> Result<ForwardedResponse, Refusal> {
-        let remaining_us = self.call.deadline_us.saturating_sub(self.started_us);
+        let (node, call) = (self.node, self.call);
+        self.log_pick();
+        if self.tried_count == 0 {
+            node.retries()
+                .record_first_attempt(call.service, self.started_us);
+        }
+        node.metrics.attempts.inc();
+        // A target's calls without a handle belong to no chain: the downstream node could not
+        // spend an allotment, and a lost response would lose the allotment too.
+        if !P::Dialect::CALLS_USE_CALLER_PORT {
+            self.child = Some(node.retries().allot_to_child(call.retry));
+        }
+        let remaining_us = call.deadline_us.saturating_sub(self.started_us);
         let allotment = self.child.map_or(0, |child| child.allotment);
-        let context = request_context(self.call, remaining_us, allotment);
+        let context = request_context(call, remaining_us, allotment);
         let hop = match &self.location {
             TargetLocation::Local => self.serve_local(&context).await,
             TargetLocation::Peer(link) => {
@@ -87,17 +97,32 @@
                     context: &context,
                     is_guarded: false,
                     outbound: self.outbound,
-                    buffered_bytes: self.node.settings.buffered_answer_bytes,
+                    buffered_bytes: node.settings.buffered_answer_bytes,
                     time_left: Duration::from_micros(remaining_us),
-                    now_unix_ms: self.node.timer.steady_unix_ms(),
+                    now_unix_ms: node.timer.steady_unix_ms(),
                 };
-                send_while_responsive(self.node, self.call, link, attempt).await
+                send(node, link, attempt).await
             }
         };
         self.record_hop(&hop);
         hop.result
     }
 
+    fn log_pick(&self) {
+        if !log::log_enabled!(target: "dogwood", Event::RoutePicked.level()) {
+            return;
+        }
+        let (id, tried_count) = (self.call.request_id, self.tried_count);
+        let service = self.node.names.service_name(self.call.service);
+        let class = self.call.class.name();
+        let routes = self.node.routes();
+        let node_name = routes.node_name(self.target);
+        event!(
+            Event::RoutePicked,
+            "request={id} service={service} class={class} node={node_name} tried={tried_count}"
+        );
+    }
+
     async fn serve_local(&self, context: &RequestContext) -> HopResult {
         let (result, unspent) = serve_local(self.node, context, self.outbound).await;
         HopResult {
@@ -146,6 +171,28 @@
     }
 }
 
+/// Where an attempt goes; the link is `None` for the local target.
+#[derive(Debug)]
+pub struct Destination {
+    target: TargetKey,
+    link: Option<Arc<PeerLink>>,
+}
+
+impl Destination {
+    /// Target of the attempt.
+    pub const fn target(&self) -> TargetKey {
+        self.target
+    }
+
+    /// Waits until the node has stopped responding; forever for the local target.
+    pub async fn wait_until_silent(&self) {
+        match &self.link {
+            Some(link) => link.wait_until_silent().await,
+            None => std::future::pending().await,
+        }
+    }
+}
+
 const fn identify<'a>(call: &Call, outbound: &'a OutboundRequest) -> IdentifiedRequest<'a> {
     IdentifiedRequest {
         workspace: call.workspace,
@@ -171,37 +218,6 @@
     }
 }
 
-/// Sends to another node. Abandons a repeatable call when that node stops responding, so
-/// that time is left to retry on another one.
-async fn send_while_responsive<P: Policies>(
-    node: &Node<P>,
-    call: &Call,
-    link: &PeerLink,
-    attempt: Attempt<'_>,
-) -> HopResult {
-    tokio::select! {
-        hop = send(node, link, attempt) => hop,
-        () = link.wait_until_silent(), if call.repeatable => {
-            HopResult::failed(Refusal::unknown(Reason::ConnectionLost), 0)
-        }
-    }
-}
-
-fn log_pick<P: Policies>(node: &Node<P>, call: &Call, target: TargetKey, tried_count: usize) {
-    if !log::log_enabled!(target: "dogwood", Event::RoutePicked.level()) {
-        return;
-    }
-    let id = call.request_id;
-    let service = node.names.service_name(call.service);
-    let class = call.class.name();
-    let routes = node.routes();
-    let node_name = routes.node_name(target);
-    event!(
-        Event::RoutePicked,
-        "request={id} service={service} class={class} node={node_name} tried={tried_count}"
-    );
-}
-
 const fn attempt_result(result: &Result<ForwardedResponse, Refusal>) -> AttemptResult {
     match result {
         Ok(_) => AttemptResult::Completed,
--- a/src/egress/mod.rs
+++ b/src/egress/mod.rs
@@ -6,6 +6,7 @@
 mod call;
 mod child;
 mod retry_rules;
+mod silent_call;
 
 pub use {
     announce::record_leaving_response,
--- a/src/egress/retry_rules.rs
+++ b/src/egress/retry_rules.rs
@@ -113,6 +113,11 @@
         }
     }
 
+    /// Records that an attempt gets no response while another one is made.
+    pub const fn record_unanswered(&mut self) {
+        self.may_have_run = true;
+    }
+
     /// Number of failed attempts.
     pub const fn failed_count(&self) -> usize {
         self.failed_count
--- a/src/node/route_table.rs
+++ b/src/node/route_table.rs
@@ -179,6 +179,11 @@
         }
     }
 
+    /// Whether the target's node does not respond, or the target was removed.
+    pub fn is_silent(&self, target: TargetKey) -> bool {
+        self.policy.is_silent(target)
+    }
+
     /// Checks for nodes that do not respond and returns those to probe; called on
     /// every tick.
     pub fn check_silence(&mut self, now_us: u64) -> Vec<String> {
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -134,6 +134,9 @@
     /// whether the node was silent before.
     fn record_response(&mut self, target: TargetKey, now_us: u64) -> bool;
 
+    /// Whether the target's node does not respond, or the target was removed.
+    fn is_silent(&self, target: TargetKey) -> bool;
+
     /// Periodic check for targets whose nodes do not respond.
     fn check_silence(&mut self, now_us: u64) -> SilenceCheck;
 
--- a/src/routing/zone_router.rs
+++ b/src/routing/zone_router.rs
@@ -157,6 +157,11 @@
         entry.is_some_and(|entry| entry.silence.record_response(now_us))
     }
 
+    fn is_silent(&self, target: TargetKey) -> bool {
+        let entry = self.targets.get(target);
+        entry.is_none_or(|entry| entry.silence.is_silent())
+    }
+
     fn check_silence(&mut self, now_us: u64) -> SilenceCheck {
         let mut check = SilenceCheck::default();
         let suspected_zones = self.suspected_zones();
--- a/tests/local_mesh/mesh.rs
+++ b/tests/local_mesh/mesh.rs
@@ -23,7 +23,7 @@
     },
     sha2::{Digest, Sha256},
     std::{
-        collections::HashMap,
+        collections::{HashMap, HashSet},
         net::{IpAddr, Ipv4Addr, SocketAddr},
         sync::{
             Arc, LazyLock, Mutex,
@@ -283,7 +283,24 @@
 /// Probes of all nodes of this process, by node id.
 static PROBES: LazyLock<Mutex<HashMap<String, MemberProbes>>> = LazyLock::new(Mutex::default);
 
-/// Probes to which every member responds immediately; reports reach the other nodes.
+/// Members that do not respond to probes.
+static UNRESPONSIVE: LazyLock<Mutex<HashSet<String>>> = LazyLock::new(Mutex::default);
+
+/// Sets whether a member responds to probes.
+pub fn set_responsive(node_id: &str, is_responsive: bool) {
+    let mut unresponsive = UNRESPONSIVE.lock().unwrap();
+    if is_responsive {
+        unresponsive.remove(node_id);
+    } else {
+        unresponsive.insert(node_id.to_owned());
+    }
+}
+
+fn is_responsive(node_id: &str) -> bool {
+    !UNRESPONSIVE.lock().unwrap().contains(node_id)
+}
+
+/// Probes to which responsive members respond immediately; reports reach the other nodes.
 fn mesh_probes(own_id: &str) -> MemberProbes {
     let (probes, mut questions) = MemberProbes::new();
     let responder = probes.clone();
@@ -294,7 +311,10 @@
     tokio::spawn(async move {
         while let Some(question) = questions.recv().await {
             match question {
-                MemberQuery::Liveness(node_id) => responder.record_response(node_id),
+                MemberQuery::Liveness(node_id) if is_responsive(&node_id) => {
+                    responder.record_response(node_id);
+                }
+                MemberQuery::Liveness(_) => {}
                 MemberQuery::Reports(node_id, packet) => {
                     if let Some(receiver) = PROBES.lock().unwrap().get(&node_id) {
                         receiver.record_reports(packet);
