Serve a request that waits when its connection's read timeout ends

Callers' connections were closed without a response, 0.5 ms after a request was sent or after they had waited for a node that stood still. Whether the request ran they cannot tell.

Cause, by reading and by the test: the HTTP library starts the read timeout of the next request when the last one ends, 5 s by default. A process that resumes after it has ended finds the timer and the socket ready at the same moment, reads nothing yet and closes the connection. The check of a new connection's first request did the same. A caller that sends at the moment at which an idle connection reaches 5 s meets it without a pause, too, as long as its bytes wait in the socket.

Change: the library gets a timer of ours. A timeout that ends while bytes wait is extended by 10 ms, in which they are read; then the request is served, or the headers are incomplete and the connection is closed as before. What is sent after the check is still lost.

--- a/src/exchange/listener.rs
+++ b/src/exchange/listener.rs
@@ -4,6 +4,7 @@
     super::{
         EarlyResponse, Pipeline, ResponseBody,
         prefetch::{Unread, prefetch},
+        read_timer::ReadTimer,
         refusal_response,
     },
     crate::model::{Reason, Refusal},
@@ -11,7 +12,7 @@
     http_body_util::BodyExt,
     hyper::{
         Request, Response, StatusCode, Version, body::Incoming, header::CONNECTION,
-        http::request::Parts, service::service_fn,
+        http::request::Parts, rt::Timer, service::service_fn,
     },
     hyper_util::{
         rt::{TokioExecutor, TokioIo, TokioTimer},
@@ -215,15 +216,16 @@
             Ok::<_, Infallible>(response)
         }
     });
-    let builder = http_builder(limits);
     let (stream, prefetch) = prefetch(stream);
     let unread = prefetch.unread();
+    let read_timer = ReadTimer::new(unread.clone());
+    let mut first_request_timeout = read_timer.sleep(limits.header_timeout);
+    let builder = http_builder(limits, read_timer);
     let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
     let mut reading_ahead = pin!(prefetch.run(move |bytes| {
         early_pipeline.record_bytes(bytes, |head| early_handler.start_early(head));
     }));
     let mut is_caller_gone = false;
-    let mut first_request_timeout = pin!(tokio::time::sleep(limits.header_timeout));
     let mut closable = pin!(wait_until_closable(&closing, &usage, &pipeline, &unread));
     let mut is_first_request_checked = false;
     let mut is_shutting_down = false;
@@ -345,11 +347,11 @@
     }
 }
 
-fn http_builder(limits: ListenerLimits) -> auto::Builder<TokioExecutor> {
+fn http_builder(limits: ListenerLimits, read_timer: ReadTimer) -> auto::Builder<TokioExecutor> {
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder
         .http1()
-        .timer(TokioTimer::new())
+        .timer(read_timer)
         .header_read_timeout(limits.header_timeout)
         .max_buf_size(limits.max_header_bytes.saturating_mul(2).max(16 << 10));
     builder
--- a/src/exchange/mod.rs
+++ b/src/exchange/mod.rs
@@ -5,6 +5,7 @@
 mod listener;
 mod pipeline;
 mod prefetch;
+mod read_timer;
 mod response;
 
 pub use {
--- a/src/exchange/prefetch.rs
+++ b/src/exchange/prefetch.rs
@@ -64,7 +64,7 @@
 }
 
 /// Checks for bytes that the library has not read yet.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Unread {
     shared: Arc<Shared>,
     reader: Arc<OwnedReadHalf>,
