Report a call as not run if none of its attempts ran

A caller got 503 overloaded with an unknown outcome although two targets' nodes had each said that the request did not run; it could not be sent again.

Cause: since a retry beside an unanswered attempt marked the call as possibly run for good, also after the unanswered attempt had ended as not run.

Change: an attempt's refusal counts as unknown only while another attempt is running; when the last one ends, what the ended ones said decides.

--- a/src/egress/attempts.rs
+++ b/src/egress/attempts.rs
@@ -59,7 +59,6 @@
             biased;
             Some(ended) = running.next() => ended,
             retry = silent_call.reserve_retry(), if may_retry_silent => {
-                history.record_unanswered();
                 next = Some(retry);
                 continue;
             }
@@ -67,7 +66,7 @@
         destinations.retain(|destination| destination.target() != target);
         let refusal = match result {
             Ok(response) => return Ok(response),
-            Err(refusal) => history.record(refusal),
+            Err(refusal) => history.record(refusal, running.is_empty()),
         };
         if !running.is_empty() {
             may_retry_silent &= matches!(
@@ -84,7 +83,7 @@
             });
         }
         let picked = pick(node, call, outbound, &tried);
-        next = Some(picked.map_err(|refusal| history.record(refusal))?);
+        next = Some(picked.map_err(|refusal| history.record(refusal, true))?);
     }
 }
 
--- a/src/egress/retry_rules.rs
+++ b/src/egress/retry_rules.rs
@@ -96,15 +96,16 @@
     }
 
     /// Records a failed attempt; returns the refusal with the outcome of the whole call.
+    /// `is_last` if no other attempt is running.
     ///
-    /// A refused retry says nothing about an earlier attempt. If its `not-run` were
-    /// passed on, the caller would be told that the request did not run although a
-    /// target may have executed it.
-    pub fn record(&mut self, refusal: Refusal) -> Refusal {
+    /// A refused retry says nothing about another attempt. If its `not-run` were passed on,
+    /// the caller would be told that the request did not run although a target may have
+    /// executed it.
+    pub fn record(&mut self, refusal: Refusal, is_last: bool) -> Refusal {
         self.failed_count += 1;
         self.may_have_run |= refusal.outcome == Outcome::Unknown;
         self.crashed_count += usize::from(refusal.reason == Reason::TargetCrashed);
-        match self.may_have_run {
+        match self.may_have_run || !is_last {
             true => Refusal {
                 outcome: Outcome::Unknown,
                 ..refusal
@@ -113,11 +114,6 @@
         }
     }
 
-    /// Records that an attempt gets no response while another one is made.
-    pub const fn record_unanswered(&mut self) {
-        self.may_have_run = true;
-    }
-
     /// Number of failed attempts.
     pub const fn failed_count(&self) -> usize {
         self.failed_count
--- a/tests/local_mesh/target.rs
+++ b/tests/local_mesh/target.rs
@@ -164,6 +164,10 @@
                 std::future::pending().await
             }
             ("shed", _) => shed_response(),
+            ("shed-after", Some(ms)) => {
+                tokio::time::sleep(Duration::from_millis(ms.parse().unwrap())).await;
+                shed_response()
+            }
             ("cut-then-shed", Some(bytes)) if self.executions().len() <= 1 => {
                 truncated_response(bytes.parse().unwrap())
             }
--- a/tests/silent_node.rs
+++ b/tests/silent_node.rs
@@ -121,6 +121,19 @@
     }
 }
 
+/// A silent node responds after all that its target did not execute the request, and so does
+/// the node of the retry. The caller was told that the request may have run.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_that_no_target_executed_is_refused_as_not_run() {
+    let mesh = Mesh::start(&["b", "a", "a"]).await;
+    set_responsive(&mesh[1].node.settings.node_id, false);
+    let responses = join_all((0..CALL_COUNT).map(|_| get(&mesh, "/a/shed-after/600"))).await;
+    for response in &responses {
+        let (status, outcome, reason) = response.summary();
+        assert_eq!((status, outcome), (503, "not-run"), "{reason}");
+    }
+}
+
 /// A zone is cut off and its nodes never respond. Callers must not wait until the deadline
 /// when another target has room.
 #[tokio::test(flavor = "multi_thread")]
