Do not retry a silent call at the node that has just responded

In the log of the same request the retry went to the node whose answer the call was waiting for: NodeHeard at 653 ms, RequestRetried and RoutePicked with the same node at 654 ms. The request could run twice there and took a slot of a node that had just stood still; the retry's budget was spent.

Cause: the check that the nodes are silent and the pick take the lock of the routes one after the other. A response in between makes the node pickable, and a target that was tried is picked if there is no other.

Change: a pick of a target with a running attempt is dropped before the budget is spent. The call then waits for that attempt, which ends by itself.

--- a/src/egress/attempt.rs
+++ b/src/egress/attempt.rs
@@ -62,6 +62,11 @@
         })
     }
 
+    /// Target that was picked.
+    pub const fn target(&self) -> TargetKey {
+        self.target
+    }
+
     /// Where the attempt goes.
     pub fn destination(&self) -> Destination {
         Destination {
--- a/src/egress/silent_call.rs
+++ b/src/egress/silent_call.rs
@@ -73,6 +73,11 @@
         targets.all(|target| routes.is_silent(target))
     }
 
+    fn has_running_attempt_at(&self, target: TargetKey) -> bool {
+        let mut destinations = self.destinations.iter();
+        destinations.any(|destination| destination.target() == target)
+    }
+
     fn try_reserve(&self) -> Result<TargetAttempt<'a, P>, RetryDenial> {
         let call = self.call;
         let now_us = self.node.timer.now_us();
@@ -83,6 +88,10 @@
             .check_retry(call.retry, call.service, now_us)?;
         let attempt = TargetAttempt::pick(self.node, call, self.outbound, self.tried)
             .map_err(|_| RetryDenial::NoTarget)?;
+        // Its node may have responded since it was checked, and the running attempt with it.
+        if self.has_running_attempt_at(attempt.target()) {
+            return Err(RetryDenial::NoTarget);
+        }
         spend_retry(self.node, call, now_us)?;
         Ok(attempt)
     }
