Carry reported load, objectives and supply between nodes

Callers saw nothing of this yet. Targets may report how long work takes on their machine at the moment as the fourth figure of their load, and how many requests wait inside them; both were dropped at the adapter. A route's latency objective was compiled and read by nothing.

The dialects decode the whole report once (TargetLoad). The objective travels with a request to the queue of the target, and responses between nodes carry work time, queueing delay and supply. Nodes of earlier versions skip the new fields. Nothing decides by them yet: three settings name the old and the new rule of each decision, and default to the old one.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -52,6 +52,7 @@
         class: Class::ALL[index as usize % 3],
         workspace: WorkspaceKey::new((index % 8) as u16),
         deadline_us: now_us + 1_000_000,
+        objective_us: None,
     }
 }
 
--- a/src/admission/adaptive.rs
+++ b/src/admission/adaptive.rs
@@ -175,8 +175,8 @@
         AdmissionLevel {
             lowest_class: self.threshold.lowest_class(),
             load_percent: u16::try_from(load_percent).unwrap_or(u16::MAX),
-            below_percent: 0,
             draining: self.draining,
+            ..AdmissionLevel::idle()
         }
     }
 
--- a/src/admission/admit_all.rs
+++ b/src/admission/admit_all.rs
@@ -67,7 +67,6 @@
 
     fn level(&self, _class: Class, _now_us: u64) -> AdmissionLevel {
         AdmissionLevel {
-            below_percent: 0,
             draining: self.draining,
             ..AdmissionLevel::idle()
         }
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -45,6 +45,9 @@
     pub workspace: WorkspaceKey,
     /// Deadline, on the clock of `now_us`.
     pub deadline_us: u64,
+    /// Time up to which the response has its full value; `None` if the route names no latency
+    /// objective, or the request has already missed it.
+    pub objective_us: Option<u64>,
 }
 
 /// Decision about one request, which the caller of the policy carries out.
@@ -76,6 +79,11 @@
 pub struct LoadReport {
     /// Share of slots in use, 0.0 to 1.0.
     pub busy_ratio: f64,
+    /// Requests that wait inside the target.
+    pub waiting_count: u32,
+    /// Time that work takes on the target's machine, in percent of the usual time, if the target
+    /// reports it.
+    pub work_time_percent: Option<u16>,
     /// Time at which the node received the report.
     pub received_us: u64,
 }
--- a/src/admission/static_limit.rs
+++ b/src/admission/static_limit.rs
@@ -119,8 +119,8 @@
         AdmissionLevel {
             lowest_class: Class::Browse,
             load_percent: u16::try_from(load_percent).unwrap_or(u16::MAX),
-            below_percent: 0,
             draining: self.draining,
+            ..AdmissionLevel::idle()
         }
     }
 
--- a/src/dialect/caller_request.rs
+++ b/src/dialect/caller_request.rs
@@ -32,6 +32,9 @@
     pub retry_limit: u8,
     /// Time until the deadline of the caller or the route, in milliseconds.
     pub deadline_ms: u64,
+    /// Time up to which the response has its full value, in milliseconds, if the route names a
+    /// latency objective.
+    pub latency_objective_ms: Option<u64>,
     /// Key under which the request must not be executed twice.
     pub idempotency_key: Option<String>,
 }
--- a/src/dialect/mod.rs
+++ b/src/dialect/mod.rs
@@ -5,11 +5,13 @@
 //! no decisions: those are made on the decoded types.
 
 mod caller_request;
+mod load;
 mod native;
 mod target;
 
 pub use {
     caller_request::{CallerRequest, Tenant},
+    load::{TargetLoad, WorkTime},
     native::Native,
     target::{
         Heartbeat, LimitSignal, NoticeError, TargetCall, TargetNotice, TargetSignal, TargetState,
--- a/src/dialect/native.rs
+++ b/src/dialect/native.rs
@@ -3,8 +3,8 @@
 
 use {
     super::{
-        CallerRequest, Dialect, Heartbeat, LimitSignal, NoticeError, TargetCall, TargetNotice,
-        TargetSignal, TargetState, Tenant,
+        CallerRequest, Dialect, Heartbeat, LimitSignal, NoticeError, TargetCall, TargetLoad,
+        TargetNotice, TargetSignal, TargetState, Tenant, WorkTime,
     },
     crate::{
         conf::{CompiledConfiguration, WorkspaceRules},
@@ -60,6 +60,11 @@
 #[serde(deny_unknown_fields)]
 struct LoadBody {
     busy_ratio: f64,
+    /// Requests that wait inside the target.
+    #[serde(default)]
+    waiting_count: u32,
+    /// Time that work takes now, in percent of the usual time.
+    work_time_percent: Option<f64>,
 }
 
 impl Dialect for Native {
@@ -105,6 +110,7 @@
             repeatable: route.repeatable,
             retry_limit: services.get(&service).map_or(0, |rules| rules.retry_limit),
             deadline_ms: requested_ms.map_or(route_ms, |ms| ms.min(route_ms)),
+            latency_objective_ms: None,
             idempotency_key: check_idempotency_key(&head.headers)?,
         })
     }
@@ -144,7 +150,7 @@
             refusal,
             is_shed: is_shed(response.status()),
             idle_limit: None,
-            busy_ratio: None,
+            load: None,
             limit: LimitSignal::from_header(response.headers().get(LIMIT_PER_S)),
             is_leaving: response
                 .headers()
@@ -279,9 +285,15 @@
     if !(0.0..=1.0).contains(&body.busy_ratio) {
         return Err(field_error("busy_ratio", "must be between 0 and 1"));
     }
-    Ok(TargetNotice::Load {
+    let work_time = match body.work_time_percent {
+        None => WorkTime::NotReported,
+        figure => WorkTime::from_figure(figure),
+    };
+    Ok(TargetNotice::Load(TargetLoad {
         busy_ratio: body.busy_ratio,
-    })
+        waiting_count: body.waiting_count,
+        work_time,
+    }))
 }
 
 fn field_error(name: &str, expected: &str) -> NoticeError {
--- a/src/dialect/target.rs
+++ b/src/dialect/target.rs
@@ -1,6 +1,7 @@
 //! Messages between a node and its local target, decoded.
 
 use {
+    super::TargetLoad,
     crate::model::Refusal,
     hyper::{HeaderMap, header::HeaderValue},
     std::time::Duration,
@@ -32,8 +33,8 @@
     pub is_shed: bool,
     /// Time for which the target keeps an idle connection open.
     pub idle_limit: Option<Duration>,
-    /// Share of slots in use as reported in the response, 0.0 to 1.0.
-    pub busy_ratio: Option<f64>,
+    /// Load that the response reports.
+    pub load: Option<TargetLoad>,
     /// Limit that the target names.
     pub limit: LimitSignal,
     /// Whether the target reports that it will exit.
@@ -116,10 +117,7 @@
         started_unix_ms: Option<u64>,
     },
     /// The target's load.
-    Load {
-        /// Share of slots in use, 0.0 to 1.0.
-        busy_ratio: f64,
-    },
+    Load(TargetLoad),
 }
 
 /// Why a notice is rejected.
--- a/src/egress/announce.rs
+++ b/src/egress/announce.rs
@@ -3,7 +3,9 @@
 use {
     crate::{
         admission::{LoadReport, TargetSize},
-        dialect::{Dialect, Heartbeat, NoticeError, TargetNotice, TargetState},
+        dialect::{
+            Dialect, Heartbeat, NoticeError, TargetLoad, TargetNotice, TargetState, WorkTime,
+        },
         event,
         events::Event,
         exchange::{Collected, ResponseBody, collect},
@@ -47,17 +49,25 @@
             instance_id,
             started_unix_ms,
         } => record_leave(node, &instance_id, started_unix_ms),
-        TargetNotice::Load { busy_ratio } => {
-            let received_us = node.timer.now_us();
-            node.admission().record_load_report(LoadReport {
-                busy_ratio,
-                received_us,
-            });
-        }
+        TargetNotice::Load(load) => record_load(node, load),
     }
     Ok(())
 }
 
+/// Records the load that the local target reports.
+pub fn record_load<P: Policies>(node: &Node<P>, load: TargetLoad) {
+    if load.work_time == WorkTime::Invalid {
+        event!(Event::LoadReportInvalid, "node={}", node.settings.node_id);
+    }
+    let report = LoadReport {
+        busy_ratio: load.busy_ratio,
+        waiting_count: load.waiting_count,
+        work_time_percent: load.work_time.percent(),
+        received_us: node.timer.now_us(),
+    };
+    node.admission().record_load_report(report);
+}
+
 fn record_heartbeat<P: Policies>(node: &Node<P>, heartbeat: Heartbeat) {
     let Heartbeat {
         instance_id,
--- a/src/egress/attempt.rs
+++ b/src/egress/attempt.rs
@@ -94,7 +94,7 @@
         }
         let remaining_us = call.deadline_us.saturating_sub(self.started_us);
         let allotment = self.child.map_or(0, |child| child.allotment);
-        let context = request_context(call, remaining_us, allotment);
+        let context = request_context(call, remaining_us, allotment, self.started_us);
         let hop = match &self.location {
             TargetLocation::Local => self.serve_local(&context).await,
             TargetLocation::Peer(link) => {
--- a/src/egress/call.rs
+++ b/src/egress/call.rs
@@ -30,6 +30,9 @@
     pub class: Class,
     /// Time at which the sender of the call stops waiting, in microseconds.
     pub deadline_us: u64,
+    /// Time up to which the response has its full value, in microseconds, if the route names a
+    /// latency objective.
+    pub objective_us: Option<u64>,
     /// Number of hops above this one; 0 for a caller's request.
     pub depth: u8,
     /// Regions in which it may run.
@@ -49,7 +52,12 @@
 }
 
 /// Request context for the next hop; its remaining time is reduced by the margin.
-pub fn request_context(call: &Call, remaining_us: u64, allotment: u8) -> RequestContext {
+pub fn request_context(
+    call: &Call,
+    remaining_us: u64,
+    allotment: u8,
+    now_us: u64,
+) -> RequestContext {
     let margin_us = HOP_MARGIN_US.min(remaining_us / HOP_MARGIN_DIVISOR);
     RequestContext {
         request_id: call.request_id,
@@ -58,6 +66,9 @@
         service: call.service,
         class: call.class,
         remaining_us: remaining_us - margin_us,
+        objective_remaining_us: call
+            .objective_us
+            .map_or(0, |objective_us| objective_us.saturating_sub(now_us)),
         retry_allotment: allotment,
         depth: call.depth,
         repeatable: call.repeatable,
--- a/src/egress/child.rs
+++ b/src/egress/child.rs
@@ -117,6 +117,7 @@
         service,
         class: parent.class,
         deadline_us,
+        objective_us: parent.objective_us,
         depth: parent.depth + 1,
         regions: running.allowed_regions(parent.workspace, None, path.path()),
         repeatable: route.repeatable,
--- a/src/egress/mod.rs
+++ b/src/egress/mod.rs
@@ -9,7 +9,7 @@
 mod silent_call;
 
 pub use {
-    announce::record_leaving_response,
+    announce::{record_leaving_response, record_load},
     attempt::send,
     attempts::run_attempts,
     call::{Call, request_context},
--- a/src/events.rs
+++ b/src/events.rs
@@ -83,6 +83,7 @@
     RetryDenied = 415, Info, "A failed or unanswered attempt was not retried; tells what denied it.";
     ContextForged = 420, Warn, "A context, handle or internal header was received from a sender that may not set it.";
     ClockDiffers = 421, Warn, "A node's clock differs by more than the maximum age of a context; it is sent this node's time.";
+    LoadReportInvalid = 422, Warn, "A target reports a time that work takes which is out of range; the figure is ignored.";
     BankChosen = 500, Debug, "Another node became the pool node of a workspace and keeps its quota tokens.";
     SlicesMoved = 501, Info, "Slices of the slice table changed their owner.";
     SlotSuspected = 502, Warn, "A slot is marked as suspected in the slice table.";
--- a/src/ingress/serve.rs
+++ b/src/ingress/serve.rs
@@ -179,7 +179,9 @@
     let request = node.dialect.read_request(&running, head)?;
     request_info.request_id = Some(request.request_id);
     request_info.class = Some(request.class);
-    let deadline_us = node.timer.now_us() + request.deadline_ms * 1000;
+    let received_us = node.timer.now_us();
+    let deadline_us = received_us + request.deadline_ms * 1000;
+    let objective_ms = request.latency_objective_ms;
     if let Some(tenant) = &request.tenant {
         check_lease(node, tenant)?;
     }
@@ -198,6 +200,7 @@
         service: request.service,
         class: request.class,
         deadline_us,
+        objective_us: objective_ms.map(|objective_ms| received_us + objective_ms * 1000),
         depth: 0,
         regions: request.regions,
         repeatable: request.repeatable,
--- a/src/model/context.rs
+++ b/src/model/context.rs
@@ -27,6 +27,8 @@
     pub class: Class,
     /// Time to the deadline, as measured by the sender when it sent the request.
     pub remaining_us: u64,
+    /// Time to the latency objective, measured likewise; 0 if there is none or it has passed.
+    pub objective_remaining_us: u64,
     /// Retries that this hop and its downstream calls may still use.
     pub retry_allotment: u8,
     /// Number of upstream hops; 0 for the original request of the caller.
--- a/src/model/outcome.rs
+++ b/src/model/outcome.rs
@@ -201,6 +201,14 @@
     pub below_percent: u16,
     /// Whether the node refuses new requests.
     pub draining: bool,
+    /// Time that work takes at the target, in percent of its usual time; 0 if unknown.
+    pub work_time_percent: u16,
+    /// Expected wait of one more request of this class before it starts, in microseconds.
+    pub wait_us: u32,
+    /// Work that the target can complete, in percent of the work offered to it; 0 if unknown.
+    pub supply_percent: u16,
+    /// The same of the scarcest of the services that the target calls; 0 if unknown.
+    pub below_supply_percent: u16,
 }
 
 impl AdmissionLevel {
@@ -212,6 +220,10 @@
             load_percent: 0,
             below_percent: 0,
             draining: false,
+            work_time_percent: 0,
+            wait_us: 0,
+            supply_percent: 0,
+            below_supply_percent: 0,
         }
     }
 }
--- a/src/node/calls.rs
+++ b/src/node/calls.rs
@@ -24,6 +24,8 @@
     pub class: Class,
     /// Deadline of the caller, in microseconds of the node's timer.
     pub deadline_us: u64,
+    /// Time of the latency objective, in microseconds of the node's timer, if there is one.
+    pub objective_us: Option<u64>,
     /// Number of hops from the original request.
     pub depth: u8,
     /// Key of its retry allotment.
--- a/src/node/guarded.rs
+++ b/src/node/guarded.rs
@@ -65,9 +65,10 @@
         outbound,
     );
     let home = node.guard.home(keyed.key)?;
-    let remaining_us = call.deadline_us.saturating_sub(node.timer.now_us());
+    let now_us = node.timer.now_us();
+    let remaining_us = call.deadline_us.saturating_sub(now_us);
     let child_allotment = node.retries().allot_to_child(call.retry);
-    let context = request_context(call, remaining_us, child_allotment.allotment);
+    let context = request_context(call, remaining_us, child_allotment.allotment, now_us);
     let hop = match home {
         Home::Local => {
             let (result, unspent) = execute_once(node, &context, outbound.clone(), key_text).await;
@@ -168,13 +169,19 @@
 ) -> (Result<ForwardedResponse, Refusal>, u8) {
     let _in_flight = node.begin_request();
     let retry = node.retries().open(context.retry_allotment);
+    let now_us = node.timer.now_us();
+    let objective_us = match context.objective_remaining_us {
+        0 => None,
+        remaining_us => Some(now_us + remaining_us),
+    };
     let call = Call {
         request_id: context.request_id,
         workspace: context.workspace,
         key: context.key,
         service: context.service,
         class: context.class,
-        deadline_us: node.timer.now_us() + context.remaining_us,
+        deadline_us: now_us + context.remaining_us,
+        objective_us,
         depth: context.depth,
         regions: node.regions_of(context.workspace, &outbound),
         repeatable: false,
--- a/src/peer/headers.rs
+++ b/src/peer/headers.rs
@@ -191,6 +191,7 @@
     builder.set_service(names.service_name(context.service));
     builder.set_class(context.class as u8);
     builder.set_remaining_us(context.remaining_us);
+    builder.set_objective_us(context.objective_remaining_us);
     builder.set_retry_allotment(context.retry_allotment);
     builder.set_depth(context.depth);
     builder.set_repeatable(context.repeatable);
@@ -229,6 +230,7 @@
         service: names.service(&text(reader.get_service()?)?),
         class: class.ok_or(PeerHeaderError::Malformed)?,
         remaining_us: reader.get_remaining_us(),
+        objective_remaining_us: reader.get_objective_us(),
         retry_allotment: reader.get_retry_allotment(),
         depth: reader.get_depth(),
         repeatable: reader.get_repeatable(),
@@ -270,6 +272,10 @@
     builder.set_load_percent(metadata.level.load_percent);
     builder.set_below_percent(metadata.level.below_percent);
     builder.set_draining(metadata.level.draining);
+    builder.set_work_time_percent(metadata.level.work_time_percent);
+    builder.set_wait_us(metadata.level.wait_us);
+    builder.set_supply_percent(metadata.level.supply_percent);
+    builder.set_below_supply_percent(metadata.level.below_supply_percent);
     builder.set_leaving_process(metadata.leaving_process_id);
     to_header_value(&message)
 }
@@ -304,6 +310,10 @@
             load_percent: reader.get_load_percent(),
             below_percent: reader.get_below_percent(),
             draining: reader.get_draining(),
+            work_time_percent: reader.get_work_time_percent(),
+            wait_us: reader.get_wait_us(),
+            supply_percent: reader.get_supply_percent(),
+            below_supply_percent: reader.get_below_supply_percent(),
         },
         leaving_process_id: reader.get_leaving_process(),
     })
--- a/src/schema/peer.capnp
+++ b/src/schema/peer.capnp
@@ -22,6 +22,8 @@
   # SHA-256 of what else decides on the work: Idempotency-Key and body. Empty
   # where there is neither.
   contentDigest @12 :Data;
+  # Time left to the latency objective; 0 where there is none, or it has passed.
+  objectiveUs @13 :UInt64;
 }
 
 struct Answer {
@@ -44,4 +46,14 @@
   belowPercent @10 :UInt16;
   # Process of the target that said in a response that it leaves; 0 if none did.
   leavingProcess @11 :UInt64;
+  # Time that work takes at the target now, in percent of its usual time; 0 if it
+  # does not tell.
+  workTimePercent @12 :UInt16;
+  # Expected wait of one more request of this class before it starts.
+  waitUs @13 :UInt32;
+  # Calls that the target can complete, in percent of those offered to it; 0 if
+  # unknown.
+  supplyPercent @14 :UInt16;
+  # The same of the scarcest of the services that the target calls.
+  belowSupplyPercent @15 :UInt16;
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -39,6 +39,40 @@
     AdmitAll,
 }
 
+/// Rule by which new requests are throttled for downstream services.
+#[derives::key]
+#[derive(ValueEnum, Default)]
+pub enum DownstreamChoice {
+    /// Admitted shares change in steps by the load of downstream services.
+    #[default]
+    Steps,
+    /// Admitted shares follow the work that downstream services can complete, as a ratio of the
+    /// work offered to them.
+    Supply,
+}
+
+/// Cost by which a target is chosen.
+#[derives::key]
+#[derive(ValueEnum, Default)]
+pub enum TargetChoice {
+    /// Own attempts and latency, and the reported load.
+    #[default]
+    Latency,
+    /// Expected completion time, from the reported queueing delay and service time.
+    Completion,
+}
+
+/// Order in which the waiting requests of a class start.
+#[derives::key]
+#[derive(ValueEnum, Default)]
+pub enum QueueOrder {
+    /// Order of arrival.
+    #[default]
+    Arrival,
+    /// Least slack to the latency objective first.
+    Objective,
+}
+
 /// Retry policy for failed attempts.
 #[derives::key]
 #[derive(ValueEnum)]
@@ -130,6 +164,30 @@
         default_value = "adaptive"
     )]
     pub admission: AdmissionChoice,
+    /// Rule by which new requests are throttled for downstream services
+    #[arg(
+        long,
+        env = "DOGWOOD_DOWNSTREAM_ADMISSION",
+        value_enum,
+        default_value = "steps"
+    )]
+    pub downstream_admission: DownstreamChoice,
+    /// Cost by which a target is chosen
+    #[arg(
+        long,
+        env = "DOGWOOD_TARGET_CHOICE",
+        value_enum,
+        default_value = "latency"
+    )]
+    pub target_choice: TargetChoice,
+    /// Order in which the waiting requests of a class start
+    #[arg(
+        long,
+        env = "DOGWOOD_QUEUE_ORDER",
+        value_enum,
+        default_value = "arrival"
+    )]
+    pub queue_order: QueueOrder,
     /// Retry policy for failed attempts
     #[arg(long, env = "DOGWOOD_RETRY", value_enum, default_value = "budget")]
     pub retry: RetryChoice,
--- a/src/target/serve.rs
+++ b/src/target/serve.rs
@@ -7,9 +7,9 @@
         running::RunningRequest,
     },
     crate::{
-        admission::{Arrival, LoadReport, TargetResult},
+        admission::{Arrival, TargetResult},
         dialect::TargetSignal,
-        egress::record_leaving_response,
+        egress::{record_leaving_response, record_load},
         event,
         events::Event,
         exchange::{
@@ -105,6 +105,7 @@
         class: context.class,
         workspace: context.workspace,
         deadline_us,
+        objective_us: objective_us(context, deadline_us),
     };
     let ticket = match admit(node, arrival).await {
         Ok(ticket) => ticket,
@@ -157,6 +158,15 @@
     Some(refusal.with_exhausted())
 }
 
+/// Time of the latency objective, on the clock of the deadline.
+const fn objective_us(context: &RequestContext, deadline_us: u64) -> Option<u64> {
+    if context.objective_remaining_us == 0 {
+        return None;
+    }
+    let received_us = deadline_us.saturating_sub(context.remaining_us);
+    Some(received_us + context.objective_remaining_us)
+}
+
 /// Whether the local target serves the service.
 ///
 /// The sender may know this address from an instance that no longer exists and
@@ -196,6 +206,7 @@
         key: context.key,
         class: context.class,
         deadline_us,
+        objective_us: objective_us(context, deadline_us),
         depth: context.depth,
         retry: node.retries().open(context.retry_allotment),
         ended: CancellationToken::new(),
@@ -261,12 +272,8 @@
         connection,
         signal,
     } = target_response;
-    if let Some(busy_ratio) = signal.busy_ratio {
-        let received_us = node.timer.now_us();
-        node.admission().record_load_report(LoadReport {
-            busy_ratio,
-            received_us,
-        });
+    if let Some(load) = signal.load {
+        record_load(node, load);
     }
     // A response that may belong to another request is still the target's.
     if connection.is_current() {
--- a/tests/admission_drain.rs
+++ b/tests/admission_drain.rs
@@ -21,6 +21,7 @@
         class: Class::Critical,
         workspace: WorkspaceKey::new(0),
         deadline_us: FAR_DEADLINE_US,
+        objective_us: None,
     };
     policy.arrive(arrival, 0, decisions)
 }
--- a/tests/admission_properties.rs
+++ b/tests/admission_properties.rs
@@ -74,6 +74,7 @@
             class,
             workspace: WorkspaceKey::new(u16::from(choice / 3 % 4)),
             deadline_us: self.now_us + u64::from(choice) * 2000,
+            objective_us: None,
         };
         let mut decisions = Vec::new();
         let ticket = self.policy.arrive(arrival, self.now_us, &mut decisions);
@@ -121,6 +122,8 @@
 
     fn tick(&mut self, choice: u8) {
         self.policy.record_load_report(LoadReport {
+            waiting_count: 0,
+            work_time_percent: None,
             busy_ratio: f64::from(choice) / 255.0,
             received_us: self.now_us,
         });
--- a/tests/admission_queue.rs
+++ b/tests/admission_queue.rs
@@ -67,6 +67,7 @@
             class,
             workspace: WorkspaceKey::new(workspace),
             deadline_us: self.now_us + remaining_us,
+            objective_us: None,
         };
         self.policy
             .arrive(arrival, self.now_us, &mut self.decisions)
@@ -292,6 +293,8 @@
         for _ in 0..count {
             if let Some(age_us) = report_age_us {
                 self.limit.record_load_report(LoadReport {
+                    waiting_count: 0,
+                    work_time_percent: None,
                     busy_ratio: 1.0,
                     received_us: self.now_us.saturating_sub(age_us),
                 });
--- a/tests/admission_support/mod.rs
+++ b/tests/admission_support/mod.rs
@@ -266,6 +266,7 @@
             class,
             workspace: WorkspaceKey::new(workspace),
             deadline_us,
+            objective_us: None,
         };
         let ticket = self.policy.arrive(arrival, now_us, &mut self.decisions);
         let index = self.requests.len();
@@ -378,6 +379,8 @@
         self.schedule(now_us + TICK_US, Event::Tick);
         if let Report::Always(busy_ratio) = self.scenario.report {
             self.policy.record_load_report(LoadReport {
+                waiting_count: 0,
+                work_time_percent: None,
                 busy_ratio,
                 received_us: now_us,
             });
--- a/tests/admission_urgent_demand.rs
+++ b/tests/admission_urgent_demand.rs
@@ -44,6 +44,7 @@
                     class,
                     workspace: WorkspaceKey::new(0),
                     deadline_us: now_us + 5_000_000,
+                    objective_us: None,
                 };
                 let ticket = policy.arrive(arrival, now_us, &mut decisions);
                 arrivals_by_ticket.insert(ticket, (class, now_us));
--- a/tests/peer_faults.rs
+++ b/tests/peer_faults.rs
@@ -238,6 +238,7 @@
         service: names.service("orders"),
         class: Class::Critical,
         remaining_us: 1_000_000,
+        objective_remaining_us: 0,
         retry_allotment: 3,
         depth: 2,
         repeatable: false,
--- a/tests/peer_seams.rs
+++ b/tests/peer_seams.rs
@@ -41,6 +41,7 @@
         service: names.service("a"),
         class: Class::Critical,
         remaining_us: 3_000_000,
+        objective_remaining_us: 0,
         retry_allotment: 0,
         depth: 0,
         repeatable: false,
--- a/tests/routing_properties.rs
+++ b/tests/routing_properties.rs
@@ -148,8 +148,8 @@
         let level = AdmissionLevel {
             lowest_class: Class::ALL[usize::from(choice / 4) % 3],
             load_percent: u16::from(choice),
-            below_percent: 0,
             draining: choice > 250,
+            ..AdmissionLevel::idle()
         };
         let result = RESULTS[usize::from(choice) % 4];
         let latency_us = u64::from(choice) * 1000;
--- a/tests/routing_zone.rs
+++ b/tests/routing_zone.rs
@@ -112,8 +112,7 @@
     AdmissionLevel {
         lowest_class,
         load_percent,
-        below_percent: 0,
-        draining: false,
+        ..AdmissionLevel::idle()
     }
 }
 
