--- a/src/dialect/load.rs
+++ b/src/dialect/load.rs
@@ -4,6 +4,10 @@
 /// of them is an error of the target: no machine works ten times faster than usual.
 const WORK_TIME_BOUNDS_PERCENT: std::ops::RangeInclusive<f64> = 10.0..=10_000.0;
 
+/// Bounds of reported counts. Without the upper one, an infinite count would make the busy ratio
+/// NaN.
+const COUNT_BOUNDS: std::ops::RangeInclusive<f64> = 0.0..=u32::MAX as f64;
+
 /// Load that a target reports in a response or a notice.
 #[derives::value]
 #[derive(Copy)]
@@ -52,13 +56,14 @@
 
 impl TargetLoad {
     /// Decodes `running,waiting,slots` with an optional time that work takes as the fourth
-    /// figure; `None` unless the first three are valid.
+    /// figure; `None` unless the first three are valid. Further figures are ignored, so that
+    /// targets may add some.
     #[must_use]
     pub fn from_list(text: &str) -> Option<Self> {
         let mut fields = text
             .split(',')
             .map(|field| field.trim().parse::<f64>().ok());
-        let mut next_count = || fields.next()?.filter(|count| *count >= 0.0);
+        let mut next_count = || fields.next()?.filter(|count| COUNT_BOUNDS.contains(count));
         let (running, waiting, slots) = (next_count()?, next_count()?, next_count()?);
         let work_time = match fields.next() {
             None => WorkTime::NotReported,
--- a/src/dialect/native.rs
+++ b/src/dialect/native.rs
@@ -63,8 +63,9 @@
     /// Requests that wait inside the target.
     #[serde(default)]
     waiting_count: u32,
-    /// Time that work takes now, in percent of the usual time.
-    work_time_percent: Option<f64>,
+    /// Time that work takes now, in percent of the usual time. Of any JSON type: a target that
+    /// misreports it loses this figure only, not the whole report.
+    work_time_percent: Option<serde_json::Value>,
 }
 
 impl Dialect for Native {
@@ -285,9 +286,9 @@
     if !(0.0..=1.0).contains(&body.busy_ratio) {
         return Err(field_error("busy_ratio", "must be between 0 and 1"));
     }
-    let work_time = match body.work_time_percent {
+    let work_time = match &body.work_time_percent {
         None => WorkTime::NotReported,
-        figure => WorkTime::from_figure(figure),
+        Some(figure) => WorkTime::from_figure(figure.as_f64()),
     };
     Ok(TargetNotice::Load(TargetLoad {
         busy_ratio: body.busy_ratio,
