Report waiting requests and work time from the stand-in target

Tests of nodes could not play a target whose machine slows down or that misreports it: the stand-in reported its busy ratio only.

Its load notices now carry the requests that wait for a slot and the factor that its service times have at that moment. `--slow-after-ms`, `--slow-for-ms` and `--slow-factor` (2.5) slow it down for a while; `--lie-work-time-percent` and `--hide-work-time`, also as faults that can be set while it runs, misreport the work time or leave it out.

--- a/standins/src/target/announce.rs
+++ b/standins/src/target/announce.rs
@@ -39,6 +39,12 @@
 pub struct LoadReport {
     /// Share of the slots that is at work.
     pub busy_ratio: f64,
+    /// Requests that wait for a slot.
+    #[serde(default)]
+    pub waiting_count: usize,
+    /// Time that work takes now, in percent of the usual time.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub work_time_percent: Option<f64>,
 }
 
 /// Announces at the start, each second and when draining begins.
@@ -71,23 +77,37 @@
     let lag = Duration::from_millis(target.conf().load_report_lag_ms);
     let mut ticks = time::interval(LOAD_PERIOD);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut samples: VecDeque<(Instant, f64)> = VecDeque::new();
+    let mut samples: VecDeque<(Instant, LoadReport)> = VecDeque::new();
     loop {
         ticks.tick().await;
         target.wait_unfrozen().await;
         let now = Instant::now();
-        samples.push_back((now, target.busy_ratio()));
+        samples.push_back((now, target.load()));
         while samples.get(1).is_some_and(|(at, _)| now - *at >= lag) {
             samples.pop_front();
         }
-        let measured = samples.front().map_or(0.0, |(_, ratio)| *ratio);
-        let report = LoadReport {
-            busy_ratio: target.conf().lie_busy_ratio.unwrap_or(measured),
-        };
+        let measured = samples
+            .front()
+            .map_or_else(|| target.load(), |(_, load)| *load);
+        let report = misreport(&target, measured);
         post(target.client(), egress, "/-/load", &report).await;
     }
 }
 
+/// The report with the configured errors.
+fn misreport(target: &Target, measured: LoadReport) -> LoadReport {
+    let (conf, faults) = (target.conf(), target.faults());
+    let lie_percent = faults.lie_work_time_percent.or(conf.lie_work_time_percent);
+    let is_hidden = faults.hide_work_time || conf.hide_work_time;
+    LoadReport {
+        busy_ratio: conf.lie_busy_ratio.unwrap_or(measured.busy_ratio),
+        work_time_percent: lie_percent
+            .or(measured.work_time_percent)
+            .filter(|_| !is_hidden),
+        ..measured
+    }
+}
+
 /// A node that is away is told again at the next tick.
 async fn post<T: Serialize>(client: &HttpClient, egress: SocketAddr, path: &str, message: &T) {
     let Ok(body) = serde_json::to_vec(message) else {
--- a/standins/src/target/conf.rs
+++ b/standins/src/target/conf.rs
@@ -34,6 +34,15 @@
     /// How much longer work takes during the cold start
     #[arg(long, default_value_t = 3.0)]
     pub cold_factor: f64,
+    /// Time after the start at which the machine slows down
+    #[arg(long, default_value_t = 0)]
+    pub slow_after_ms: u64,
+    /// Time for which the machine is slow; 0 if it never is
+    #[arg(long, default_value_t = 0)]
+    pub slow_for_ms: u64,
+    /// How much longer work takes while the machine is slow
+    #[arg(long, default_value_t = 2.5)]
+    pub slow_factor: f64,
     /// Service time: fixed:MS, uniform:LOW:HIGH or lognormal:MEDIAN:SIGMA
     #[arg(long, default_value = "fixed:5")]
     pub latency: Latency,
@@ -46,6 +55,12 @@
     /// Busy ratio that is reported in place of the true one
     #[arg(long)]
     pub lie_busy_ratio: Option<f64>,
+    /// Work time in percent that is reported in place of the true one
+    #[arg(long)]
+    pub lie_work_time_percent: Option<f64>,
+    /// Report no work time
+    #[arg(long)]
+    pub hide_work_time: bool,
     /// Calls that each request makes through the node, such as
     /// "POST /pricing/price,GET /cards/x"; method * repeats the request's own
     #[arg(long, value_delimiter = ',')]
--- a/standins/src/target/faults.rs
+++ b/standins/src/target/faults.rs
@@ -21,6 +21,10 @@
     pub fail_ratio: f64,
     /// The call handle is not echoed.
     pub no_echo: bool,
+    /// Work time that is reported in place of the true one.
+    pub lie_work_time_percent: Option<f64>,
+    /// No work time is reported.
+    pub hide_work_time: bool,
 }
 
 impl Default for Faults {
@@ -34,6 +38,8 @@
             late_ms: 0,
             fail_ratio: 0.0,
             no_echo: false,
+            lie_work_time_percent: None,
+            hide_work_time: false,
         }
     }
 }
--- a/standins/src/target/server.rs
+++ b/standins/src/target/server.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         Announcement, CALL_HANDLE, CallResult, DEADLINE_MS, Entry, EntryState, Faults, Journal,
-        SHED, TARGET_REFUSAL, TEST_ID, TargetConf, WholeAnswer, admin,
+        LoadReport, SHED, TARGET_REFUSAL, TEST_ID, TargetConf, WholeAnswer, admin,
         announce::{announce, report_load},
         answer::{AnswerBody, digest},
         crossing::Crossing,
@@ -116,8 +116,13 @@
         self.0.draining.clone()
     }
 
-    pub(super) fn busy_ratio(&self) -> f64 {
-        self.0.slots.busy_ratio()
+    /// Load as it is now.
+    pub(super) fn load(&self) -> LoadReport {
+        LoadReport {
+            busy_ratio: self.0.slots.busy_ratio(),
+            waiting_count: self.0.slots.waiting_count(),
+            work_time_percent: Some(self.work_time_factor() * 100.0),
+        }
     }
 
     pub(super) fn faults(&self) -> Faults {
@@ -215,13 +220,23 @@
     }
 
     fn service_time(&self) -> Duration {
+        let service_time = self.conf().latency.sample(&mut rand::rng());
+        service_time.mul_f64(self.work_time_factor())
+    }
+
+    /// How much longer than usual work takes that begins now.
+    fn work_time_factor(&self) -> f64 {
         let conf = self.conf();
         let mut factor = self.faults().slow_factor.max(0.0);
-        let cold_start = Duration::from_millis(conf.cold_start_ms);
-        if self.0.started_at.elapsed() < cold_start {
-            factor *= conf.cold_factor;
+        let age_ms = self.0.started_at.elapsed().as_millis() as u64;
+        if age_ms < conf.cold_start_ms {
+            factor *= conf.cold_factor.max(0.0);
+        }
+        let slow_ms = conf.slow_after_ms..conf.slow_after_ms.saturating_add(conf.slow_for_ms);
+        if slow_ms.contains(&age_ms) {
+            factor *= conf.slow_factor.max(0.0);
         }
-        conf.latency.sample(&mut rand::rng()).mul_f64(factor)
+        factor
     }
 
     async fn call_downstream(&self, parent: &Parent) -> Vec<CallResult> {
--- a/standins/src/target/slots.rs
+++ b/standins/src/target/slots.rs
@@ -79,6 +79,11 @@
         self.running_count.load(Ordering::Relaxed) as f64 / limit.slot_count.max(1) as f64
     }
 
+    /// Requests that wait for a slot.
+    pub(super) fn waiting_count(&self) -> usize {
+        self.waiting_count.load(Ordering::Relaxed)
+    }
+
     fn occupy(&self, permit: OwnedSemaphorePermit) -> Slot {
         Slot {
             permit: Some(permit),
