Order waiting requests by slack to their latency objective

Callers saw requests with an objective of 250 ms wait behind requests with 2 s or none, and in an overload most slots went to requests that had already missed their objective: the queue of a class is in order of arrival and reads no objective.

Workspaces take turns by deficit round robin as before; within a round the one whose request has the least slack is first. Requests that can no longer meet their objective wait in a queue of their own and get one start in eight. Missing or far objectives are overtaken for 250 ms at most; after that the oldest request of a workspace gets every second start of it. The default order is unchanged. dogwood_admission_late_starts_total counts starts whose objective was out of reach, in both orders.

--- a/src/admission/adaptive.rs
+++ b/src/admission/adaptive.rs
@@ -6,13 +6,14 @@
 use {
     super::{
         AdmissionPolicy, Arrival, Decision, LoadReport, TargetResult, TargetSize, TicketKey,
-        delay::SustainedDelay, limit::ConcurrencyLimit, queue::ClassQueue, reserve::Reserve,
-        retry_after::retry_after_ms, service_time::ServiceTime, threshold::AdmissionThreshold,
-        urgent_demand::UrgentDemand,
+        delay::SustainedDelay, limit::ConcurrencyLimit, objective_queue::StartTerms,
+        reserve::Reserve, retry_after::retry_after_ms, service_time::ServiceTime,
+        threshold::AdmissionThreshold, urgent_demand::UrgentDemand, waiting_queue::WaitingQueue,
     },
     crate::{
         arena::{Arena, ArenaKey},
         model::{AdmissionLevel, CLASS_COUNT, Class, Reason, Refusal},
+        settings::QueueOrder,
     },
 };
 
@@ -24,6 +25,7 @@
 struct Ticket {
     arrival: Arrival,
     arrived_us: u64,
+    terms: StartTerms,
     started_us: Option<u64>,
 }
 
@@ -32,7 +34,7 @@
 pub struct Adaptive {
     tickets: Arena<TicketKey, Ticket>,
     limit: ConcurrencyLimit,
-    queues: [ClassQueue; CLASS_COUNT],
+    queues: [WaitingQueue; CLASS_COUNT],
     running_counts: [u32; CLASS_COUNT],
     reserve: Reserve,
     threshold: AdmissionThreshold,
@@ -42,6 +44,7 @@
     urgent_service_time: ServiceTime,
     urgent_demand: UrgentDemand,
     draining: bool,
+    late_start_count: u64,
 }
 
 impl AdmissionPolicy for Adaptive {
@@ -49,7 +52,7 @@
         Self {
             tickets: Arena::new(),
             limit: ConcurrencyLimit::new(size),
-            queues: std::array::from_fn(|_| ClassQueue::new()),
+            queues: std::array::from_fn(|_| WaitingQueue::new(QueueOrder::Arrival)),
             running_counts: [0; CLASS_COUNT],
             reserve: Reserve::new(),
             threshold: AdmissionThreshold::new(),
@@ -59,9 +62,15 @@
             urgent_service_time: ServiceTime::new(),
             urgent_demand: UrgentDemand::new(),
             draining: false,
+            late_start_count: 0,
         }
     }
 
+    fn with_queue_order(mut self, order: QueueOrder) -> Self {
+        self.queues = std::array::from_fn(|_| WaitingQueue::new(order));
+        self
+    }
+
     fn set_size(&mut self, size: TargetSize, restarted: bool, now_us: u64) {
         self.limit.set_size(size, restarted, now_us);
         if restarted {
@@ -80,6 +89,7 @@
         let ticket = self.tickets.insert(Ticket {
             arrival,
             arrived_us: now_us,
+            terms: self.start_terms(arrival, now_us),
             started_us: None,
         });
         if self.draining {
@@ -90,7 +100,7 @@
             self.record_shed(arrival.class, now_us);
             self.refuse(ticket, Reason::Overloaded, now_us, decisions);
         } else {
-            self.queues[arrival.class.index()].push(arrival.workspace, ticket);
+            self.push_waiting(ticket, now_us);
             self.record_demand(now_us);
             self.start_waiting(now_us, decisions);
             self.shed_excess(now_us, decisions);
@@ -105,8 +115,7 @@
         if request.started_us.is_some() {
             self.end(ticket, TargetResult::Cancelled, now_us, decisions);
         } else {
-            self.tickets.remove(ticket);
-            self.remove_waiting(request.arrival);
+            self.remove_waiting(ticket, now_us);
         }
     }
 
@@ -150,15 +159,15 @@
 
     fn refuse_waiting(&mut self, now_us: u64, decisions: &mut Vec<Decision>) {
         let waiting_requests = self.waiting_requests();
-        for (ticket, request) in waiting_requests {
-            self.remove_refused(ticket, request.arrival);
+        for (ticket, _) in waiting_requests {
+            self.remove_waiting(ticket, now_us);
             let refusal = self.refusal(ticket, Reason::Draining, now_us);
             decisions.push(Decision::Refuse(ticket, refusal));
         }
     }
 
     fn level(&self, class: Class, _now_us: u64) -> AdmissionLevel {
-        let waiting_counts = self.queues[class.index()..].iter().map(ClassQueue::len);
+        let waiting_counts = self.queues[class.index()..].iter().map(WaitingQueue::len);
         let request_count = self.running_count() + waiting_counts.sum::<usize>();
         let load_percent = request_count * 100 / self.limit.count() as usize;
         AdmissionLevel {
@@ -174,7 +183,11 @@
     }
 
     fn waiting_count(&self) -> usize {
-        self.queues.iter().map(ClassQueue::len).sum()
+        self.queues.iter().map(WaitingQueue::len).sum()
+    }
+
+    fn late_start_count(&self) -> u64 {
+        self.late_start_count
     }
 }
 
--- a/src/admission/adaptive/waiting.rs
+++ b/src/admission/adaptive/waiting.rs
@@ -3,7 +3,10 @@
 use {
     super::{Adaptive, MIN_REMAINING_RATIO, Ticket},
     crate::{
-        admission::{AdmissionPolicy, Arrival, Decision, TicketKey, queue::ClassQueue},
+        admission::{
+            AdmissionPolicy, Arrival, Decision, TicketKey, objective_queue::StartTerms,
+            waiting_queue::WaitingQueue,
+        },
         model::{CLASS_COUNT, Class, Reason},
     },
 };
@@ -21,6 +24,9 @@
 const MIN_BROWSE_WAITING_COUNT: usize = 2;
 /// Longest wait of each class, in order of [`Class::ALL`].
 const MAX_WAIT_US: [u64; CLASS_COUNT] = [1_000_000, 1_000_000, 5_000_000];
+/// Longest time that a request may be overtaken by all requests with less slack: half of the work
+/// that may wait. Without it, a far objective would reach its turn only when the queue is full.
+const MAX_OVERTAKEN_US: u64 = 250_000;
 
 impl Adaptive {
     /// Whether the request could no longer finish by its deadline once its turn comes.
@@ -32,12 +38,11 @@
             return false;
         }
         let queue = &self.queues[arrival.class.index()];
-        let own_class_count = queue.workspace_len(arrival.workspace) * queue.workspace_count();
         let higher_count: usize = self.queues[arrival.class.index() + 1..]
             .iter()
-            .map(ClassQueue::len)
+            .map(WaitingQueue::len)
             .sum();
-        let ahead_count = own_class_count.min(queue.len()) + higher_count;
+        let ahead_count = queue.ahead_count(arrival.workspace) + higher_count;
         let service_us = self.service_time.mean_us(now_us);
         let wait_us = ahead_count as f64 * service_us / f64::from(self.limit.count());
         let remaining_us = arrival.deadline_us.saturating_sub(now_us) as f64;
@@ -104,11 +109,11 @@
                 service_time,
                 ..
             } = self;
-            let Some(ticket) = queues[class.index()].pop(
-                newest_first,
-                |ticket| tickets.get(ticket).is_some(),
-                |workspace_index| service_time.cost_ratio(workspace_index),
-            ) else {
+            let Some(ticket) =
+                queues[class.index()].pop(newest_first, now_us, service_time, |ticket| {
+                    tickets.get(ticket).is_some()
+                })
+            else {
                 return;
             };
             let Some(request) = self.tickets.get_mut(ticket) else {
@@ -120,6 +125,7 @@
                 self.refuse(ticket, Reason::TooLate, now_us, decisions);
                 continue;
             }
+            self.record_start_by_objective(arrival, now_us);
             self.running_counts[class.index()] += 1;
             // Unused reserved slots count as in use. Otherwise the limit would never appear to be
             // reached, and never grow, while only browse requests arrive.
@@ -161,12 +167,15 @@
         while let Some(class) = self.class_to_shed(now_us) {
             let newest_first = self.is_newest_first(class);
             let Self {
-                queues, tickets, ..
+                queues,
+                tickets,
+                service_time,
+                ..
             } = self;
             let queue = &mut queues[class.index()];
-            let Some(ticket) =
-                queue.pop_to_shed(newest_first, |ticket| tickets.get(ticket).is_some())
-            else {
+            let Some(ticket) = queue.pop_to_shed(newest_first, now_us, service_time, |ticket| {
+                tickets.get(ticket).is_some()
+            }) else {
                 return;
             };
             self.record_shed(class, now_us);
@@ -190,6 +199,9 @@
     }
 
     pub(super) fn refuse_expired(&mut self, now_us: u64, decisions: &mut Vec<Decision>) {
+        for queue in &mut self.queues {
+            queue.move_late(now_us, &self.service_time);
+        }
         let mut oldest_browse_us = 0;
         for (ticket, request) in self.waiting_requests() {
             let waited_us = now_us.saturating_sub(request.arrived_us);
@@ -203,7 +215,7 @@
                 }
                 continue;
             };
-            self.remove_refused(ticket, request.arrival);
+            self.remove_waiting(ticket, now_us);
             let refusal = self.refusal(ticket, reason, now_us);
             decisions.push(Decision::Refuse(ticket, refusal));
         }
@@ -222,16 +234,60 @@
             .collect()
     }
 
-    pub(super) fn remove_refused(&mut self, ticket: TicketKey, arrival: Arrival) {
-        self.tickets.remove(ticket);
-        self.remove_waiting(arrival);
+    pub(super) fn push_waiting(&mut self, ticket: TicketKey, now_us: u64) {
+        let Some(Ticket { arrival, terms, .. }) = self.tickets.get(ticket).copied() else {
+            return;
+        };
+        let service_us = self.expected_us(arrival, now_us);
+        self.queues[arrival.class.index()].push(arrival.workspace, ticket, terms, service_us);
     }
 
-    pub(super) fn remove_waiting(&mut self, arrival: Arrival) {
+    /// Removes a waiting request that was withdrawn or refused.
+    pub(super) fn remove_waiting(&mut self, ticket: TicketKey, now_us: u64) {
+        let Some(Ticket { arrival, terms, .. }) = self.tickets.remove(ticket) else {
+            return;
+        };
+        let service_us = self.expected_us(arrival, now_us);
         let Self {
             queues, tickets, ..
         } = self;
-        queues[arrival.class.index()]
-            .record_removal(arrival.workspace, |ticket| tickets.get(ticket).is_some());
+        queues[arrival.class.index()].record_removal(
+            arrival.workspace,
+            ticket,
+            terms,
+            service_us,
+            |ticket| tickets.get(ticket).is_some(),
+        );
     }
+
+    /// Terms on which an arriving request waits. An objective that cannot be met even by a start
+    /// at once does not count: such a request keeps its order of arrival.
+    pub(super) fn start_terms(&self, arrival: Arrival, now_us: u64) -> StartTerms {
+        let remaining_us = arrival.deadline_us.saturating_sub(now_us);
+        let may_wait_us = remaining_us.min(MAX_WAIT_US[arrival.class.index()]);
+        StartTerms {
+            objective_us: objective_us(arrival)
+                .filter(|objective_us| *objective_us >= now_us + self.expected_us(arrival, now_us)),
+            overdue_from_us: now_us + (may_wait_us / 2).min(MAX_OVERTAKEN_US),
+        }
+    }
+
+    /// Counts a start after which the request is expected to miss its objective.
+    fn record_start_by_objective(&mut self, arrival: Arrival, now_us: u64) {
+        let end_us = now_us + self.expected_us(arrival, now_us);
+        if objective_us(arrival).is_some_and(|objective_us| objective_us < end_us) {
+            self.late_start_count += 1;
+        }
+    }
+
+    fn expected_us(&self, arrival: Arrival, now_us: u64) -> u64 {
+        let workspace_index = arrival.workspace.index();
+        self.service_time.expected_us(workspace_index, now_us)
+    }
+}
+
+/// The objective; one beyond the deadline counts as the deadline.
+fn objective_us(arrival: Arrival) -> Option<u64> {
+    let objective_us = arrival.objective_us?;
+    Some(objective_us.min(arrival.deadline_us))
 }
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -5,6 +5,7 @@
 mod delay;
 mod downstream;
 mod limit;
+mod objective_queue;
 mod queue;
 mod reserve;
 mod retry_after;
@@ -13,6 +14,7 @@
 mod threshold;
 mod trial;
 mod urgent_demand;
+mod waiting_queue;
 mod window;
 mod work_shares;
 
@@ -28,6 +30,7 @@
 use crate::{
     arena_key,
     model::{AdmissionLevel, Class, Refusal, WorkspaceKey},
+    settings::QueueOrder,
 };
 
 arena_key! {
@@ -109,6 +112,15 @@
     /// A policy for a target of this size.
     fn new(size: TargetSize) -> Self;
 
+    /// The same policy with this order of waiting requests, set before the first one arrives.
+    /// Policies with a single order ignore it.
+    fn with_queue_order(self, _order: QueueOrder) -> Self
+    where
+        Self: Sized,
+    {
+        self
+    }
+
     /// Sets the announced size, again on each announcement; `restarted` if the target restarted.
     fn set_size(&mut self, size: TargetSize, restarted: bool, now_us: u64);
 
@@ -149,4 +161,10 @@
 
     /// Number of waiting requests.
     fn waiting_count(&self) -> usize;
+
+    /// Requests started so far when their latency objective could no longer be expected to be
+    /// met.
+    fn late_start_count(&self) -> u64 {
+        0
+    }
 }
--- a/src/admission/service_time.rs
+++ b/src/admission/service_time.rs
@@ -52,6 +52,12 @@
         mean_us * (-((idle_us - expected_gap_us) as f64) / HALF_LIFE_US).exp2()
     }
 
+    /// Expected service time of a request of this workspace, in whole microseconds.
+    #[must_use]
+    pub fn expected_us(&self, workspace_index: usize, now_us: u64) -> u64 {
+        (self.mean_us(now_us) * self.cost_ratio(workspace_index)) as u64
+    }
+
     /// Whether any service time was recorded.
     #[must_use]
     pub const fn is_known(&self) -> bool {
--- a/src/control/admin.rs
+++ b/src/control/admin.rs
@@ -65,10 +65,16 @@
 }
 
 fn metrics<P: Policies>(node: &Node<P>) -> Response<ResponseBody> {
-    let (running, waiting) = node.admission().counts();
+    let (running, waiting, late_start_count) = {
+        let admission = node.admission();
+        let (running, waiting) = admission.counts();
+        (running, waiting, admission.late_start_count())
+    };
     let connections = node.caller_connection_count.load(Ordering::Relaxed);
     node.metrics.running.set(gauge(running));
     node.metrics.waiting.set(gauge(waiting));
+    let late_starts = node.metrics.late_starts.inner();
+    late_starts.store(late_start_count, Ordering::Relaxed);
     node.metrics.caller_connections.set(gauge(connections));
     set_state_sizes(node);
     let Ok(body) = node.metrics.encode() else {
--- a/src/control/metrics.rs
+++ b/src/control/metrics.rs
@@ -48,6 +48,8 @@
     pub running: Gauge,
     /// Requests that wait for the own target.
     pub waiting: Gauge,
+    /// Requests that started when their objective could no longer be expected to be met.
+    pub late_starts: Counter,
     /// Open connections of callers.
     pub caller_connections: Gauge,
     /// Entries of the node's tables.
@@ -74,6 +76,7 @@
             retries: Counter::default(),
             running: Gauge::default(),
             waiting: Gauge::default(),
+            late_starts: Counter::default(),
             caller_connections: Gauge::default(),
             state: Family::default(),
             control: ControlCollector::default(),
@@ -129,6 +132,11 @@
             "Requests that wait for the own target",
             self.waiting.clone(),
         );
+        registry.register(
+            "admission_late_starts",
+            "Requests started at the own target when their latency objective was out of reach",
+            self.late_starts.clone(),
+        );
         registry.register(
             "caller_connections",
             "Open connections of callers",
--- a/src/node/admission_table.rs
+++ b/src/node/admission_table.rs
@@ -7,6 +7,7 @@
             AdmissionPolicy, Arrival, Decision, LoadReport, TargetResult, TargetSize, TicketKey,
         },
         model::{AdmissionLevel, Class, Reason, Refusal},
+        settings::QueueOrder,
     },
     std::{collections::HashMap, sync::Arc, time::Duration},
     tokio::sync::oneshot,
@@ -28,6 +29,9 @@
 /// The admission policy and the requests that wait for its decision.
 pub struct AdmissionTable<A> {
     policy: Option<A>,
+    queue_order: QueueOrder,
+    // Late starts of earlier policies.
+    past_late_start_count: u64,
     // Distinguishes tickets of this policy from those of the previous one: after a
     // restart of the target, a late end would otherwise free another request's slot.
     epoch: u64,
@@ -61,6 +65,8 @@
     pub fn new() -> Self {
         Self {
             policy: None,
+            queue_order: QueueOrder::default(),
+            past_late_start_count: 0,
             epoch: 0,
             waiting: HashMap::new(),
             decisions: Vec::new(),
@@ -68,6 +74,13 @@
         }
     }
 
+    /// The table with this order of waiting requests.
+    #[must_use]
+    pub const fn with_queue_order(mut self, order: QueueOrder) -> Self {
+        self.queue_order = order;
+        self
+    }
+
     /// Records the size that the target announced.
     pub fn set_size(&mut self, size: TargetSize, restarted: bool, now_us: u64) {
         // Draining a policy is final; a target that restarts after a drain needs a
@@ -76,7 +89,8 @@
             self.epoch += 1;
             self.waiting.clear();
             self.drain = None;
-            self.policy = Some(A::new(size));
+            self.past_late_start_count = self.late_start_count();
+            self.policy = Some(A::new(size).with_queue_order(self.queue_order));
         } else if let Some(policy) = &mut self.policy {
             policy.set_size(size, restarted, now_us);
         }
@@ -128,6 +142,14 @@
         })
     }
 
+    /// Requests started so far when their latency objective could no longer be expected to be
+    /// met.
+    #[must_use]
+    pub fn late_start_count(&self) -> u64 {
+        let policy = self.policy.as_ref();
+        self.past_late_start_count + policy.map_or(0, AdmissionPolicy::late_start_count)
+    }
+
     fn advance_drain(&mut self, now_us: u64) {
         let Some(drain) = &mut self.drain else {
             return;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -199,6 +199,9 @@
             quarantine: Quarantine::new(),
             target: TargetPool::new(inputs.settings.ip),
             region: inputs.names.region(&inputs.settings.region),
+            admission: Mutex::new(
+                AdmissionTable::new().with_queue_order(inputs.settings.queue_order),
+            ),
             settings: inputs.settings,
             names: inputs.names,
             timer: inputs.timer,
@@ -217,7 +220,6 @@
             evacuations: inputs.evacuations,
             view: inputs.view,
             freshness: inputs.freshness,
-            admission: Mutex::new(AdmissionTable::new()),
             routes: Mutex::new(RouteTable::new()),
             retries: Mutex::new(retries),
             calls: Mutex::new(CallTable::new()),
