--- a/src/admission/adaptive.rs
+++ b/src/admission/adaptive.rs
@@ -4,9 +4,9 @@
 use {
     super::{
         AdmissionPolicy, Arrival, Decision, LoadReport, TargetResult, TargetSize, TicketKey,
-        delay::SustainedDelay, limit::ConcurrencyLimit, queue::ClassQueue, reserve::Reserve,
-        retry_after::retry_after_ms, service_time::ServiceTime, threshold::AdmissionThreshold,
-        urgent_demand::UrgentDemand,
+        delay::SustainedDelay, limit::ConcurrencyLimit, queue::ClassQueue,
+        queueing_delay::queueing_delay_us, reserve::Reserve, retry_after::retry_after_ms,
+        service_time::ServiceTime, threshold::AdmissionThreshold, urgent_demand::UrgentDemand,
     },
     crate::{
         arena::{Arena, ArenaKey},
@@ -168,14 +168,22 @@
         }
     }
 
-    fn level(&self, class: Class, _now_us: u64) -> AdmissionLevel {
+    fn level(&self, class: Class, now_us: u64) -> AdmissionLevel {
         let waiting_counts = self.queues[class.index()..].iter().map(ClassQueue::len);
-        let request_count = self.running_count() + waiting_counts.sum::<usize>();
+        let ahead_count = waiting_counts.sum::<usize>();
+        let request_count = self.running_count() + ahead_count;
         let load_percent = request_count * 100 / self.limit.count() as usize;
         AdmissionLevel {
             lowest_class: self.threshold.lowest_class(),
             load_percent: u16::try_from(load_percent).unwrap_or(u16::MAX),
             draining: self.draining,
+            work_time_percent: self.limit.work_time_percent(now_us),
+            wait_us: queueing_delay_us(
+                ahead_count,
+                self.running_count(),
+                self.limit.count(),
+                self.service_time.mean_us(now_us),
+            ),
             ..AdmissionLevel::idle()
         }
     }
--- a/src/admission/limit.rs
+++ b/src/admission/limit.rs
@@ -189,6 +189,16 @@
         self.report = Some(report);
     }
 
+    /// Time that work takes on the target's machine by its last report, in percent of the usual
+    /// time; 0 if unknown.
+    #[must_use]
+    pub fn work_time_percent(&self, now_us: u64) -> u16 {
+        self.report
+            .filter(|report| now_us.saturating_sub(report.received_us) <= REPORT_AGE_LIMIT_US)
+            .and_then(|report| report.work_time_percent)
+            .unwrap_or(0)
+    }
+
     fn required_sample_count(&self) -> u32 {
         ((self.limit * SAMPLES_PER_SLOT) as u32).clamp(MIN_SAMPLE_COUNT, MAX_SAMPLE_COUNT)
     }
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -6,6 +6,7 @@
 mod downstream;
 mod limit;
 mod queue;
+mod queueing_delay;
 mod reserve;
 mod retry_after;
 mod service_time;
@@ -21,6 +22,7 @@
     admit_all::AdmitAll,
     downstream::DownstreamAdmission,
     limit::{ConcurrencyLimit, MIN_LIMIT, REPORT_AGE_LIMIT_US},
+    queueing_delay::queueing_delay_us,
     static_limit::StaticLimit,
     work_shares::WorkShares,
 };
--- a/src/control/metrics.rs
+++ b/src/control/metrics.rs
@@ -42,6 +42,8 @@
 pub struct Metrics {
     /// Attempts sent to targets.
     pub attempts: Counter,
+    /// Attempts sent to targets in other availability zones.
+    pub attempts_outside_zone: Counter,
     /// Attempts beyond the first.
     pub retries: Counter,
     /// Requests that the own target works on.
@@ -71,6 +73,7 @@
         let buckets = exponential_buckets(FIRST_BUCKET_S, BUCKET_FACTOR, BUCKET_COUNT);
         let mut metrics = Self {
             attempts: Counter::default(),
+            attempts_outside_zone: Counter::default(),
             retries: Counter::default(),
             running: Gauge::default(),
             waiting: Gauge::default(),
@@ -118,6 +121,11 @@
             "Attempts sent to targets",
             self.attempts.clone(),
         );
+        registry.register(
+            "attempts_outside_zone",
+            "Attempts sent to targets in other availability zones",
+            self.attempts_outside_zone.clone(),
+        );
         registry.register("retries", "Attempts beyond the first", self.retries.clone());
         registry.register(
             "admission_running",
--- a/src/egress/attempt.rs
+++ b/src/egress/attempt.rs
@@ -12,7 +12,7 @@
         peer::{self, Attempt, HopResult, PeerLink},
         quarantine::{IdentifiedRequest, check_quarantine},
         retry::{ChildAllotment, RetryPolicy},
-        routing::{AttemptResult, RoutePolicy, RouteRequest, TargetKey},
+        routing::{AttemptResult, Distance, RoutePolicy, RouteRequest, TargetKey},
         target::{UNKNOWN_PROCESS_ID, serve_local},
         timer::timeout_unless_suspended,
     },
@@ -87,6 +87,10 @@
                 .record_first_attempt(call.service, self.started_us);
         }
         node.metrics.attempts.inc();
+        let distance = node.routes().policy().distance(self.target);
+        if distance.is_some_and(|distance| distance != Distance::SameZone) {
+            node.metrics.attempts_outside_zone.inc();
+        }
         // A target's calls without a handle belong to no chain: the downstream node could not
         // spend an allotment, and a lost response would lose the allotment too.
         if !P::Dialect::CALLS_USE_CALLER_PORT {
@@ -165,6 +169,11 @@
         routes
             .policy()
             .end_attempt(self.target, result, latency_us, level, now_us);
+        if let Some(level) = level {
+            routes
+                .policy()
+                .record_level(self.target, self.call.class, level, now_us);
+        }
     }
 }
 
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -189,6 +189,7 @@
     #[must_use]
     pub fn new(inputs: NodeInputs<P::Quota, P::Guard, P::Dialect>) -> Arc<Self> {
         let auth = FleetAuth::new(&inputs.settings.fleet_secret);
+        let routes = RouteTable::new(inputs.settings.target_choice);
         let retries = P::Retry::new().with_retry_share_limits(RetryShareLimits {
             percent: inputs.settings.retry_percent,
             floor_count: inputs.settings.retry_floor,
@@ -218,7 +219,7 @@
             view: inputs.view,
             freshness: inputs.freshness,
             admission: Mutex::new(AdmissionTable::new()),
-            routes: Mutex::new(RouteTable::new()),
+            routes: Mutex::new(routes),
             retries: Mutex::new(retries),
             calls: Mutex::new(CallTable::new()),
             registration: Mutex::new(Registration::new()),
--- a/src/node/route_table.rs
+++ b/src/node/route_table.rs
@@ -9,7 +9,7 @@
         model::{Names, Refusal, RegionKey, ServiceKey, ZoneKey},
         peer::PeerLink,
         routing::{Distance, RoutePolicy, RouteRequest, TargetInfo, TargetKey},
-        settings::Settings,
+        settings::{Settings, TargetChoice},
         target::UNKNOWN_PROCESS_ID,
     },
     std::{
@@ -72,18 +72,12 @@
     leaving: BTreeMap<u64, u64>,
 }
 
-impl<R: RoutePolicy> Default for RouteTable<R> {
-    fn default() -> Self {
-        Self::new()
-    }
-}
-
 impl<R: RoutePolicy> RouteTable<R> {
     /// Creates a table without targets.
     #[must_use]
-    pub fn new() -> Self {
+    pub fn new(choice: TargetChoice) -> Self {
         Self {
-            policy: R::new(),
+            policy: R::new().with_target_choice(choice),
             rows: BTreeMap::new(),
             links: HashMap::new(),
             node_names: HashMap::new(),
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -3,10 +3,13 @@
 //! Prefers near targets with room, ejects failing and slow ones, and avoids
 //! targets whose nodes do not respond.
 
+mod completion;
 mod ejection;
 mod latency;
+mod service;
 mod silence;
 mod target;
+mod zone_choice;
 mod zone_router;
 
 pub use {
@@ -17,6 +20,7 @@
 use crate::{
     arena_key,
     model::{AdmissionLevel, Class, Refusal, RegionKey, RegionSet, ServiceKey, ZoneKey},
+    settings::TargetChoice,
 };
 
 arena_key! {
@@ -100,6 +104,13 @@
     /// A router without targets.
     fn new() -> Self;
 
+    /// Sets the cost by which targets are chosen.
+    #[must_use]
+    fn with_target_choice(self, choice: TargetChoice) -> Self;
+
+    /// Location of a target; `None` if it was removed.
+    fn distance(&self, target: TargetKey) -> Option<Distance>;
+
     /// Adds a target and returns its key.
     fn add(&mut self, info: TargetInfo, now_us: u64) -> TargetKey;
 
@@ -130,6 +141,10 @@
         now_us: u64,
     );
 
+    /// Records the admission level in a response to a request of this class, after the end of
+    /// its attempt.
+    fn record_level(&mut self, target: TargetKey, class: Class, level: AdmissionLevel, now_us: u64);
+
     /// Records a response of the target's node outside of an attempt; returns
     /// whether the node was silent before.
     fn record_response(&mut self, target: TargetKey, now_us: u64) -> bool;
--- a/src/routing/target.rs
+++ b/src/routing/target.rs
@@ -1,7 +1,12 @@
 //! State of one target as this node sees it, and its cost for the next attempt.
 
 use {
-    super::{AttemptResult, TargetInfo, latency::Latency, silence::Silence},
+    super::{
+        AttemptResult, TargetInfo,
+        completion::{Expectation, Figures, ServiceMean, round_trip_us},
+        latency::Latency,
+        silence::Silence,
+    },
     crate::model::{AdmissionLevel, Class},
 };
 
@@ -59,6 +64,8 @@
     pub ejection_count: u32,
     /// Whether its node responds.
     pub silence: Silence,
+    /// Its queue and speed, for the choice by expected completion.
+    pub figures: Figures,
     /// Admission level in the latest response, with the time of its receipt.
     level: Option<(AdmissionLevel, u64)>,
     last_failure_us: u64,
@@ -73,6 +80,7 @@
             info,
             silence: Silence::new(now_us),
             outstanding_count: 0,
+            figures: Figures::new(),
             latency: Latency::new(),
             health: Health::Healthy,
             failure_count: 0,
@@ -99,6 +107,9 @@
             AttemptResult::Completed => {
                 self.failure_count = 0;
                 self.latency.add_sample(latency_us, now_us);
+                let distance = self.info.distance;
+                self.figures
+                    .record_latency(latency_us, level, distance, now_us);
             }
             AttemptResult::Refused => self.failure_count = 0,
             // Its node is unreachable, which says nothing about the target.
@@ -167,11 +178,10 @@
         }
     }
 
-    /// Cost of one more attempt, in arbitrary units; the cheaper of two targets
-    /// is picked.
+    /// Share of its full number of requests in slow start; 1 otherwise.
     #[must_use]
-    pub fn cost(&self, median_us: f64, now_us: u64) -> f64 {
-        let share = match self.info.starts_slowly {
+    pub fn slow_start_share(&self, now_us: u64) -> f64 {
+        match self.info.starts_slowly {
             true => ramp(
                 SLOW_START_INITIAL_SHARE,
                 self.added_us,
@@ -179,8 +189,23 @@
                 now_us,
             ),
             false => 1.0,
-        };
-        let slot_count = f64::from(self.info.slot_count.max(1)) * share;
+        }
+    }
+
+    /// Expected state for one more request of this class.
+    #[must_use]
+    pub fn expectation(&self, class: Class, mean: ServiceMean, now_us: u64) -> Expectation {
+        self.figures
+            .expectation(class, self.info.slot_count, mean, now_us)
+            .with_round_trip_us(round_trip_us(self.info.distance))
+            .with_failure_factor(self.failure_factor(now_us))
+    }
+
+    /// Cost of one more attempt, in arbitrary units; the cheaper of two targets
+    /// is picked.
+    #[must_use]
+    pub fn cost(&self, median_us: f64, now_us: u64) -> f64 {
+        let slot_count = f64::from(self.info.slot_count.max(1)) * self.slow_start_share(now_us);
         let attempts_per_slot = f64::from(self.outstanding_count + 1) / slot_count;
         let load = self
             .fresh_level(now_us)
--- a/src/routing/zone_router.rs
+++ b/src/routing/zone_router.rs
@@ -7,12 +7,13 @@
 use {
     super::{
         AttemptResult, Distance, RoutePolicy, RouteRequest, SilenceCheck, TargetInfo, TargetKey,
-        ejection::{ejection_limit, median_us},
+        service::{Service, tier_index, update_ejections},
         target::{Health, Target},
     },
     crate::{
         arena::Arena,
-        model::{AdmissionLevel, Reason, Refusal, ZoneKey},
+        model::{AdmissionLevel, Class, Reason, Refusal, ZoneKey},
+        settings::TargetChoice,
     },
     rand::Rng,
 };
@@ -35,41 +36,21 @@
 /// money.
 const FARTHER_TIER_RATIO: f64 = 1.2;
 const FARTHER_TIER_MARGIN_US: f64 = 30_000.0;
-const DISTANCE_COUNT: usize = 3;
-const DISTANCES: [Distance; DISTANCE_COUNT] = [
-    Distance::SameZone,
-    Distance::SameRegion,
-    Distance::OtherRegion,
-];
-
-/// Targets of one service, by distance.
-#[derive(Debug, Default)]
-struct Service {
-    tiers: [Vec<TargetKey>; DISTANCE_COUNT],
-    median_us: f64,
-    /// Time of the last request that was sent although all targets shed its class.
-    last_probe_us: Option<u64>,
-}
-
-impl Service {
-    fn target_count(&self) -> usize {
-        self.tiers.iter().map(Vec::len).sum()
-    }
-
-    fn keys(&self) -> impl Iterator<Item = TargetKey> {
-        self.tiers.iter().flatten().copied()
-    }
-}
+/// Targets that are compared for one request by expected completion.
+const DRAW_COUNT: usize = 2;
 
 /// Routes to the nearest availability zone that has room.
 ///
 /// Pure state: performs no I/O and reads no clock.
 #[derive(Debug)]
 pub struct ZoneRouter {
-    targets: Arena<TargetKey, Target>,
+    pub(super) targets: Arena<TargetKey, Target>,
     services: Vec<Service>,
     /// Changes since the last tick, which the next one returns.
     changes: Vec<(TargetKey, bool)>,
+    choice: TargetChoice,
+    /// Targets that are compared for one request by expected completion.
+    pub(super) draw_count: usize,
 }
 
 impl RoutePolicy for ZoneRouter {
@@ -78,9 +59,20 @@
             targets: Arena::new(),
             services: Vec::new(),
             changes: Vec::new(),
+            choice: TargetChoice::Latency,
+            draw_count: DRAW_COUNT,
         }
     }
 
+    fn with_target_choice(mut self, choice: TargetChoice) -> Self {
+        self.choice = choice;
+        self
+    }
+
+    fn distance(&self, target: TargetKey) -> Option<Distance> {
+        self.targets.get(target).map(|entry| entry.info.distance)
+    }
+
     fn add(&mut self, info: TargetInfo, now_us: u64) -> TargetKey {
         let key = self.targets.insert(Target::new(info, now_us));
         self.link(key, info);
@@ -120,6 +112,7 @@
         };
         if let Some(target) = self.targets.get_mut(key) {
             target.outstanding_count += 1;
+            target.figures.record_sent(request.class);
         }
         Ok(key)
     }
@@ -146,12 +139,25 @@
             update_ejections(
                 &mut self.services[service],
                 &mut self.targets,
+                self.choice,
                 now_us,
                 &mut self.changes,
             );
         }
     }
 
+    fn record_level(
+        &mut self,
+        target: TargetKey,
+        class: Class,
+        level: AdmissionLevel,
+        now_us: u64,
+    ) {
+        if let Some(entry) = self.targets.get_mut(target) {
+            entry.figures.record_level(class, level, now_us);
+        }
+    }
+
     fn record_response(&mut self, target: TargetKey, now_us: u64) -> bool {
         let entry = self.targets.get_mut(target);
         entry.is_some_and(|entry| entry.silence.record_response(now_us))
@@ -182,13 +188,27 @@
     fn tick(&mut self, now_us: u64) -> Vec<(TargetKey, bool)> {
         let mut changes = std::mem::take(&mut self.changes);
         for service in &mut self.services {
-            update_ejections(service, &mut self.targets, now_us, &mut changes);
+            service.update_mean(&self.targets, now_us);
+            update_ejections(
+                service,
+                &mut self.targets,
+                self.choice,
+                now_us,
+                &mut changes,
+            );
         }
         changes
     }
 }
 
 impl ZoneRouter {
+    /// Sets how many targets are compared for one request by expected completion: 1 to 3.
+    #[must_use]
+    pub const fn with_draw_count(mut self, draw_count: usize) -> Self {
+        self.draw_count = draw_count;
+        self
+    }
+
     /// Attempts of this node at the target that have not ended; `None` if it was
     /// removed.
     #[must_use]
@@ -297,6 +317,9 @@
         is_eligible: impl Fn(TargetKey, &Target) -> bool,
     ) -> Option<TargetKey> {
         let service = self.services.get(request.service.index())?;
+        if self.choice == TargetChoice::Completion && service.has_figures {
+            return self.pick_earliest(service, request, now_us, rng, is_eligible);
+        }
         let expected_us_of = |key: TargetKey| {
             self.targets.get(key).map_or(f64::MAX, |target| {
                 target.expected_us(service.median_us, now_us)
@@ -391,56 +414,10 @@
 }
 
 /// Whether a target may get the request now, regardless of its load.
-fn may_serve(request: RouteRequest, target: &Target, now_us: u64) -> bool {
+pub(super) fn may_serve(request: RouteRequest, target: &Target, now_us: u64) -> bool {
     request.regions.allows(target.info.region) && !target.is_unavailable(now_us)
 }
 
-fn tier_index(distance: Distance) -> usize {
-    DISTANCES
-        .iter()
-        .position(|other| *other == distance)
-        .unwrap_or(DISTANCE_COUNT - 1)
-}
-
 fn is_considered<R: Rng>(share: f64, rng: &mut R) -> bool {
     share >= 1.0 || (share > 0.0 && rng.random::<f64>() < share)
 }
-
-/// Updates the median of one service, ends ejections and trials that have
-/// lasted long enough, and ejects targets.
-fn update_ejections(
-    service: &mut Service,
-    targets: &mut Arena<TargetKey, Target>,
-    now_us: u64,
-    changes: &mut Vec<(TargetKey, bool)>,
-) {
-    let means_us: Vec<f64> = service
-        .keys()
-        .filter_map(|key| targets.get(key)?.latency.mean_us())
-        .collect();
-    let peer_count = means_us.len();
-    if let Some(median_us) = median_us(means_us) {
-        service.median_us = median_us;
-    }
-    let max_ejected_count = ejection_limit(service.target_count());
-    let mut ejected_count = 0;
-    for key in service.keys() {
-        let Some(target) = targets.get_mut(key) else {
-            continue;
-        };
-        if target.advance_recovery(now_us) {
-            changes.push((key, false));
-        }
-        ejected_count += usize::from(target.is_ejected());
-    }
-    for key in service.keys() {
-        let Some(target) = targets.get_mut(key) else {
-            continue;
-        };
-        if ejected_count < max_ejected_count && target.should_eject(service.median_us, peer_count) {
-            target.eject(now_us);
-            ejected_count += 1;
-            changes.push((key, true));
-        }
-    }
-}
