Add dogwoodctl room: load and refusals by service

An operator who saw requests refused under load could read running and queued requests of single nodes in `status`, but neither which classes and workspaces were refused nor sums by service.

Each node now counts the requests that it refused at its target for want of capacity over the last ten seconds, by class and by workspace. The record is a ring of one-second buckets with at most 128 workspaces each (space-saving), so that counts are exact up to 128 workspaces a second and too high by at most N / 128 beyond that. A new control call, `capacity`, returns it with slots, running, waiting, load, work time and supply, each with its age. `dogwoodctl room [SERVICE]` asks all nodes and adds up by service; nodes that do not respond are listed by name, and their targets count as unknown. The metrics of each node have the same figures, without workspaces, whose number is not bounded.

--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -70,6 +70,8 @@
     },
     /// Show what is in force in each availability zone, nodes, targets, platform
     Status,
+    /// Show load, supply and refused requests of each service
+    Room(RoomArgs),
     /// Send no more work to the targets of an availability zone, until it is taken back
     Evacuate(EvacuateArgs),
     /// Let a node end its running work and leave
@@ -117,6 +119,13 @@
     pub wait_ms: u64,
 }
 
+/// Flags of `room`.
+#[derive(Debug, Clone, clap::Args)]
+pub struct RoomArgs {
+    /// The service to show; all by default
+    pub service: Option<String>,
+}
+
 /// Flags of `evacuate`.
 #[derive(Debug, Clone, clap::Args)]
 pub struct EvacuateArgs {
--- a/src/cli/errors.rs
+++ b/src/cli/errors.rs
@@ -45,6 +45,20 @@
         /// All known nodes.
         known: Vec<String>,
     },
+    /// No member has a target of this service.
+    #[error(
+        "no target announces service {service:?}; known are: {}{}",
+        known_or_none(known),
+        silent_part(*silent_count)
+    )]
+    UnknownService {
+        /// As it was given.
+        service: String,
+        /// Services of all known targets.
+        known: Vec<String>,
+        /// Nodes that did not answer, whose service may be unknown.
+        silent_count: usize,
+    },
     /// A node could not be asked.
     #[error("{address} {source}")]
     Node {
@@ -54,3 +68,17 @@
         source: ControlError,
     },
 }
+
+fn known_or_none(known: &[String]) -> String {
+    match known.is_empty() {
+        true => "none".to_owned(),
+        false => known.join(", "),
+    }
+}
+
+fn silent_part(silent_count: usize) -> String {
+    match silent_count {
+        0 => String::new(),
+        count => format!("; {count} nodes did not answer, see `dogwoodctl status`"),
+    }
+}
--- a/src/cli/fleet.rs
+++ b/src/cli/fleet.rs
@@ -58,6 +58,15 @@
     }
 }
 
+/// A node's answer to one call.
+#[derive(Debug, Clone, Copy)]
+pub struct SentAnswer<T> {
+    /// The answer.
+    pub answer: T,
+    /// Time at which the call was sent; what the node measured for its answer is not older.
+    pub sent_at: Instant,
+}
+
 /// All nodes that were found, sorted by zone and name.
 #[derive(Debug)]
 pub struct FleetView {
@@ -169,14 +178,33 @@
     }
 
     async fn call_each<T, F, C>(&self, addresses: Vec<SocketAddr>, call: C) -> Vec<Option<T>>
+    where
+        C: Fn(OperatorsClient) -> F,
+        F: Future<Output = Result<T, ControlError>>,
+    {
+        let answers = self.ask_each(addresses, call).await;
+        let answers = answers.into_iter();
+        answers
+            .map(|answer| answer.ok().map(|sent| sent.answer))
+            .collect()
+    }
+
+    /// Calls nodes at once; answers are in the order of the addresses.
+    pub async fn ask_each<T, F, C>(
+        &self,
+        addresses: Vec<SocketAddr>,
+        call: C,
+    ) -> Vec<Result<SentAnswer<T>, ControlError>>
     where
         C: Fn(OperatorsClient) -> F,
         F: Future<Output = Result<T, ControlError>>,
     {
         let call = &call;
         let call_one = |address| async move {
-            let client = self.connect(address).await.ok()?;
-            call(client).await.ok()
+            let client = self.connect(address).await?;
+            let sent_at = Instant::now();
+            let answer = call(client).await?;
+            Ok(SentAnswer { answer, sent_at })
         };
         stream::iter(addresses)
             .map(call_one)
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -12,6 +12,8 @@
 mod publication;
 mod publish;
 mod report;
+mod room;
+mod room_report;
 mod status;
 mod zones;
 
@@ -19,7 +21,7 @@
     args::{Args, Command, KeyCommand, OutputFormat, Page},
     document_change::{ChangeOutcome, SharedDocument, change_document},
     errors::CliError,
-    fleet::{Fleet, FleetView, NodeAnswer},
+    fleet::{Fleet, FleetView, NodeAnswer, SentAnswer},
     publication::{PublishOutcome, Winner, publish_record},
     report::{Exit, Finished},
     zones::{ZoneReport, zone_reports},
@@ -34,6 +36,7 @@
         Command::Publish(publish) => publish::run(args, publish).await,
         Command::Key { command } => keys::run(args, command).await,
         Command::Status => status::run(args).await,
+        Command::Room(room) => room::run(args, room).await,
         Command::Evacuate(evacuate) => evacuate::run(args, evacuate).await,
         Command::Drain { node } => drain::run(args, node).await,
         Command::Explain(explain) => explain::run(args, explain).await,
--- a/src/control/admin.rs
+++ b/src/control/admin.rs
@@ -1,7 +1,7 @@
 //! `/metrics`, `/healthz` and `/readyz`.
 
 use {
-    super::KindLabel,
+    super::{KindLabel, target_capacity},
     crate::{
         dialect::Dialect,
         exchange::{ListenerLimits, ResponseBody, serve},
@@ -70,6 +70,7 @@
     node.metrics.running.set(gauge(running));
     node.metrics.waiting.set(gauge(waiting));
     node.metrics.caller_connections.set(gauge(connections));
+    node.metrics.target.set(target_capacity(node).as_ref());
     set_state_sizes(node);
     let Ok(body) = node.metrics.encode() else {
         return text(StatusCode::INTERNAL_SERVER_ERROR, "metrics are broken\n");
--- a/src/control/metrics.rs
+++ b/src/control/metrics.rs
@@ -1,7 +1,10 @@
 //! Counters for Prometheus.
 
 use {
-    super::sources::{ControlCollector, ControlSources},
+    super::{
+        sources::{ControlCollector, ControlSources},
+        target_metrics::TargetMetrics,
+    },
     prometheus_client::{
         encoding::{EncodeLabelSet, text::encode},
         metrics::{
@@ -52,6 +55,8 @@
     pub caller_connections: Gauge,
     /// Entries of the node's tables.
     pub state: Family<KindLabel, Gauge>,
+    /// Load and refusals of the own target.
+    pub target: TargetMetrics,
     control: ControlCollector,
     requests: Family<RequestLabels, Counter>,
     latency: Histogram,
@@ -76,6 +81,7 @@
             waiting: Gauge::default(),
             caller_connections: Gauge::default(),
             state: Family::default(),
+            target: TargetMetrics::default(),
             control: ControlCollector::default(),
             requests: Family::default(),
             latency: Histogram::new(buckets),
@@ -139,6 +145,7 @@
             "Entries of the node's tables",
             self.state.clone(),
         );
+        self.target.register(registry);
         registry.register_collector(Box::new(self.control.clone()));
     }
 }
--- a/src/control/operators.rs
+++ b/src/control/operators.rs
@@ -4,7 +4,10 @@
 #![allow(missing_docs)]
 
 use {
-    super::records::{ExplainRequest, Explanation, KeyVerdict, NodeStatus},
+    super::{
+        capacity::NodeCapacity,
+        records::{ExplainRequest, Explanation, KeyVerdict, NodeStatus},
+    },
     crate::keys::KeyDigest,
 };
 
@@ -25,4 +28,6 @@
     async fn drain();
     /// Why a request would be admitted or refused here.
     async fn explain(request: ExplainRequest) -> Explanation;
+    /// Load and refusals of the node's own target.
+    async fn capacity() -> NodeCapacity;
 }
--- a/src/control/service.rs
+++ b/src/control/service.rs
@@ -2,7 +2,9 @@
 
 use {
     super::{
-        ControlError, handshake,
+        ControlError,
+        capacity::NodeCapacity,
+        handshake,
         operators::Operators,
         records::{ExplainRequest, Explanation, KeyVerdict, NodeStatus},
         traffic::Traffic,
@@ -47,6 +49,8 @@
     fn drain(&self);
     /// Why a request would be admitted or refused here.
     fn explain(&self, request: &ExplainRequest) -> Explanation;
+    /// Load and refusals of the node's own target.
+    fn capacity(&self) -> NodeCapacity;
     /// Revokes a key and passes the revocation on.
     fn revoke(&self, digest: KeyDigest);
     /// What a key is worth here.
@@ -205,4 +209,7 @@
     async fn explain(self, _: Context, request: ExplainRequest) -> Explanation {
         self.operated.explain(&request)
     }
+    async fn capacity(self, _: Context) -> NodeCapacity {
+        self.operated.capacity()
+    }
 }
--- a/src/daemon/operated.rs
+++ b/src/daemon/operated.rs
@@ -5,8 +5,8 @@
     crate::{
         admission::AdmissionPolicy,
         control::{
-            ExplainRequest, Explanation, KeyVerdict, MemberStatus, NodeFacts, NodeStatus, Operated,
-            TargetStatus, Traffic, resolve,
+            ExplainRequest, Explanation, KeyVerdict, MemberStatus, NodeCapacity, NodeFacts,
+            NodeStatus, Operated, TargetStatus, Traffic, node_capacity, resolve,
         },
         documents::DocumentStore,
         keys::{KeyDigest, Revocations},
@@ -158,6 +158,10 @@
         resolved.explain(&facts)
     }
 
+    fn capacity(&self) -> NodeCapacity {
+        node_capacity(&self.node)
+    }
+
     fn revoke(&self, digest: KeyDigest) {
         self.revocations.apply(digest);
     }
--- a/src/node/admission_table.rs
+++ b/src/node/admission_table.rs
@@ -34,6 +34,8 @@
     waiting: HashMap<TicketKey, oneshot::Sender<AdmissionResult>>,
     decisions: Vec<Decision>,
     drain: Option<Drain>,
+    announced_us: Option<u64>,
+    work_time_reported_us: Option<u64>,
 }
 
 /// Progress of a drain.
@@ -65,11 +67,14 @@
             waiting: HashMap::new(),
             decisions: Vec::new(),
             drain: None,
+            announced_us: None,
+            work_time_reported_us: None,
         }
     }
 
     /// Records the size that the target announced.
     pub fn set_size(&mut self, size: TargetSize, restarted: bool, now_us: u64) {
+        self.announced_us = Some(now_us);
         // Draining a policy is final; a target that restarts after a drain needs a
         // new one.
         if self.policy.is_none() || (restarted && self.drain.is_some()) {
@@ -84,6 +89,9 @@
 
     /// Records a load report of the target.
     pub fn record_load_report(&mut self, report: LoadReport) {
+        if report.work_time_percent.is_some() {
+            self.work_time_reported_us = Some(report.received_us);
+        }
         if let Some(policy) = &mut self.policy {
             policy.record_load_report(report);
         }
@@ -128,6 +136,18 @@
         })
     }
 
+    /// Time of the target's last announcement.
+    #[must_use]
+    pub const fn announced_us(&self) -> Option<u64> {
+        self.announced_us
+    }
+
+    /// Time of the target's last report of how long its work takes.
+    #[must_use]
+    pub const fn work_time_reported_us(&self) -> Option<u64> {
+        self.work_time_reported_us
+    }
+
     fn advance_drain(&mut self, now_us: u64) {
         let Some(drain) = &mut self.drain else {
             return;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -23,7 +23,7 @@
     crate::{
         admission::{AdmissionPolicy, DownstreamAdmission},
         conf::{CompiledConfiguration, Evacuations},
-        control::Metrics,
+        control::{Metrics, RefusalRecord},
         dialect::{Dialect, Native},
         event,
         events::Event,
@@ -177,6 +177,7 @@
     registration: Mutex<Registration>,
     downstream: Mutex<DownstreamAdmission>,
     loop_lag: Mutex<LoopLag>,
+    refusals: Mutex<RefusalRecord>,
     in_flight_count: AtomicUsize,
     /// Notifies [`run_ticks`] when the first request arrives at an idle node.
     first_request_arrived: Notify,
@@ -224,6 +225,7 @@
             registration: Mutex::new(Registration::new()),
             downstream: Mutex::new(DownstreamAdmission::new()),
             loop_lag: Mutex::new(LoopLag::new()),
+            refusals: Mutex::new(RefusalRecord::new()),
             in_flight_count: AtomicUsize::new(0),
             first_request_arrived: Notify::new(),
             cut_off_since_ms: AtomicU64::new(NOT_CUT_OFF),
@@ -367,6 +369,11 @@
         lock(&self.loop_lag)
     }
 
+    /// Recent refusals at the local target for want of capacity.
+    pub fn refusals(&self) -> MutexGuard<'_, RefusalRecord> {
+        lock(&self.refusals)
+    }
+
     /// Registration of the local target's process.
     pub fn registration(&self) -> MutexGuard<'_, Registration> {
         lock(&self.registration)
--- a/src/target/serve.rs
+++ b/src/target/serve.rs
@@ -8,6 +8,7 @@
     },
     crate::{
         admission::{Arrival, TargetResult},
+        control::record_refusal,
         dialect::TargetSignal,
         egress::{record_leaving_response, record_load},
         event,
@@ -44,6 +45,7 @@
     let served = serve(node, context, outbound).await;
     if let Err(refusal) = &served.0 {
         log_refusal(node, context, *refusal);
+        record_refusal(node, context, *refusal);
     }
     served
 }
--- a/tests/cli_control.rs
+++ b/tests/cli_control.rs
@@ -7,7 +7,7 @@
         control::{ControlError, connect, prove, verify},
         keys::KeyDigest,
     },
-    platform_support::node::{FakeNode, SECRET},
+    platform_support::node::{FakeNode, SECRET, idle_target},
     std::{net::SocketAddr, sync::atomic::Ordering, time::Duration},
     tarpc::context,
     tokio::{
@@ -36,6 +36,26 @@
     node.shutdown.cancel();
 }
 
+/// Guards against a call that tells another node's figures, or that fails on a node without a
+/// target.
+#[tokio::test]
+async fn a_node_tells_its_own_capacity() {
+    let (node, address) = FakeNode::spawn("n1", "az1").await;
+    let client = connect(address, SECRET, LIMIT_MS).await.expect("connects");
+    for expected in [Some(idle_target()), None] {
+        node.capacity
+            .lock()
+            .expect("not poisoned")
+            .clone_from(&expected);
+        let capacity = client.capacity(context::current()).await.expect("answers");
+        assert_eq!(
+            (capacity.node_id.as_str(), capacity.target),
+            ("n1", expected)
+        );
+    }
+    node.shutdown.cancel();
+}
+
 /// What someone without the secret sends after the node's nonce.
 struct Intruder {
     name: &'static str,
--- a/tests/platform_support/node.rs
+++ b/tests/platform_support/node.rs
@@ -4,9 +4,9 @@
     dogwoodbridge::{
         conf::{CompiledConfiguration, spawn_configuration_task},
         control::{
-            ExplainRequest, Explanation, FreshnessRecord, KeyVerdict, MemberStateRecord,
-            MemberStatus, NodeFacts, NodeStatus, Operated, TargetStatus, VersionsRecord, resolve,
-            spawn_operators,
+            ClassCounts, ExplainRequest, Explanation, Figure, FreshnessRecord, KeyVerdict,
+            MemberStateRecord, MemberStatus, NodeCapacity, NodeFacts, NodeStatus, Operated,
+            TargetCapacity, TargetStatus, VersionsRecord, resolve, spawn_operators,
         },
         documents::DocumentStore,
         keys::{KeyDigest, Revocations},
@@ -37,6 +37,7 @@
     pub members: Arc<Mutex<Vec<MemberStatus>>>,
     pub drained: Arc<AtomicBool>,
     pub level: Arc<Mutex<AdmissionLevel>>,
+    pub capacity: Arc<Mutex<Option<TargetCapacity>>>,
     pub shutdown: CancellationToken,
 }
 
@@ -57,6 +58,7 @@
             members: Arc::default(),
             drained: Arc::default(),
             level: Arc::new(Mutex::new(AdmissionLevel::idle())),
+            capacity: Arc::new(Mutex::new(Some(idle_target()))),
             shutdown: shutdown.clone(),
         };
         let listen_address = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
@@ -79,6 +81,24 @@
     }
 }
 
+/// A target of service "catalog" that knows neither work time nor supply.
+pub fn idle_target() -> TargetCapacity {
+    let figure = |value| Figure { value, age_ms: 0 };
+    TargetCapacity {
+        service: "catalog".to_owned(),
+        slots: figure(150),
+        running: figure(3),
+        waiting: figure(0),
+        work_time_percent: figure(0),
+        supply_percent: figure(0),
+        load_percent: figure(2),
+        refused_by_class: ClassCounts::default(),
+        refused_by_workspace: Vec::new(),
+        refused_age_ms: 0,
+        last_refused_ago_ms: None,
+    }
+}
+
 impl Operated for FakeNode {
     fn status(&self) -> NodeStatus {
         let revision = self.running.borrow().revision;
@@ -124,6 +144,13 @@
         })
     }
 
+    fn capacity(&self) -> NodeCapacity {
+        NodeCapacity {
+            node_id: self.node_id.clone(),
+            target: self.capacity.lock().expect("not poisoned").clone(),
+        }
+    }
+
     fn revoke(&self, digest: KeyDigest) {
         self.revocations.apply(digest);
     }
