--- a/src/control/metrics.rs
+++ b/src/control/metrics.rs
@@ -1,7 +1,10 @@
 //! Counters for Prometheus.
 
 use {
-    super::sources::{ControlCollector, ControlSources},
+    super::{
+        sources::{ControlCollector, ControlSources},
+        target_metrics::TargetMetrics,
+    },
     prometheus_client::{
         encoding::{EncodeLabelSet, text::encode},
         metrics::{
@@ -56,6 +59,8 @@
     pub caller_connections: Gauge,
     /// Entries of the node's tables.
     pub state: Family<KindLabel, Gauge>,
+    /// Load and refusals of the own target.
+    pub target: TargetMetrics,
     control: ControlCollector,
     requests: Family<RequestLabels, Counter>,
     latency: Histogram,
@@ -82,6 +87,7 @@
             late_starts: Counter::default(),
             caller_connections: Gauge::default(),
             state: Family::default(),
+            target: TargetMetrics::default(),
             control: ControlCollector::default(),
             requests: Family::default(),
             latency: Histogram::new(buckets),
@@ -155,6 +161,7 @@
             "Entries of the node's tables",
             self.state.clone(),
         );
+        self.target.register(registry);
         registry.register_collector(Box::new(self.control.clone()));
     }
 }
