--- a/src/admission/adaptive.rs
+++ b/src/admission/adaptive.rs
@@ -4,8 +4,14 @@
 use {
     super::{
         AdmissionPolicy, Arrival, Decision, LoadReport, TargetResult, TargetSize, TicketKey,
-        delay::SustainedDelay, limit::ConcurrencyLimit, queue::ClassQueue, reserve::Reserve,
-        retry_after::retry_after_ms, service_time::ServiceTime, threshold::AdmissionThreshold,
+        delay::SustainedDelay,
+        limit::ConcurrencyLimit,
+        queue::ClassQueue,
+        reserve::Reserve,
+        retry_after::retry_after_ms,
+        service_time::ServiceTime,
+        supply::{SupplyEstimate, TargetState},
+        threshold::AdmissionThreshold,
         urgent_demand::UrgentDemand,
     },
     crate::{
@@ -27,6 +33,9 @@
 const MIN_BROWSE_WAITING_COUNT: usize = 2;
 /// Longest wait of each class, in order of [`Class::ALL`].
 const MAX_WAIT_US: [u64; CLASS_COUNT] = [1_000_000, 1_000_000, 5_000_000];
+/// Share of the slots in use that supply is measured for: the reserve always leaves the others
+/// free.
+const DESIRED_UTILISATION: f64 = 0.95;
 /// Remaining time over the mean service time below which a request cannot finish by its deadline.
 const MIN_REMAINING_RATIO: f64 = 0.5;
 
@@ -52,6 +61,7 @@
     browse_service_time: ServiceTime,
     urgent_service_time: ServiceTime,
     urgent_demand: UrgentDemand,
+    supply: SupplyEstimate,
     draining: bool,
 }
 
@@ -69,6 +79,7 @@
             browse_service_time: ServiceTime::new(),
             urgent_service_time: ServiceTime::new(),
             urgent_demand: UrgentDemand::new(),
+            supply: SupplyEstimate::new(),
             draining: false,
         }
     }
@@ -98,9 +109,11 @@
         } else if self.cannot_finish_by_deadline(arrival, now_us) {
             self.refuse(ticket, Reason::TooLate, now_us, decisions);
         } else if self.would_wait_past_deadline(arrival, now_us) {
+            self.supply.record_arrival(now_us);
             self.record_shed(arrival.class, now_us);
             self.refuse(ticket, Reason::Overloaded, now_us, decisions);
         } else {
+            self.supply.record_arrival(now_us);
             self.queues[arrival.class.index()].push(arrival.workspace, ticket);
             self.record_demand(now_us);
             self.start_waiting(now_us, decisions);
@@ -168,7 +181,7 @@
         }
     }
 
-    fn level(&self, class: Class, _now_us: u64) -> AdmissionLevel {
+    fn level(&self, class: Class, now_us: u64) -> AdmissionLevel {
         let waiting_counts = self.queues[class.index()..].iter().map(ClassQueue::len);
         let request_count = self.running_count() + waiting_counts.sum::<usize>();
         let load_percent = request_count * 100 / self.limit.count() as usize;
@@ -176,6 +189,7 @@
             lowest_class: self.threshold.lowest_class(),
             load_percent: u16::try_from(load_percent).unwrap_or(u16::MAX),
             draining: self.draining,
+            supply_percent: self.supply_percent(now_us),
             ..AdmissionLevel::idle()
         }
     }
@@ -196,6 +210,17 @@
         self.limit.count()
     }
 
+    fn supply_percent(&self, now_us: u64) -> u16 {
+        let is_known = self.service_time.is_known();
+        let state = TargetState {
+            service_us: is_known.then(|| self.service_time.mean_us(now_us)),
+            waiting_count: self.waiting_count(),
+            slot_count: self.limit.count(),
+            desired_utilisation: DESIRED_UTILISATION,
+        };
+        self.supply.percent(state, now_us)
+    }
+
     fn record_result(
         &mut self,
         arrival: Arrival,
--- /dev/null
+++ b/src/admission/chain_shares.rs
@@ -0,0 +1,135 @@
+//! Admitted shares of new requests by the supply of downstream services.
+
+use crate::model::{CLASS_COUNT, Class};
+
+/// Time between two updates of the shares.
+const SLOT_US: u64 = 20_000;
+/// Length of the history, in updates.
+const HISTORY_COUNT: usize = 64;
+/// Age of the newest shares that a measured ratio reflects: half of the window of the
+/// measurement and the smoothing of one hop.
+const MIN_AGE_US: u64 = 120_000;
+/// Bounds of the duration of call trees.
+const TREE_BOUNDS_US: (u64, u64) = (200_000, 800_000);
+/// Duration of call trees while none has ended.
+const INITIAL_TREE_US: u64 = 400_000;
+/// Weight of a tree in the mean duration.
+const TREE_WEIGHT: f64 = 0.05;
+/// Bounds of a single ratio, so that one wrong figure changes the shares by a limited factor.
+const RATIO_BOUNDS: (f64, f64) = (0.25, 4.0);
+/// Smallest shares of browse and standard over the share of the class above: no class may be
+/// served less than a quarter as often as others.
+const MIN_BROWSE_SHARE: f64 = 0.25;
+const MIN_STANDARD_SHARE: f64 = 0.5;
+/// Smallest admitted share of critical requests.
+const MIN_CRITICAL_SHARE: f64 = 0.1;
+/// Increase per second of the logarithm of the share while there are no measurements.
+const UNMEASURED_RISE_PER_S: f64 = 0.25;
+
+/// Admitted share of new requests by class.
+///
+/// A single figure, the sum of the logarithms of the cuts of all classes, determines the shares of
+/// all classes: the cuts of browse come first, then those of standard, then those of critical. A
+/// measured ratio reflects the shares at which the present calls were admitted, which is up to the
+/// duration of a call tree ago. The shares are therefore set to these earlier ones multiplied by
+/// the ratio, not to the present ones: a ratio is applied once, and only the remaining part of a
+/// worse one is applied before the effect of the first shows. Pure state: performs no I/O and
+/// reads no clock.
+#[derive(Debug, Clone)]
+pub struct ChainShares {
+    log_cut: f64,
+    history: [f64; HISTORY_COUNT],
+    slot: u64,
+    tree_us: f64,
+    ratio: Option<f64>,
+}
+
+impl Default for ChainShares {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl ChainShares {
+    /// Shares of 1.
+    #[must_use]
+    pub const fn new() -> Self {
+        Self {
+            log_cut: 0.0,
+            history: [0.0; HISTORY_COUNT],
+            slot: 0,
+            tree_us: INITIAL_TREE_US as f64,
+            ratio: None,
+        }
+    }
+
+    /// Records how long a request that began a call tree ran.
+    pub fn record_tree(&mut self, run_us: u64) {
+        let (min_us, max_us) = TREE_BOUNDS_US;
+        let run_us = run_us.clamp(min_us, max_us) as f64;
+        self.tree_us += (run_us - self.tree_us) * TREE_WEIGHT;
+    }
+
+    /// Sets the shares by the supply of the scarcest downstream service over the work offered to
+    /// it; `None` if there is no recent measurement.
+    pub fn update(&mut self, ratio: Option<f64>, now_us: u64) {
+        let slot = now_us / SLOT_US;
+        if slot <= self.slot {
+            return;
+        }
+        let passed_count = slot - self.slot;
+        for passed in 0..passed_count.min(HISTORY_COUNT as u64) {
+            self.history[ring_index(slot - passed)] = self.log_cut;
+        }
+        self.slot = slot;
+        self.ratio = ratio;
+        let log_cut = match ratio {
+            Some(ratio) => {
+                let (min_ratio, max_ratio) = RATIO_BOUNDS;
+                self.reflected_log_cut() + ratio.clamp(min_ratio, max_ratio).ln()
+            }
+            None => {
+                let passed_s = (passed_count * SLOT_US) as f64 / 1e6;
+                self.log_cut + passed_s * UNMEASURED_RISE_PER_S
+            }
+        };
+        self.log_cut = log_cut.clamp(min_log_cut(), 0.0);
+    }
+
+    /// Admitted share of this class, 0 to 1.
+    #[must_use]
+    pub fn share(&self, class: Class) -> f64 {
+        let browse = self.log_cut.exp().max(MIN_BROWSE_SHARE);
+        let standard = (self.log_cut.exp() / MIN_BROWSE_SHARE).clamp(MIN_STANDARD_SHARE, 1.0);
+        let lower_floor = MIN_BROWSE_SHARE * MIN_STANDARD_SHARE;
+        let critical = (self.log_cut.exp() / lower_floor).clamp(MIN_CRITICAL_SHARE, 1.0);
+        let shares: [f64; CLASS_COUNT] = [browse * critical, standard * critical, critical];
+        shares[class.index()]
+    }
+
+    /// The ratio that decided the shares; `None` if there was no recent measurement.
+    #[must_use]
+    pub const fn ratio(&self) -> Option<f64> {
+        self.ratio
+    }
+
+    /// Mean cut under which the calls were admitted that the present ratio reflects.
+    fn reflected_log_cut(&self) -> f64 {
+        let first_age = MIN_AGE_US / SLOT_US;
+        let last_age = (first_age + self.tree_us as u64 / SLOT_US).min(HISTORY_COUNT as u64 - 1);
+        let ages = first_age..=last_age;
+        let count = ages.clone().count() as f64;
+        let sum: f64 = ages
+            .map(|age| self.history[ring_index(self.slot.wrapping_sub(age))])
+            .sum();
+        sum / count
+    }
+}
+
+fn min_log_cut() -> f64 {
+    (MIN_BROWSE_SHARE * MIN_STANDARD_SHARE * MIN_CRITICAL_SHARE).ln()
+}
+
+const fn ring_index(slot: u64) -> usize {
+    (slot % HISTORY_COUNT as u64) as usize
+}
--- a/src/admission/downstream.rs
+++ b/src/admission/downstream.rs
@@ -171,6 +171,12 @@
         }
     }
 
+    /// Whether requests of this class depend on downstream calls.
+    #[must_use]
+    pub const fn depends_on_calls(&self, class: Class) -> bool {
+        self.depends_on_calls[class.index()]
+    }
+
     /// Load of the services that the local target calls, in percent of slots.
     #[must_use]
     pub const fn load_percent(&self) -> u16 {
--- /dev/null
+++ b/src/admission/downstream_control.rs
@@ -0,0 +1,107 @@
+//! The rule by which new requests are throttled for downstream services, chosen at start.
+
+use {
+    super::{BelowSupply, ChainShares, DownstreamAdmission},
+    crate::{
+        model::{AdmissionLevel, Class, ServiceKey},
+        settings::DownstreamChoice,
+    },
+};
+
+/// Throttles new requests by the rule of `choice`. Supply and load are recorded under either
+/// rule, since nodes above may use the other one. Pure state: performs no I/O and reads no clock.
+#[derive(Debug, Clone)]
+pub struct DownstreamControl {
+    choice: DownstreamChoice,
+    steps: DownstreamAdmission,
+    supply: BelowSupply,
+    chain_shares: ChainShares,
+}
+
+impl DownstreamControl {
+    /// A state that admits every request.
+    #[must_use]
+    pub fn new(choice: DownstreamChoice) -> Self {
+        Self {
+            choice,
+            steps: DownstreamAdmission::new(),
+            supply: BelowSupply::new(),
+            chain_shares: ChainShares::new(),
+        }
+    }
+
+    /// Records the end of a downstream call of the local target.
+    pub fn record_call(&mut self, has_failed: bool, now_us: u64) {
+        self.steps.record_call(has_failed, now_us);
+    }
+
+    /// Records the level that a response to such a call reported.
+    pub fn record_level(&mut self, service: ServiceKey, level: AdmissionLevel, now_us: u64) {
+        self.steps.record_level(level, now_us);
+        self.supply.record_level(service, level, now_us);
+        self.update_shares(now_us);
+    }
+
+    /// Records that the local target responded to a new request of this class.
+    pub fn record_request_end(&mut self, class: Class, has_failed: bool) {
+        self.steps.record_request_end(class, has_failed);
+    }
+
+    /// Records an arrival, whether or not it is admitted: a new request of this class, or a call
+    /// if `None`.
+    pub fn record_arrival(&mut self, new_class: Option<Class>, now_us: u64) {
+        self.steps.work_shares.arrive(new_class, now_us);
+    }
+
+    /// Records how long a request ran.
+    pub fn record_run(&mut self, new_class: Option<Class>, run_us: u64) {
+        self.steps.work_shares.end(new_class, run_us);
+        if new_class.is_some() {
+            self.chain_shares.record_tree(run_us);
+        }
+    }
+
+    /// Whether a new request of this class is admitted. `ranked_class` takes the class of its
+    /// workspace into account; `draw` is uniform between 0 and 1.
+    pub fn admits(&mut self, class: Class, ranked_class: Class, draw: f64, now_us: u64) -> bool {
+        match self.choice {
+            DownstreamChoice::Steps => self.steps.admits(class, ranked_class, draw, now_us),
+            DownstreamChoice::Supply => {
+                self.update_shares(now_us);
+                draw < self.chain_shares.share(ranked_class)
+                    || !self.steps.depends_on_calls(class)
+                    || !self
+                        .steps
+                        .work_shares
+                        .would_reduce_downstream_load(class, now_us)
+            }
+        }
+    }
+
+    /// Admitted share of this class, 0 to 1.
+    #[must_use]
+    pub fn share(&self, class: Class) -> f64 {
+        match self.choice {
+            DownstreamChoice::Steps => self.steps.share(class),
+            DownstreamChoice::Supply if !self.steps.depends_on_calls(class) => 1.0,
+            DownstreamChoice::Supply => self.chain_shares.share(class),
+        }
+    }
+
+    /// Load of the services that the local target calls, in percent of slots.
+    #[must_use]
+    pub const fn load_percent(&self) -> u16 {
+        self.steps.load_percent()
+    }
+
+    /// Supply of the scarcest service that the local target calls, in percent of the work offered
+    /// to it; 0 if unknown.
+    #[must_use]
+    pub fn supply_percent(&self, now_us: u64) -> u16 {
+        self.supply.percent(now_us)
+    }
+
+    fn update_shares(&mut self, now_us: u64) {
+        self.chain_shares.update(self.supply.ratio(now_us), now_us);
+    }
+}
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -2,14 +2,18 @@
 
 mod adaptive;
 mod admit_all;
+mod below_supply;
+mod chain_shares;
 mod delay;
 mod downstream;
+mod downstream_control;
 mod limit;
 mod queue;
 mod reserve;
 mod retry_after;
 mod service_time;
 mod static_limit;
+mod supply;
 mod threshold;
 mod trial;
 mod urgent_demand;
@@ -19,9 +23,13 @@
 pub use {
     adaptive::Adaptive,
     admit_all::AdmitAll,
+    below_supply::BelowSupply,
+    chain_shares::ChainShares,
     downstream::DownstreamAdmission,
+    downstream_control::DownstreamControl,
     limit::{ConcurrencyLimit, MIN_LIMIT, REPORT_AGE_LIMIT_US},
     static_limit::StaticLimit,
+    supply::{SupplyEstimate, TargetState},
     work_shares::WorkShares,
 };
 
--- a/src/egress/attempt.rs
+++ b/src/egress/attempt.rs
@@ -144,7 +144,9 @@
             .level
             .filter(|_| P::Dialect::CALLS_USE_CALLER_PORT && !self.call.begins_chain());
         if let Some(level) = level {
-            node.downstream().record_level(level, node.timer.now_us());
+            let now_us = node.timer.now_us();
+            node.downstream()
+                .record_level(self.call.service, level, now_us);
         }
         if hop.leaving_process_id != UNKNOWN_PROCESS_ID {
             let now_ms = node.timer.now_ms();
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -21,7 +21,7 @@
 
 use {
     crate::{
-        admission::{AdmissionPolicy, DownstreamAdmission},
+        admission::{AdmissionPolicy, DownstreamControl},
         conf::{CompiledConfiguration, Evacuations},
         control::Metrics,
         dialect::{Dialect, Native},
@@ -175,7 +175,7 @@
     retries: Mutex<P::Retry>,
     calls: Mutex<CallTable>,
     registration: Mutex<Registration>,
-    downstream: Mutex<DownstreamAdmission>,
+    downstream: Mutex<DownstreamControl>,
     loop_lag: Mutex<LoopLag>,
     in_flight_count: AtomicUsize,
     /// Notifies [`run_ticks`] when the first request arrives at an idle node.
@@ -193,6 +193,7 @@
             percent: inputs.settings.retry_percent,
             floor_count: inputs.settings.retry_floor,
         });
+        let downstream = DownstreamControl::new(inputs.settings.downstream_admission);
         Arc::new(Self {
             auth,
             seen_attempts: SeenAttempts::new(),
@@ -222,7 +223,7 @@
             retries: Mutex::new(retries),
             calls: Mutex::new(CallTable::new()),
             registration: Mutex::new(Registration::new()),
-            downstream: Mutex::new(DownstreamAdmission::new()),
+            downstream: Mutex::new(downstream),
             loop_lag: Mutex::new(LoopLag::new()),
             in_flight_count: AtomicUsize::new(0),
             first_request_arrived: Notify::new(),
@@ -339,9 +340,14 @@
         let level = self.admission().level(class, now_us);
         let cold_percent = self.target.gate().load_percent(now_us);
         let lag_percent = self.loop_lag().load_percent();
+        let (below_percent, below_supply_percent) = {
+            let downstream = self.downstream();
+            (downstream.load_percent(), downstream.supply_percent(now_us))
+        };
         AdmissionLevel {
             load_percent: level.load_percent.max(lag_percent).max(cold_percent),
-            below_percent: self.downstream().load_percent(),
+            below_percent,
+            below_supply_percent,
             draining: level.draining || self.is_draining(),
             ..level
         }
@@ -358,7 +364,7 @@
     }
 
     /// Load and failures of the local target's downstream calls.
-    pub fn downstream(&self) -> MutexGuard<'_, DownstreamAdmission> {
+    pub fn downstream(&self) -> MutexGuard<'_, DownstreamControl> {
         lock(&self.downstream)
     }
 
--- a/src/target/serve.rs
+++ b/src/target/serve.rs
@@ -50,16 +50,21 @@
 
 fn log_refusal<P: Policies>(node: &Node<P>, context: &RequestContext, refusal: Refusal) {
     let (running, waiting) = node.admission().counts();
-    let (share, below) = {
+    let now_us = node.timer.now_us();
+    let (share, below, below_supply) = {
         let downstream = node.downstream();
-        (downstream.share(context.class), downstream.load_percent())
+        (
+            downstream.share(context.class),
+            downstream.load_percent(),
+            downstream.supply_percent(now_us),
+        )
     };
     let (id, class) = (context.request_id, context.class.name());
     let (outcome, reason) = (refusal.outcome.name(), refusal.reason);
     let remaining_ms = context.remaining_us / 1000;
     event!(
         Event::AttemptRefused,
-        "request={id} class={class} outcome={outcome} reason={reason} running={running} waiting={waiting} share={share:.2} below_percent={below} remaining_ms={remaining_ms}"
+        "request={id} class={class} outcome={outcome} reason={reason} running={running} waiting={waiting} share={share:.2} below_percent={below} below_supply_percent={below_supply} remaining_ms={remaining_ms}"
     );
 }
 
@@ -145,7 +150,7 @@
         .get(&workspace)
         .and_then(|rules| rules.class);
     let mut downstream = node.downstream();
-    downstream.work_shares.arrive(new_class, now_us);
+    downstream.record_arrival(new_class, now_us);
     let limited_class = new_class?.with_workspace_class(workspace_class);
     if downstream.admits(new_class?, limited_class, rand::random(), now_us) {
         return None;
