--- a/src/admission/adaptive.rs
+++ b/src/admission/adaptive.rs
@@ -6,9 +6,16 @@
 use {
     super::{
         AdmissionPolicy, Arrival, Decision, LoadReport, TargetResult, TargetSize, TicketKey,
-        delay::SustainedDelay, limit::ConcurrencyLimit, objective_queue::StartTerms,
-        queueing_delay::queueing_delay_us, reserve::Reserve, retry_after::retry_after_ms,
-        service_time::ServiceTime, threshold::AdmissionThreshold, urgent_demand::UrgentDemand,
+        delay::SustainedDelay,
+        limit::ConcurrencyLimit,
+        objective_queue::StartTerms,
+        queueing_delay::queueing_delay_us,
+        reserve::Reserve,
+        retry_after::retry_after_ms,
+        service_time::ServiceTime,
+        supply::{SupplyEstimate, TargetState},
+        threshold::AdmissionThreshold,
+        urgent_demand::UrgentDemand,
         waiting_queue::WaitingQueue,
     },
     crate::{
@@ -18,6 +25,9 @@
     },
 };
 
+/// Share of the slots in use that supply is measured for: the reserve always leaves the others
+/// free.
+const DESIRED_UTILISATION: f64 = 0.95;
 /// Remaining time over the mean service time below which a request cannot finish by its deadline.
 const MIN_REMAINING_RATIO: f64 = 0.5;
 
@@ -44,6 +54,7 @@
     browse_service_time: ServiceTime,
     urgent_service_time: ServiceTime,
     urgent_demand: UrgentDemand,
+    supply: SupplyEstimate,
     draining: bool,
     late_start_count: u64,
 }
@@ -62,6 +73,7 @@
             browse_service_time: ServiceTime::new(),
             urgent_service_time: ServiceTime::new(),
             urgent_demand: UrgentDemand::new(),
+            supply: SupplyEstimate::new(),
             draining: false,
             late_start_count: 0,
         }
@@ -98,9 +110,11 @@
         } else if self.cannot_finish_by_deadline(arrival, now_us) {
             self.refuse(ticket, Reason::TooLate, now_us, decisions);
         } else if self.would_wait_past_deadline(arrival, now_us) {
+            self.supply.record_arrival(now_us);
             self.record_shed(arrival.class, now_us);
             self.refuse(ticket, Reason::Overloaded, now_us, decisions);
         } else {
+            self.supply.record_arrival(now_us);
             self.push_waiting(ticket, now_us);
             self.record_demand(now_us);
             self.start_waiting(now_us, decisions);
@@ -183,6 +197,7 @@
                 self.limit.count(),
                 self.service_time.mean_us(now_us),
             ),
+            supply_percent: self.supply_percent(now_us),
             ..AdmissionLevel::idle()
         }
     }
@@ -207,6 +222,17 @@
         self.limit.count()
     }
 
+    fn supply_percent(&self, now_us: u64) -> u16 {
+        let is_known = self.service_time.is_known();
+        let state = TargetState {
+            service_us: is_known.then(|| self.service_time.mean_us(now_us)),
+            waiting_count: self.waiting_count(),
+            slot_count: self.limit.count(),
+            desired_utilisation: DESIRED_UTILISATION,
+        };
+        self.supply.percent(state, now_us)
+    }
+
     fn record_result(
         &mut self,
         arrival: Arrival,
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -2,8 +2,11 @@
 
 mod adaptive;
 mod admit_all;
+mod below_supply;
+mod chain_shares;
 mod delay;
 mod downstream;
+mod downstream_control;
 mod limit;
 mod objective_queue;
 mod queue;
@@ -12,6 +15,7 @@
 mod retry_after;
 mod service_time;
 mod static_limit;
+mod supply;
 mod threshold;
 mod trial;
 mod urgent_demand;
@@ -22,10 +26,14 @@
 pub use {
     adaptive::Adaptive,
     admit_all::AdmitAll,
+    below_supply::BelowSupply,
+    chain_shares::ChainShares,
     downstream::DownstreamAdmission,
+    downstream_control::DownstreamControl,
     limit::{ConcurrencyLimit, MIN_LIMIT, REPORT_AGE_LIMIT_US},
     queueing_delay::queueing_delay_us,
     static_limit::StaticLimit,
+    supply::{SupplyEstimate, TargetState},
     work_shares::WorkShares,
 };
 
