--- a/tests/capacity.rs
+++ b/tests/capacity.rs
@@ -52,6 +52,7 @@
     for line in [
         "dogwood_target_slots{service=\"b\"} 64".to_owned(),
         "dogwood_target_running{service=\"b\"} 0".to_owned(),
+        "dogwood_target_refused_total{class=\"standard\"} 0".to_owned(),
         format!(
             "dogwood_target_refused_10s{{service=\"b\",class=\"browse\"}} {}",
             refused.browse
