--- a/src/control/metrics.rs
+++ b/src/control/metrics.rs
@@ -15,6 +15,7 @@
         },
         registry::Registry,
     },
+    std::sync::atomic::AtomicU64,
 };
 
 /// First bucket of the latency histogram, in seconds.
@@ -33,6 +34,13 @@
     pub reason: &'static str,
 }
 
+/// Label of a class.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ClassLabel {
+    /// Name of the class.
+    pub class: &'static str,
+}
+
 /// Label of a kind of state.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct KindLabel {
@@ -55,6 +63,11 @@
     pub waiting: Gauge,
     /// Requests that started when their objective could no longer be expected to be met.
     pub late_starts: Counter,
+    /// Admitted share of new requests by class, 0 to 1.
+    pub admitted_share: Family<ClassLabel, Gauge<f64, AtomicU64>>,
+    /// Supply of the own target and of the scarcest called service, in percent of the work
+    /// offered.
+    pub supply: Family<KindLabel, Gauge>,
     /// Open connections of callers.
     pub caller_connections: Gauge,
     /// Entries of the node's tables.
@@ -85,6 +98,8 @@
             running: Gauge::default(),
             waiting: Gauge::default(),
             late_starts: Counter::default(),
+            admitted_share: Family::default(),
+            supply: Family::default(),
             caller_connections: Gauge::default(),
             state: Family::default(),
             target: TargetMetrics::default(),
@@ -151,6 +166,16 @@
             "Requests started at the own target when their latency objective was out of reach",
             self.late_starts.clone(),
         );
+        registry.register(
+            "admitted_share",
+            "Admitted share of new requests by class",
+            self.admitted_share.clone(),
+        );
+        registry.register(
+            "supply_percent",
+            "Work that can be completed, in percent of the work offered; 0 if unknown",
+            self.supply.clone(),
+        );
         registry.register(
             "caller_connections",
             "Open connections of callers",
