--- a/src/control/target_metrics.rs
+++ b/src/control/target_metrics.rs
@@ -107,7 +107,7 @@
     pub(super) fn register(&self, registry: &mut Registry) {
         // Rates of a counter without a first sample at 0 miss the first increment.
         for class in Class::ALL.map(Class::name) {
-            self.refused.get_or_create(&ClassLabel { class });
+            drop(self.refused.get_or_create(&ClassLabel { class }));
         }
         for (name, help, family) in self.figures() {
             registry.register(name, help, family.clone());
