Export the work time and queue that a target reports

Operators could not see what a target reports about itself, nor how often its figures are unusable.

A node now exports dogwood_target_reported{kind="waiting"} and {kind="work-time-percent"}, without a sample if the figure is older than 1 s, and dogwood_target_reports_invalid_total.

--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -6,6 +6,7 @@
 mod downstream;
 mod limit;
 mod queue;
+mod reported_load;
 mod reserve;
 mod retry_after;
 mod service_time;
@@ -21,6 +22,7 @@
     admit_all::AdmitAll,
     downstream::DownstreamAdmission,
     limit::{ConcurrencyLimit, MIN_LIMIT, REPORT_AGE_LIMIT_US},
+    reported_load::ReportedLoad,
     static_limit::StaticLimit,
     work_shares::WorkShares,
 };
--- a/src/control/admin.rs
+++ b/src/control/admin.rs
@@ -70,6 +70,7 @@
     node.metrics.running.set(gauge(running));
     node.metrics.waiting.set(gauge(waiting));
     node.metrics.caller_connections.set(gauge(connections));
+    set_reported_load(node);
     set_state_sizes(node);
     let Ok(body) = node.metrics.encode() else {
         return text(StatusCode::INTERNAL_SERVER_ERROR, "metrics are broken\n");
@@ -81,6 +82,29 @@
     response
 }
 
+/// Shows the figures of the target; one that is missing or stale has no sample.
+fn set_reported_load<P: Policies>(node: &Node<P>) {
+    let now_us = node.timer.now_us();
+    let load = *node.admission().reported_load();
+    let work_time_percent = load.work_time_percent(now_us);
+    let figures = [
+        ("waiting", load.waiting_count(now_us).map(i64::from)),
+        ("work-time-percent", work_time_percent.map(i64::from)),
+    ];
+    let metrics = &node.metrics;
+    for (kind, figure) in figures {
+        let label = KindLabel { kind };
+        match figure {
+            Some(figure) => {
+                metrics.reported.get_or_create(&label).set(figure);
+            }
+            None => {
+                metrics.reported.remove(&label);
+            }
+        }
+    }
+}
+
 fn set_state_sizes<P: Policies>(node: &Node<P>) {
     let running = node.running();
     let is_cold = node.target.gate().is_cold(node.timer.now_us());
--- a/src/control/metrics.rs
+++ b/src/control/metrics.rs
@@ -50,6 +50,10 @@
     pub waiting: Gauge,
     /// Open connections of callers.
     pub caller_connections: Gauge,
+    /// Figures that the own target reported in the last second.
+    pub reported: Family<KindLabel, Gauge>,
+    /// Invalid figures that the own target reported.
+    pub invalid_reports: Counter,
     /// Entries of the node's tables.
     pub state: Family<KindLabel, Gauge>,
     control: ControlCollector,
@@ -75,6 +79,8 @@
             running: Gauge::default(),
             waiting: Gauge::default(),
             caller_connections: Gauge::default(),
+            reported: Family::default(),
+            invalid_reports: Counter::default(),
             state: Family::default(),
             control: ControlCollector::default(),
             requests: Family::default(),
@@ -134,6 +140,16 @@
             "Open connections of callers",
             self.caller_connections.clone(),
         );
+        registry.register(
+            "target_reported",
+            "Figures that the own target reported in the last second",
+            self.reported.clone(),
+        );
+        registry.register(
+            "target_reports_invalid",
+            "Invalid figures that the own target reported",
+            self.invalid_reports.clone(),
+        );
         registry.register(
             "state_entries",
             "Entries of the node's tables",
--- a/src/egress/announce.rs
+++ b/src/egress/announce.rs
@@ -57,6 +57,7 @@
 /// Records the load that the local target reports.
 pub fn record_load<P: Policies>(node: &Node<P>, load: TargetLoad) {
     if load.work_time == WorkTime::Invalid {
+        node.metrics.invalid_reports.inc();
         event!(Event::LoadReportInvalid, "node={}", node.settings.node_id);
     }
     let report = LoadReport {
--- a/src/node/admission_table.rs
+++ b/src/node/admission_table.rs
@@ -4,7 +4,8 @@
     super::{Node, Policies},
     crate::{
         admission::{
-            AdmissionPolicy, Arrival, Decision, LoadReport, TargetResult, TargetSize, TicketKey,
+            AdmissionPolicy, Arrival, Decision, LoadReport, ReportedLoad, TargetResult, TargetSize,
+            TicketKey,
         },
         model::{AdmissionLevel, Class, Reason, Refusal},
     },
@@ -28,6 +29,7 @@
 /// The admission policy and the requests that wait for its decision.
 pub struct AdmissionTable<A> {
     policy: Option<A>,
+    reported_load: ReportedLoad,
     // Distinguishes tickets of this policy from those of the previous one: after a
     // restart of the target, a late end would otherwise free another request's slot.
     epoch: u64,
@@ -61,6 +63,7 @@
     pub fn new() -> Self {
         Self {
             policy: None,
+            reported_load: ReportedLoad::new(),
             epoch: 0,
             waiting: HashMap::new(),
             decisions: Vec::new(),
@@ -84,11 +87,18 @@
 
     /// Records a load report of the target.
     pub fn record_load_report(&mut self, report: LoadReport) {
+        self.reported_load.record(report);
         if let Some(policy) = &mut self.policy {
             policy.record_load_report(report);
         }
     }
 
+    /// Load that the target reported last.
+    #[must_use]
+    pub const fn reported_load(&self) -> &ReportedLoad {
+        &self.reported_load
+    }
+
     /// Starts to drain, which is propagated upstream at once. Arriving requests are
     /// refused after [`DRAIN_ANNOUNCE_US`], queued ones after `DRAIN_QUEUE_US`.
     pub fn drain(&mut self, now_us: u64) {
