--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -11,6 +11,7 @@
 mod objective_queue;
 mod queue;
 mod queueing_delay;
+mod reported_load;
 mod reserve;
 mod retry_after;
 mod service_time;
@@ -32,6 +33,7 @@
     downstream_control::DownstreamControl,
     limit::{ConcurrencyLimit, MIN_LIMIT, REPORT_AGE_LIMIT_US},
     queueing_delay::queueing_delay_us,
+    reported_load::ReportedLoad,
     static_limit::StaticLimit,
     supply::{SupplyEstimate, TargetState},
     work_shares::WorkShares,
--- a/src/control/metrics.rs
+++ b/src/control/metrics.rs
@@ -70,6 +70,10 @@
     pub supply: Family<KindLabel, Gauge>,
     /// Open connections of callers.
     pub caller_connections: Gauge,
+    /// Figures that the own target reported in the last second.
+    pub reported: Family<KindLabel, Gauge>,
+    /// Invalid figures that the own target reported.
+    pub invalid_reports: Counter,
     /// Entries of the node's tables.
     pub state: Family<KindLabel, Gauge>,
     /// Load and refusals of the own target.
@@ -101,6 +105,8 @@
             admitted_share: Family::default(),
             supply: Family::default(),
             caller_connections: Gauge::default(),
+            reported: Family::default(),
+            invalid_reports: Counter::default(),
             state: Family::default(),
             target: TargetMetrics::default(),
             control: ControlCollector::default(),
@@ -181,6 +187,16 @@
             "Open connections of callers",
             self.caller_connections.clone(),
         );
+        registry.register(
+            "target_reported",
+            "Figures that the own target reported in the last second",
+            self.reported.clone(),
+        );
+        registry.register(
+            "target_reports_invalid",
+            "Invalid figures that the own target reported",
+            self.invalid_reports.clone(),
+        );
         registry.register(
             "state_entries",
             "Entries of the node's tables",
--- a/src/node/admission_table.rs
+++ b/src/node/admission_table.rs
@@ -4,7 +4,8 @@
     super::{Node, Policies},
     crate::{
         admission::{
-            AdmissionPolicy, Arrival, Decision, LoadReport, TargetResult, TargetSize, TicketKey,
+            AdmissionPolicy, Arrival, Decision, LoadReport, ReportedLoad, TargetResult, TargetSize,
+            TicketKey,
         },
         model::{AdmissionLevel, Class, Reason, Refusal},
         settings::QueueOrder,
@@ -32,6 +33,7 @@
     queue_order: QueueOrder,
     // Late starts of earlier policies.
     past_late_start_count: u64,
+    reported_load: ReportedLoad,
     // Distinguishes tickets of this policy from those of the previous one: after a
     // restart of the target, a late end would otherwise free another request's slot.
     epoch: u64,
@@ -69,6 +71,7 @@
             policy: None,
             queue_order: QueueOrder::default(),
             past_late_start_count: 0,
+            reported_load: ReportedLoad::new(),
             epoch: 0,
             waiting: HashMap::new(),
             decisions: Vec::new(),
@@ -106,11 +109,18 @@
         if report.work_time_percent.is_some() {
             self.work_time_reported_us = Some(report.received_us);
         }
+        self.reported_load.record(report);
         if let Some(policy) = &mut self.policy {
             policy.record_load_report(report);
         }
     }
 
+    /// Load that the target reported last.
+    #[must_use]
+    pub const fn reported_load(&self) -> &ReportedLoad {
+        &self.reported_load
+    }
+
     /// Starts to drain, which is propagated upstream at once. Arriving requests are
     /// refused after [`DRAIN_ANNOUNCE_US`], queued ones after `DRAIN_QUEUE_US`.
     pub fn drain(&mut self, now_us: u64) {
