--- a/src/routing/completion.rs
+++ b/src/routing/completion.rs
@@ -17,6 +17,9 @@
 /// Shortest time in which a figure loses its weight; below it, figures of very short requests
 /// would count as old when they arrive.
 const MIN_FIGURE_DECAY_US: f64 = 20_000.0;
+/// Load that each request of this node adds to a target without a recent figure. A request that
+/// does not end for so long may be queued behind those of many senders.
+const UNSEEN_LOAD_RATIO: f64 = 1.0;
 /// Work time that a target reports at its usual speed.
 const USUAL_WORK_TIME_PERCENT: f64 = 100.0;
 
@@ -55,6 +58,16 @@
     pub service_us: f64,
 }
 
+/// This node's requests at a target.
+#[derives::value]
+#[derive(Copy)]
+pub struct OwnRequests {
+    /// Requests that have not ended.
+    pub outstanding_count: u32,
+    /// Their expected latency, in microseconds.
+    pub latency_us: f64,
+}
+
 /// A target's state at the time at which one more request would arrive there.
 #[derives::value]
 #[derive(Copy)]
@@ -69,6 +82,8 @@
     pub round_trip_us: f64,
     /// Mean service time over the targets of the service, in microseconds.
     pub usual_service_us: f64,
+    /// Time by which the wait may differ because service times vary, in microseconds.
+    pub spread_us: f64,
     /// Factor by which recent failures raise the cost.
     pub failure_factor: f64,
 }
@@ -78,6 +93,8 @@
 pub struct Figures {
     by_class: [Option<Figure>; CLASS_COUNT],
     mean_service_us: Option<f64>,
+    /// Mean absolute difference between a service time and the mean.
+    mean_deviation_us: f64,
     /// Mean work time under which the service time was measured, in percent.
     mean_work_time_percent: f64,
     last_sample_us: u64,
@@ -90,6 +107,7 @@
         Self {
             by_class: [None; CLASS_COUNT],
             mean_service_us: None,
+            mean_deviation_us: 0.0,
             mean_work_time_percent: USUAL_WORK_TIME_PERCENT,
             last_sample_us: 0,
         }
@@ -134,6 +152,8 @@
             return;
         };
         self.mean_service_us = Some(mean_us + (service_us - mean_us) * weight);
+        let deviation_us = (service_us - mean_us).abs();
+        self.mean_deviation_us += (deviation_us - self.mean_deviation_us) * weight;
         if let Some(percent) = work_time {
             self.mean_work_time_percent += (percent - self.mean_work_time_percent) * weight;
         }
@@ -163,20 +183,27 @@
         &self,
         class: Class,
         slot_count: u32,
+        own: OwnRequests,
         mean: ServiceMean,
         now_us: u64,
     ) -> Expectation {
         let slot_count = f64::from(slot_count.max(1));
         let service_us = self.service_us(mean.service_us, now_us);
+        let usual_wait_us = (mean.load_ratio - 1.0).max(0.0) * service_us;
+        let unseen_ratio = mean.load_ratio + f64::from(own.outstanding_count) * UNSEEN_LOAD_RATIO;
+        let unseen_wait_us = (unseen_ratio - 1.0).max(0.0) * service_us;
+        let expectation = Expectation {
+            load_ratio: unseen_ratio,
+            wait_us: (own.latency_us - service_us).max(unseen_wait_us),
+            service_us,
+            round_trip_us: 0.0,
+            usual_service_us: mean.service_us,
+            // Slots become free independently of each other.
+            spread_us: self.mean_deviation_us / slot_count.sqrt(),
+            failure_factor: 1.0,
+        };
         let Some(figure) = self.figure_of(class, now_us) else {
-            return Expectation {
-                load_ratio: mean.load_ratio,
-                wait_us: (mean.load_ratio - 1.0).max(0.0) * service_us,
-                service_us,
-                round_trip_us: 0.0,
-                usual_service_us: mean.service_us,
-                failure_factor: 1.0,
-            };
+            return expectation;
         };
         // Within one service time all requests that the figure counts have been replaced by
         // others, of which it says nothing.
@@ -186,16 +213,12 @@
         let sent_ratio = f64::from(figure.sent_count) / slot_count;
         let blend = |reported: f64, usual: f64| usual + (reported - usual) * weight;
         let load_ratio = blend(reported_load_ratio(figure), mean.load_ratio) + sent_ratio;
-        let usual_wait_us = (mean.load_ratio - 1.0).max(0.0) * service_us;
         let reported_wait_us = blend(f64::from(figure.level.wait_us), usual_wait_us);
         let excess_us = (load_ratio - 1.0).max(0.0) * service_us;
         Expectation {
             load_ratio,
             wait_us: reported_wait_us.max(excess_us),
-            service_us,
-            round_trip_us: 0.0,
-            usual_service_us: mean.service_us,
-            failure_factor: 1.0,
+            ..expectation
         }
     }
 
@@ -288,8 +311,9 @@
     if near.load_ratio <= start {
         return 0.0;
     }
+    // The round trip is part of the cost: a difference of one hop's distance is needed besides.
     let hop_us = (far.round_trip_us - near.round_trip_us).max(0.0);
-    if far.cost_us() + hop_us > near.cost_us() {
+    if far.cost_us() + hop_us + near.spread_us > near.cost_us() {
         return 0.0;
     }
     ((near.load_ratio - start) / (end - start)).min(1.0)
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -4,12 +4,13 @@
 //! targets whose nodes do not respond.
 
 mod completion;
+mod completion_choice;
 mod ejection;
 mod latency;
+mod latency_choice;
 mod service;
 mod silence;
 mod target;
-mod zone_choice;
 mod zone_router;
 
 pub use {
--- a/src/routing/target.rs
+++ b/src/routing/target.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         AttemptResult, TargetInfo,
-        completion::{Expectation, Figures, ServiceMean, round_trip_us},
+        completion::{Expectation, Figures, OwnRequests, ServiceMean, round_trip_us},
         latency::Latency,
         silence::Silence,
     },
@@ -195,8 +195,12 @@
     /// Expected state for one more request of this class.
     #[must_use]
     pub fn expectation(&self, class: Class, mean: ServiceMean, now_us: u64) -> Expectation {
+        let own = OwnRequests {
+            outstanding_count: self.outstanding_count,
+            latency_us: self.latency.estimate_us(mean.service_us, now_us),
+        };
         self.figures
-            .expectation(class, self.info.slot_count, mean, now_us)
+            .expectation(class, self.info.slot_count, own, mean, now_us)
             .with_round_trip_us(round_trip_us(self.info.distance))
             .with_failure_factor(self.failure_factor(now_us))
     }
