--- a/src/admission/adaptive.rs
+++ b/src/admission/adaptive.rs
@@ -172,6 +172,10 @@
         let waiting_counts = self.queues[class.index()..].iter().map(ClassQueue::len);
         let ahead_count = waiting_counts.sum::<usize>();
         let request_count = self.running_count() + ahead_count;
+        let reserved_count = match class {
+            Class::Critical => 0,
+            Class::Standard | Class::Browse => self.unused_reserve(now_us) as usize,
+        };
         let load_percent = request_count * 100 / self.limit.count() as usize;
         AdmissionLevel {
             lowest_class: self.threshold.lowest_class(),
@@ -180,7 +184,7 @@
             work_time_percent: self.limit.work_time_percent(now_us),
             wait_us: queueing_delay_us(
                 ahead_count,
-                self.running_count(),
+                self.running_count() + reserved_count,
                 self.limit.count(),
                 self.service_time.mean_us(now_us),
             ),
--- a/tests/routing_completion.rs
+++ b/tests/routing_completion.rs
@@ -1,9 +1,11 @@
 //! Choice of a target by expected completion, on a model of 70 senders and four targets.
 
-#[path = "routing_support/model.rs"]
-mod model;
+mod routing_support;
 
-use model::{Fault, Figures, Model, Report, SERVICE_US, Setup, Way, quantile};
+use routing_support::{
+    model::Model,
+    setup::{Fault, Figures, Report, SERVICE_US, Setup, Way, quantile},
+};
 
 const WAYS: [Way; 5] = [
     Way::Latency,
@@ -91,6 +93,26 @@
     }
 }
 
+/// The goals could hold by chance for one sequence of slow periods.
+#[test]
+fn the_goals_hold_at_nine_tenths_for_other_seeds() {
+    for seed in 1..=8 {
+        for changes_work_time in [false, true] {
+            let mut setup = Setup::new(Way::CompletionOfTwo, 0.9);
+            setup.seed = seed;
+            setup.changes_work_time = changes_work_time;
+            setup.follows_capacity = true;
+            let figures = Model::run(setup);
+            print_row(&format!("seed {seed}"), 0.9, Way::CompletionOfTwo, &figures);
+            assert!(figures.wait_ms(0.99) < SERVICE_MS, "seed {seed}");
+            assert!(
+                figures.longest_imbalance_us <= MAX_IMBALANCE_US,
+                "seed {seed}"
+            );
+        }
+    }
+}
+
 /// A target that misreports its work time, or whose figures stop, would get all requests or none.
 #[test]
 fn wrong_or_missing_figures_leave_a_target_its_share() {
@@ -170,6 +192,28 @@
     }
 }
 
+/// A target that is ten times slower by its speed would be ejected for it, and the others would
+/// get the work that it can do.
+#[test]
+fn a_slow_target_gets_work_in_proportion_to_its_speed() {
+    let mut setup = Setup::new(Way::CompletionOfTwo, 0.9);
+    setup.changes_work_time = false;
+    setup.speeds = vec![0.1, 1.0, 1.0, 1.0];
+    let figures = Model::run(setup);
+    let count: usize = figures.started_after_faults.iter().sum();
+    let share = figures.started_after_faults[0] as f64 / count as f64;
+    println!(
+        "{:?}, p99 {:.0} ms",
+        figures.started_after_faults,
+        figures.wait_ms(0.99)
+    );
+    let fair_share = 0.1 / 3.1;
+    assert!(
+        (fair_share / 2.0..fair_share * 2.0).contains(&share),
+        "{share}"
+    );
+}
+
 /// Changes between two figures: the figures in hand are wrong for all senders at once, and
 /// requests would queue at the wrong targets for long.
 #[test]
@@ -241,13 +285,6 @@
         "{} requests lost, of them late: {late:?}",
         figures.losses.len()
     );
-    let after_us = FAULT_US + SECOND_US;
-    let after: Vec<_> = figures
-        .losses
-        .iter()
-        .filter(|loss| loss.0 > after_us)
-        .collect();
-    println!("after 1 s: {after:?}");
     assert!(figures.started_after_faults.iter().all(|count| *count > 0));
     assert!(figures.refusals_us.is_empty());
     assert!(late.is_empty(), "{late:?}");
--- a/tests/routing_support/model.rs
+++ b/tests/routing_support/model.rs
@@ -1,13 +1,16 @@
 //! Senders with routers of their own and targets with FIFO queues, as a simulation of events.
 
 use {
-    dogwoodbridge::{
-        admission::queueing_delay_us,
-        model::{AdmissionLevel, Class, RegionKey, RegionSet, ServiceKey, ZoneKey},
-        routing::{
-            AttemptResult, Distance, RoutePolicy, RouteRequest, TargetInfo, TargetKey, ZoneRouter,
+    super::{
+        parts::{Entry, Event, Job, Sender, Target},
+        setup::{
+            Fault, Figures, Report, SENDER_COUNT, SERVICE_US, SLOT_COUNT, SLOW_FACTOR, SLOW_SHARE,
+            Setup, WARM_UP_US, Way, ZONE_COUNT,
         },
-        settings::TargetChoice,
+    },
+    dogwoodbridge::{
+        model::{AdmissionLevel, Class, RegionSet, ServiceKey},
+        routing::{AttemptResult, RoutePolicy, RouteRequest, TargetKey, ZoneRouter},
     },
     rand::{Rng, SeedableRng, rngs::StdRng},
     std::{
@@ -16,245 +19,11 @@
     },
 };
 
-pub const SERVICE_US: f64 = 83_000.0;
-pub const SLOT_COUNT: u32 = 100;
-pub const SENDER_COUNT: usize = 70;
-const ZONE_COUNT: usize = 3;
 const TICK_US: u64 = 10_000;
 const WORK_PERIOD_US: u64 = 600_000;
-/// Share of the periods in which work takes longer, and by how much.
-const SLOW_SHARE: f64 = 0.15;
-pub const SLOW_FACTOR: f64 = 2.5;
-/// Start of the measurement.
-const WARM_UP_US: u64 = 2_000_000;
 const DEADLINE_US: u64 = 2_000_000;
 const ONE_WAY_US: [u64; 2] = [100, 900];
 
-/// Rule by which senders choose.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Way {
-    Latency,
-    CompletionOfTwo,
-    CompletionOfThree,
-    WeightedByFreeSlots,
-    /// Bound: one queue for all targets, so that no slot is idle while a request waits.
-    OneQueue,
-}
-
-/// What a target reports instead of its true figures.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Report {
-    True,
-    Nothing,
-    Constant,
-    WorkTime(u16),
-}
-
-/// Properties of a run.
-#[derive(Debug, Clone)]
-pub struct Setup {
-    pub way: Way,
-    pub speeds: Vec<f64>,
-    pub zones: Vec<usize>,
-    /// Demand over the mean capacity of the targets.
-    pub load_ratio: f64,
-    pub duration_us: u64,
-    pub changes_work_time: bool,
-    /// Whether the demand follows the capacity of the moment, so that it never exceeds it.
-    pub follows_capacity: bool,
-    /// Changes at a time.
-    pub faults: Vec<(u64, Fault)>,
-}
-
-/// A change during a run.
-#[derive(Debug, Clone, Copy)]
-pub enum Fault {
-    Report(usize, Report),
-    WorkFactor(usize, f64),
-    PartitionZone(usize),
-    Remove(usize),
-    RestartSenders,
-}
-
-impl Setup {
-    pub fn new(way: Way, load_ratio: f64) -> Self {
-        Self {
-            way,
-            speeds: vec![0.5, 1.0, 1.0, 1.5],
-            zones: vec![0, 0, 1, 2],
-            load_ratio,
-            duration_us: 10_000_000,
-            changes_work_time: true,
-            follows_capacity: false,
-            faults: Vec::new(),
-        }
-    }
-
-    pub fn with_fault(mut self, at_us: u64, fault: Fault) -> Self {
-        self.faults.push((at_us, fault));
-        self
-    }
-
-    /// Requests that the targets can serve in a second, on average over the work times.
-    fn capacity_per_s(&self) -> f64 {
-        let usual_share = match self.changes_work_time {
-            true => 1.0 - SLOW_SHARE + SLOW_SHARE / SLOW_FACTOR,
-            false => 1.0,
-        };
-        let speed: f64 = self.speeds.iter().sum();
-        speed * usual_share * f64::from(SLOT_COUNT) * 1e6 / SERVICE_US
-    }
-}
-
-/// Figures of a run.
-#[derive(Debug, Default)]
-pub struct Figures {
-    /// Waits of the requests that started, with their time of start.
-    pub waits_us: Vec<(u64, u64)>,
-    pub busy_us: Vec<f64>,
-    pub count: usize,
-    pub outside_zone_count: usize,
-    /// Refused requests, with their time.
-    pub refusals_us: Vec<u64>,
-    /// Requests sent to a target beyond a partition: time, sender and target.
-    pub losses: Vec<(u64, usize, usize)>,
-    /// Requests per target that started after the last fault.
-    pub started_after_faults: Vec<usize>,
-    pub figure_ages_us: Vec<u64>,
-    /// Longest time for which a target had queued requests while another had idle slots.
-    pub longest_imbalance_us: u64,
-}
-
-impl Figures {
-    pub fn mean_wait_ms(&self) -> f64 {
-        let sum: u64 = self.waits_us.iter().map(|(_, wait_us)| wait_us).sum();
-        sum as f64 / 1e3 / self.waits_us.len().max(1) as f64
-    }
-
-    pub fn wait_ms(&self, share: f64) -> f64 {
-        self.wait_between_ms(share, 0, u64::MAX)
-    }
-
-    pub fn wait_between_ms(&self, share: f64, start_us: u64, end_us: u64) -> f64 {
-        let range = start_us..end_us;
-        let waits = self
-            .waits_us
-            .iter()
-            .filter(|(at_us, _)| range.contains(at_us));
-        quantile(waits.map(|(_, wait_us)| *wait_us).collect(), share) as f64 / 1e3
-    }
-
-    pub fn max_over_mean(&self) -> f64 {
-        let mean = self.busy_us.iter().sum::<f64>() / self.busy_us.len() as f64;
-        self.busy_us.iter().copied().fold(0.0, f64::max) / mean
-    }
-
-    pub fn outside_zone_share(&self) -> f64 {
-        self.outside_zone_count as f64 / self.count.max(1) as f64
-    }
-}
-
-pub fn quantile(mut values: Vec<u64>, share: f64) -> u64 {
-    values.sort_unstable();
-    let index = (values.len() as f64 * share) as usize;
-    values.get(index).or(values.last()).copied().unwrap_or(0)
-}
-
-struct Job {
-    sender: usize,
-    key: Option<TargetKey>,
-    sent_us: u64,
-    arrived_us: u64,
-    target: usize,
-    epoch: u32,
-    service_us: f64,
-}
-
-struct Target {
-    speed: f64,
-    zone: usize,
-    work_factor: f64,
-    report: Report,
-    running_count: u32,
-    queue: VecDeque<Job>,
-    mean_service_us: f64,
-    is_removed: bool,
-    queued_since_us: Option<u64>,
-}
-
-impl Target {
-    fn level(&self) -> Option<AdmissionLevel> {
-        let queued_count = self.queue.len();
-        let load_percent = (self.running_count as usize + queued_count) * 100 / SLOT_COUNT as usize;
-        let level = AdmissionLevel {
-            load_percent: u16::try_from(load_percent).unwrap_or(u16::MAX),
-            wait_us: queueing_delay_us(
-                queued_count,
-                self.running_count as usize,
-                SLOT_COUNT,
-                self.mean_service_us,
-            ),
-            work_time_percent: (self.work_factor * 100.0) as u16,
-            ..AdmissionLevel::idle()
-        };
-        match self.report {
-            Report::True => Some(level),
-            Report::Nothing => None,
-            Report::Constant => Some(AdmissionLevel {
-                load_percent: 50,
-                work_time_percent: 100,
-                ..AdmissionLevel::idle()
-            }),
-            Report::WorkTime(work_time_percent) => Some(AdmissionLevel {
-                work_time_percent,
-                ..level
-            }),
-        }
-    }
-}
-
-struct Sender {
-    zone: usize,
-    share: f64,
-    router: ZoneRouter,
-    keys: Vec<Option<TargetKey>>,
-    /// Load ratios for the way that is not in the router, with the time of receipt.
-    loads: Vec<Option<(f64, u64)>>,
-    epoch: u32,
-}
-
-enum Event {
-    Send(usize),
-    Arrive(Job),
-    End(Job),
-    Response(Job, Option<AdmissionLevel>),
-    Tick,
-    Work,
-    Fault(Fault),
-}
-
-struct Entry(u64, u64, Event);
-
-impl PartialEq for Entry {
-    fn eq(&self, other: &Self) -> bool {
-        (self.0, self.1) == (other.0, other.1)
-    }
-}
-
-impl Eq for Entry {}
-
-impl PartialOrd for Entry {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Entry {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (self.0, self.1).cmp(&(other.0, other.1))
-    }
-}
-
 /// A run.
 pub struct Model {
     setup: Setup,
@@ -285,7 +54,7 @@
     }
 
     fn new(setup: Setup) -> Self {
-        let mut rng = StdRng::seed_from_u64(11);
+        let mut rng = StdRng::seed_from_u64(setup.seed);
         let target_of = |(speed, zone): (&f64, &usize)| Target {
             speed: *speed,
             zone: *zone,
@@ -329,7 +98,7 @@
             sequence: 0,
             now_us: 0,
             rng,
-            work_rng: StdRng::seed_from_u64(12),
+            work_rng: StdRng::seed_from_u64(setup.seed + 1),
             cut_zone: None,
             shared_queue: VecDeque::new(),
             setup,
@@ -377,37 +146,7 @@
     }
 
     fn restart_sender(&mut self, sender: usize) {
-        let choice = match self.setup.way {
-            Way::CompletionOfTwo | Way::CompletionOfThree => TargetChoice::Completion,
-            _ => TargetChoice::Latency,
-        };
-        let draw_count = match self.setup.way {
-            Way::CompletionOfThree => 3,
-            _ => 2,
-        };
-        let entry = &mut self.senders[sender];
-        entry.epoch += 1;
-        entry.loads = vec![None; self.targets.len()];
-        entry.router = ZoneRouter::new()
-            .with_target_choice(choice)
-            .with_draw_count(draw_count);
-        let infos = self.targets.iter().map(|target| TargetInfo {
-            service: ServiceKey::new(0),
-            zone: ZoneKey::new(target.zone as u16),
-            region: RegionKey::new(0),
-            distance: match target.zone == entry.zone {
-                true => Distance::SameZone,
-                false => Distance::SameRegion,
-            },
-            slot_count: SLOT_COUNT,
-            draining: target.is_removed,
-            starts_slowly: false,
-        });
-        let infos: Vec<TargetInfo> = infos.collect();
-        entry.keys = infos
-            .into_iter()
-            .map(|info| Some(entry.router.add(info, self.now_us)))
-            .collect();
+        self.senders[sender].restart(self.setup.way, &self.targets, self.now_us);
     }
 
     fn handle(&mut self, event: Event) {
@@ -494,7 +233,9 @@
 
     fn send(&mut self, sender: usize) {
         let picked = match self.setup.way {
-            Way::WeightedByFreeSlots | Way::OneQueue => self.pick_by_free_slots(sender),
+            Way::WeightedByFreeSlots | Way::OneQueue => {
+                self.senders[sender].pick_by_free_slots(&self.targets, &mut self.rng)
+            }
             _ => self.pick(sender),
         };
         self.figures.count += usize::from(self.now_us >= WARM_UP_US);
@@ -542,26 +283,6 @@
         Some((target, Some(key)))
     }
 
-    /// Weighted random: each target with a probability in proportion to its free slots by the
-    /// last figure, at least one, over its service time.
-    fn pick_by_free_slots(&mut self, sender: usize) -> Option<(usize, Option<TargetKey>)> {
-        let entry = &self.senders[sender];
-        let weight_of = |target: usize| {
-            let load_ratio = entry.loads[target].map_or(0.0, |(load_ratio, _)| load_ratio);
-            match entry.keys[target] {
-                Some(_) => (1.0 - load_ratio).max(0.01) * self.targets[target].speed,
-                None => 0.0,
-            }
-        };
-        let weights: Vec<f64> = (0..self.targets.len()).map(weight_of).collect();
-        let mut left = self.rng.random::<f64>() * weights.iter().sum::<f64>();
-        let target = weights.iter().position(|weight| {
-            left -= weight;
-            left < 0.0
-        })?;
-        Some((target, None))
-    }
-
     fn start_queued(&mut self, target: usize) {
         while self.targets[target].running_count < SLOT_COUNT {
             let shared = self
