--- a/src/admission/chain_shares.rs
+++ b/src/admission/chain_shares.rs
@@ -21,7 +21,7 @@
 /// so that the ratio alone corrects too little; above 2, shares would oscillate where it is all.
 const BROWSE_GAIN: f64 = 1.5;
 /// The same for the classes above. Once browse is at its floor, a low ratio mostly shows the
-/// backlog that its earlier requests left; with 1, the highest class lost 5 % in a jump to 1.85.
+/// backlog that its earlier requests left; with 1, the highest class lost 4 % in a jump to 1.85.
 const UPPER_GAIN: f64 = 0.25;
 /// Ratios between which that gain holds; beyond them, the rest is applied in full. No backlog
 /// explains a lower ratio, and calls would miss their deadlines before smaller cuts take effect;
@@ -37,7 +37,8 @@
 const MIN_STANDARD_SHARE: f64 = 0.5;
 /// Smallest admitted share of critical requests.
 const MIN_CRITICAL_SHARE: f64 = 0.1;
-/// Increase per second of the logarithm of the share while there are no measurements.
+/// Increase per second of the logarithm of the share while there are no measurements, for at most
+/// one second at a time.
 const UNMEASURED_RISE_PER_S: f64 = 0.25;
 
 /// Admitted share of new requests by class.
@@ -47,15 +48,16 @@
 /// measured ratio reflects the shares at which the present calls were admitted, which is up to the
 /// duration of a call tree ago. The shares are therefore set to these earlier ones multiplied by
 /// the ratio, not to the present ones: a ratio is applied once, and only the remaining part of a
-/// worse one is applied before the effect of the first shows. Pure state: performs no I/O and
-/// reads no clock.
+/// worse one is applied before the effect of the first shows. The state does not depend on the
+/// classes that the node serves itself, so that nodes that serve only critical requests refuse
+/// them only when browse and standard are at their floors elsewhere. Pure state: performs no I/O
+/// and reads no clock.
 #[derive(Debug, Clone)]
 pub struct ChainShares {
     log_cut: f64,
     history: [f64; HISTORY_COUNT],
     slot: u64,
     tree_us: f64,
-    ratio: Option<f64>,
 }
 
 impl Default for ChainShares {
@@ -73,7 +75,6 @@
             history: [0.0; HISTORY_COUNT],
             slot: 0,
             tree_us: INITIAL_TREE_US as f64,
-            ratio: None,
         }
     }
 
@@ -84,33 +85,39 @@
         self.tree_us += (run_us - self.tree_us) * TREE_WEIGHT;
     }
 
-    /// Sets the shares by the supply of the scarcest downstream service over the work offered to
-    /// it; `None` if there is no recent measurement.
-    pub fn update(&mut self, ratio: Option<f64>, now_us: u64) {
-        let slot = now_us / SLOT_US;
-        if slot <= self.slot {
+    /// Sets the shares by a new measurement: the supply of the scarcest downstream service over
+    /// the work offered to it.
+    ///
+    /// Called for each response, and only then: a ratio that is applied again without a new
+    /// response would be counted twice once its first effect is part of the history.
+    pub fn record_ratio(&mut self, ratio: f64, now_us: u64) {
+        if self.advance(now_us) == 0 {
             return;
         }
-        let passed_count = slot - self.slot;
+        let (min_ratio, max_ratio) = RATIO_BOUNDS;
+        let log_cut = next_log_cut(
+            self.reflected_log_cut() * (1.0 - TAKEN_BACK_RATIO),
+            ratio.clamp(min_ratio, max_ratio).ln(),
+        );
+        self.log_cut = log_cut.clamp(min_log_cut(), 0.0);
+    }
+
+    /// Raises the shares slowly; called while there is no recent measurement.
+    pub fn rise_unmeasured(&mut self, now_us: u64) {
+        let passed_s = (self.advance(now_us) * SLOT_US) as f64 / 1e6;
+        let rise = passed_s.min(1.0) * UNMEASURED_RISE_PER_S;
+        self.log_cut = (self.log_cut + rise).min(0.0);
+    }
+
+    /// Continues the history up to now; returns the number of updates that have passed.
+    fn advance(&mut self, now_us: u64) -> u64 {
+        let slot = now_us / SLOT_US;
+        let passed_count = slot.saturating_sub(self.slot);
         for passed in 0..passed_count.min(HISTORY_COUNT as u64) {
             self.history[ring_index(slot - passed)] = self.log_cut;
         }
-        self.slot = slot;
-        self.ratio = ratio;
-        let log_cut = match ratio {
-            Some(ratio) => {
-                let (min_ratio, max_ratio) = RATIO_BOUNDS;
-                next_log_cut(
-                    self.reflected_log_cut() * (1.0 - TAKEN_BACK_RATIO),
-                    ratio.clamp(min_ratio, max_ratio).ln(),
-                )
-            }
-            None => {
-                let passed_s = (passed_count * SLOT_US) as f64 / 1e6;
-                self.log_cut + passed_s * UNMEASURED_RISE_PER_S
-            }
-        };
-        self.log_cut = log_cut.clamp(min_log_cut(), 0.0);
+        self.slot = self.slot.max(slot);
+        passed_count
     }
 
     /// Admitted share of this class, 0 to 1.
@@ -124,12 +131,6 @@
         shares[class.index()]
     }
 
-    /// The ratio that decided the shares; `None` if there was no recent measurement.
-    #[must_use]
-    pub const fn ratio(&self) -> Option<f64> {
-        self.ratio
-    }
-
     /// Mean cut under which the calls were admitted that the present ratio reflects.
     fn reflected_log_cut(&self) -> f64 {
         let first_age = MIN_AGE_US / SLOT_US;
--- a/src/admission/downstream_control.rs
+++ b/src/admission/downstream_control.rs
@@ -39,7 +39,10 @@
     pub fn record_level(&mut self, service: ServiceKey, level: AdmissionLevel, now_us: u64) {
         self.steps.record_level(level, now_us);
         self.supply.record_level(service, level, now_us);
-        self.update_shares(now_us);
+        match self.supply.ratio(now_us) {
+            Some(ratio) => self.chain_shares.record_ratio(ratio, now_us),
+            None => self.chain_shares.rise_unmeasured(now_us),
+        }
     }
 
     /// Records that the local target responded to a new request of this class.
@@ -67,7 +70,9 @@
         match self.choice {
             DownstreamChoice::Steps => self.steps.admits(class, ranked_class, draw, now_us),
             DownstreamChoice::Supply => {
-                self.update_shares(now_us);
+                if self.supply.ratio(now_us).is_none() {
+                    self.chain_shares.rise_unmeasured(now_us);
+                }
                 draw < self.chain_shares.share(ranked_class)
                     || !self.steps.depends_on_calls(class)
                     || !self
@@ -100,8 +105,4 @@
     pub fn supply_percent(&self, now_us: u64) -> u16 {
         self.supply.percent(now_us)
     }
-
-    fn update_shares(&mut self, now_us: u64) {
-        self.chain_shares.update(self.supply.ratio(now_us), now_us);
-    }
 }
