Do not count requests without a key as calls of the local target

On a deployment of 69 nodes the shares of supply stayed at 0.05 to 0.35 although every service was idle: a few callers send requests without a key through any node. They look like calls of that node's target, so that the level in their responses closed a cycle of services, in which a low supply kept itself up (pricing reported the supply of accounts as its own).

A service counts as called only if its calls are at least a tenth of the runs of the local target.

--- a/src/admission/downstream.rs
+++ b/src/admission/downstream.rs
@@ -88,6 +88,17 @@
     ended_requests: [EndedRequests; CLASS_COUNT],
 }
 
+/// Failures of recent downstream calls.
+#[derives::key]
+pub enum CallFailures {
+    /// Too few to throttle new requests.
+    Few,
+    /// Enough not to admit more new requests.
+    Some,
+    /// So many that fewer new requests should be admitted.
+    Many,
+}
+
 /// Admitted share of new requests by class. Pure state: performs no I/O and reads no clock.
 #[derive(Debug, Clone)]
 pub struct DownstreamAdmission {
@@ -177,6 +188,18 @@
         self.depends_on_calls[class.index()]
     }
 
+    /// What the failures of recent downstream calls say about new requests.
+    #[must_use]
+    pub fn call_failures(&self) -> CallFailures {
+        if self.failure_ratio > HIGH_FAILURE_RATIO {
+            CallFailures::Many
+        } else if self.failure_ratio >= LOW_FAILURE_RATIO {
+            CallFailures::Some
+        } else {
+            CallFailures::Few
+        }
+    }
+
     /// Load of the services that the local target calls, in percent of slots.
     #[must_use]
     pub const fn load_percent(&self) -> u16 {
--- a/src/admission/downstream_control.rs
+++ b/src/admission/downstream_control.rs
@@ -1,13 +1,17 @@
 //! The rule by which new requests are throttled for downstream services, chosen at start.
 
 use {
-    super::{BelowSupply, ChainShares, DownstreamAdmission},
+    super::{BelowSupply, ChainShares, DownstreamAdmission, downstream::CallFailures},
     crate::{
         model::{AdmissionLevel, Class, ServiceKey},
         settings::DownstreamChoice,
     },
 };
 
+/// Ratio of supply that many failing calls stand for. Applied once for each call tree, it lowers
+/// the share of browse about as fast as the steps do.
+const FAILURE_RATIO: f64 = 0.8;
+
 /// Throttles new requests by the rule of `choice`. Supply and load are recorded under either
 /// rule, since nodes above may use the other one. Pure state: performs no I/O and reads no clock.
 #[derive(Debug, Clone)]
@@ -33,16 +37,14 @@
     /// Records the end of a downstream call of the local target.
     pub fn record_call(&mut self, has_failed: bool, now_us: u64) {
         self.steps.record_call(has_failed, now_us);
+        self.update_shares(now_us);
     }
 
     /// Records the level that a response to such a call reported.
     pub fn record_level(&mut self, service: ServiceKey, level: AdmissionLevel, now_us: u64) {
         self.steps.record_level(level, now_us);
         self.supply.record_level(service, level, now_us);
-        match self.supply.ratio(now_us) {
-            Some(ratio) => self.chain_shares.record_ratio(ratio, now_us),
-            None => self.chain_shares.rise_unmeasured(now_us),
-        }
+        self.update_shares(now_us);
     }
 
     /// Records that the local target responded to a new request of this class.
@@ -57,7 +59,8 @@
     }
 
     /// Records how long a request ran.
-    pub fn record_run(&mut self, new_class: Option<Class>, run_us: u64) {
+    pub fn record_run(&mut self, new_class: Option<Class>, run_us: u64, now_us: u64) {
+        self.supply.record_run(now_us);
         self.steps.work_shares.end(new_class, run_us);
         if new_class.is_some() {
             self.chain_shares.record_tree(run_us);
@@ -99,6 +102,25 @@
         self.steps.load_percent()
     }
 
+    fn update_shares(&mut self, now_us: u64) {
+        match self.ratio(now_us) {
+            Some(ratio) => self.chain_shares.record_ratio(ratio, now_us),
+            None => self.chain_shares.rise_unmeasured(now_us),
+        }
+    }
+
+    /// The ratio by which shares change. Failing calls limit it: a target that sheds whatever it
+    /// is sent has free slots, so that its supply seems sufficient.
+    fn ratio(&self, now_us: u64) -> Option<f64> {
+        let supply = self.supply.ratio(now_us);
+        let max_ratio = match self.steps.call_failures() {
+            CallFailures::Few => return supply,
+            CallFailures::Some => 1.0,
+            CallFailures::Many => FAILURE_RATIO,
+        };
+        Some(supply.map_or(max_ratio, |ratio| ratio.min(max_ratio)))
+    }
+
     /// Supply of the scarcest service that the local target calls, in percent of the work offered
     /// to it; 0 if unknown.
     #[must_use]
--- a/src/target/running.rs
+++ b/src/target/running.rs
@@ -37,8 +37,11 @@
 
 impl<P: Policies> Drop for RunTimeRecorder<P> {
     fn drop(&mut self) {
-        let run_us = self.node.timer.now_us().saturating_sub(self.started_us);
-        self.node.downstream().record_run(self.new_class, run_us);
+        let now_us = self.node.timer.now_us();
+        let run_us = now_us.saturating_sub(self.started_us);
+        self.node
+            .downstream()
+            .record_run(self.new_class, run_us, now_us);
     }
 }
 
--- a/tests/supply_support/calls.rs
+++ b/tests/supply_support/calls.rs
@@ -157,7 +157,7 @@
         if let Some(started_us) = self.calls[call].started_us {
             let run_us = self.now_us - started_us;
             let new_class = parent.is_none().then_some(self.scenario.kinds[kind].class);
-            model_node.control.record_run(new_class, run_us);
+            model_node.control.record_run(new_class, run_us, now_us);
             if layer == Layer::DEEPEST {
                 self.outcome.slot_us += run_us;
                 let root = self.root(call);
