--- a/src/routing/completion.rs
+++ b/src/routing/completion.rs
@@ -23,6 +23,12 @@
 /// Work time that a target reports at its usual speed.
 const USUAL_WORK_TIME_PERCENT: f64 = 100.0;
 
+/// Share of free slots below which they no longer raise the cost; the wait does from there on.
+const MIN_FREE_RATIO: f64 = 0.02;
+/// Load from which requests begin to leave for a farther target, and load at which all of them do
+/// so. With an end of 1.05, a target once had queued requests beside idle slots for 300 ms.
+const LEAVING_LOAD_RATIO: (f64, f64) = (0.85, 1.0);
+
 /// Network round trip that is expected to a target before it was called, in microseconds.
 #[must_use]
 pub const fn round_trip_us(distance: Distance) -> f64 {
@@ -296,11 +302,6 @@
     }
 }
 
-/// Share of free slots below which they no longer raise the cost; the wait does from there on.
-const MIN_FREE_RATIO: f64 = 0.02;
-/// Load up to which a target has free capacity for its own zone.
-const LEAVING_LOAD_RATIO: (f64, f64) = (0.85, 1.05);
-
 /// Probability with which a request should go to a farther target instead of a nearer one.
 ///
 /// It grows with the load of the nearer one: 70 senders share its figure, and if all of them left
