--- a/tests/routing_completion.rs
+++ b/tests/routing_completion.rs
@@ -113,6 +113,19 @@
     }
 }
 
+/// Figures that arrive 5 to 500 ms late, in any order, describe queues that have changed: senders
+/// would leave and return together.
+#[test]
+fn the_goals_hold_with_figures_that_arrive_late() {
+    let mut setup = Setup::new(Way::CompletionOfTwo, 0.9);
+    setup.changes_work_time = false;
+    setup.figure_delay_us = 5_000..500_000;
+    let figures = Model::run(setup);
+    print_row("late figures", 0.9, Way::CompletionOfTwo, &figures);
+    assert!(figures.wait_ms(0.99) < SERVICE_MS);
+    assert!(figures.longest_imbalance_us <= MAX_IMBALANCE_US);
+}
+
 /// A target that misreports its work time, or whose figures stop, would get all requests or none.
 #[test]
 fn wrong_or_missing_figures_leave_a_target_its_share() {
--- a/tests/routing_support/model.rs
+++ b/tests/routing_support/model.rs
@@ -183,6 +183,12 @@
                 self.respond(job);
             }
             Event::Response(job, level) => self.receive(&job, level),
+            Event::Figure(sender, key, level) => {
+                let now_us = self.now_us;
+                self.senders[sender]
+                    .router
+                    .record_level(key, Class::Standard, level, now_us);
+            }
             Event::Tick => self.tick(),
             Event::Work => {
                 for target in 0..self.targets.len() {
@@ -343,9 +349,11 @@
             .router
             .end_attempt(key, result, latency_us, level, now_us);
         if let Some(level) = level {
-            sender
-                .router
-                .record_level(key, Class::Standard, level, now_us);
+            let delay_us = match self.setup.figure_delay_us.is_empty() {
+                true => 0,
+                false => self.rng.random_range(self.setup.figure_delay_us.clone()),
+            };
+            self.schedule(delay_us, Event::Figure(job.sender, key, level));
         }
     }
 
--- a/tests/routing_support/parts.rs
+++ b/tests/routing_support/parts.rs
@@ -138,6 +138,7 @@
     End(Job),
     Response(Job, Option<AdmissionLevel>),
     Tick,
+    Figure(usize, TargetKey, AdmissionLevel),
     Work,
     Fault(Fault),
 }
--- a/tests/routing_support/setup.rs
+++ b/tests/routing_support/setup.rs
@@ -40,6 +40,8 @@
     pub load_ratio: f64,
     pub duration_us: u64,
     pub seed: u64,
+    /// Time by which figures arrive later than the response; empty if at once.
+    pub figure_delay_us: std::ops::Range<u64>,
     pub changes_work_time: bool,
     /// Whether the demand follows the capacity of the moment, so that it never exceeds it.
     pub follows_capacity: bool,
@@ -66,6 +68,7 @@
             load_ratio,
             duration_us: 10_000_000,
             seed: 11,
+            figure_delay_us: 0..0,
             changes_work_time: true,
             follows_capacity: false,
             faults: Vec::new(),
