--- a/test.sh
+++ b/test.sh
@@ -9,5 +9,5 @@
 skips=()
 while read -r name; do
   skips+=(--skip "$name")
-done < <(sed -nE 's/^RED: cargo test .* ([a-z0-9_]+) \(.*/\1/p' KNOWN-RED.txt)
+done < <(sed -nE 's/^RED: cargo test (-p [a-z-]+ )?--test [a-z_]+ ([a-z0-9_]+) \(.*/\2/p' KNOWN-RED.txt)
 cargo test --workspace -- --test-threads "${TEST_THREADS:-6}" --exact "${skips[@]}"
