Test called services and failing calls of the supply rule

Guards the two faults of e2e trials: few requests without a key no longer make a called service, and failing calls lower the shares though supply is sufficient. The guard of requests in flight moves to a file of its own.

--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -4,6 +4,7 @@
 mod calls;
 mod evacuation;
 mod guarded;
+mod in_flight;
 mod loop_lag;
 mod route_table;
 mod start;
@@ -13,6 +14,7 @@
     admission_table::{AdmissionTable, DRAIN_ANNOUNCE_US, Ticket, admit},
     calls::{CallHandle, CallTable, InFlightCall},
     guarded::{Home, KeyGuard, dispatch, serve_at_home},
+    in_flight::InFlightGuard,
     loop_lag::LoopLag,
     route_table::{RouteTable, TargetLocation},
     start::{StartError, start},
@@ -53,7 +55,6 @@
 
 /// Value of [`Node::cut_off_since_ms`] while the node is not cut off.
 pub const NOT_CUT_OFF: u64 = u64::MAX;
-
 /// Types of the replaceable policies, chosen once at start.
 pub trait Policies: Send + Sync + 'static {
     /// Admission at the local target.
@@ -323,7 +324,7 @@
         if self.in_flight_count.fetch_add(1, Ordering::AcqRel) == 0 {
             self.first_request_arrived.notify_one();
         }
-        InFlightGuard(Arc::clone(self))
+        InFlightGuard::new(Arc::clone(self))
     }
 
     /// Time at which this node was cut off, in milliseconds of its timer, or
@@ -397,12 +398,3 @@
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().expect("lock is not poisoned")
 }
-
-/// Counts a request as in flight until dropped.
-pub struct InFlightGuard<P: Policies>(Arc<Node<P>>);
-
-impl<P: Policies> Drop for InFlightGuard<P> {
-    fn drop(&mut self) {
-        self.0.in_flight_count.fetch_sub(1, Ordering::AcqRel);
-    }
-}
--- a/tests/admission_chain_shares.rs
+++ b/tests/admission_chain_shares.rs
@@ -189,3 +189,59 @@
         assert_eq!(control.load_percent(), steps.load_percent());
     }
 }
+
+/// Callers may send a few requests without a key through any node. If these counted as calls of
+/// the node's target, a cycle of services would report each other's low supply for ever, and
+/// requests would be refused by an idle fleet.
+#[test]
+fn few_requests_without_a_key_do_not_make_a_called_service() {
+    struct Case {
+        name: &'static str,
+        runs_per_call: u64,
+        percent: u16,
+    }
+    let cases = [
+        Case {
+            name: "a request without a key for each 50 runs",
+            runs_per_call: 50,
+            percent: 0,
+        },
+        Case {
+            name: "a call for each second run",
+            runs_per_call: 2,
+            percent: 40,
+        },
+    ];
+    for case in cases {
+        let mut below = BelowSupply::new();
+        for index in 0..1000 {
+            let now_us = index * 2000;
+            below.record_run(now_us);
+            if index % case.runs_per_call == 0 {
+                below.record_level(SERVICE, supply_level(40, 0), now_us);
+            }
+        }
+        assert_eq!(below.percent(2_000_000), case.percent, "{}", case.name);
+    }
+}
+
+/// A target that sheds whatever it is sent has free slots. By supply alone all call trees begin,
+/// and nearly all fail midway.
+#[test]
+fn failing_calls_lower_the_shares_though_supply_suffices() {
+    let mut control = DownstreamControl::new(DownstreamChoice::Supply);
+    let mut now_us = 0;
+    let mut run = |control: &mut DownstreamControl, fails: bool| {
+        for _ in 0..1500 {
+            now_us += 2000;
+            control.record_run(Some(Class::Browse), 300_000, now_us);
+            control.record_call(fails, now_us);
+            control.record_level(SERVICE, supply_level(400, 0), now_us);
+        }
+        control.share(Class::Browse)
+    };
+    assert_eq!(run(&mut control, false), 1.0);
+    let share = run(&mut control, true);
+    assert!(share < 0.3, "{share}");
+    assert_eq!(run(&mut control, false), 1.0);
+}
