Follow supply beside targets that report how long their work takes

The steps aim at a share of the announced slots, which is no measure of capacity where the speed of targets changes.

--- a/src/admission/downstream_control.rs
+++ b/src/admission/downstream_control.rs
@@ -17,6 +17,8 @@
 #[derive(Debug, Clone)]
 pub struct DownstreamControl {
     choice: DownstreamChoice,
+    /// Whether the local target has reported how long its work takes.
+    reports_work_time: bool,
     steps: DownstreamAdmission,
     supply: BelowSupply,
     chain_shares: ChainShares,
@@ -28,12 +30,18 @@
     pub fn new(choice: DownstreamChoice) -> Self {
         Self {
             choice,
+            reports_work_time: false,
             steps: DownstreamAdmission::new(),
             supply: BelowSupply::new(),
             chain_shares: ChainShares::new(),
         }
     }
 
+    /// Records that the local target reports how long its work takes.
+    pub const fn record_work_time(&mut self) {
+        self.reports_work_time = true;
+    }
+
     /// Records the end of a downstream call of the local target.
     pub fn record_call(&mut self, has_failed: bool, now_us: u64) {
         self.steps.record_call(has_failed, now_us);
@@ -70,9 +78,9 @@
     /// Whether a new request of this class is admitted. `ranked_class` takes the class of its
     /// workspace into account; `draw` is uniform between 0 and 1.
     pub fn admits(&mut self, class: Class, ranked_class: Class, draw: f64, now_us: u64) -> bool {
-        match self.choice {
-            DownstreamChoice::Steps => self.steps.admits(class, ranked_class, draw, now_us),
-            DownstreamChoice::Supply => {
+        match self.follows_supply() {
+            false => self.steps.admits(class, ranked_class, draw, now_us),
+            true => {
                 if self.supply.ratio(now_us).is_none() {
                     self.chain_shares.rise_unmeasured(now_us);
                 }
@@ -89,10 +97,10 @@
     /// Admitted share of this class, 0 to 1.
     #[must_use]
     pub fn share(&self, class: Class) -> f64 {
-        match self.choice {
-            DownstreamChoice::Steps => self.steps.share(class),
-            DownstreamChoice::Supply if !self.steps.depends_on_calls(class) => 1.0,
-            DownstreamChoice::Supply => self.chain_shares.share(class),
+        match self.follows_supply() {
+            false => self.steps.share(class),
+            true if !self.steps.depends_on_calls(class) => 1.0,
+            true => self.chain_shares.share(class),
         }
     }
 
@@ -102,6 +110,14 @@
         self.steps.load_percent()
     }
 
+    const fn follows_supply(&self) -> bool {
+        match self.choice {
+            DownstreamChoice::Steps => false,
+            DownstreamChoice::Supply => true,
+            DownstreamChoice::Auto => self.reports_work_time,
+        }
+    }
+
     fn update_shares(&mut self, now_us: u64) {
         match self.ratio(now_us) {
             Some(ratio) => self.chain_shares.record_ratio(ratio, now_us),
--- a/src/cli/room.rs
+++ b/src/cli/room.rs
@@ -10,7 +10,7 @@
     std::collections::BTreeMap,
 };
 
-/// Nodes that told of their target, and those that did not answer.
+/// Nodes that reported their target, and those that did not respond.
 struct Answers {
     answered: Vec<NodeRoom>,
     silent: Vec<SilentNode>,
@@ -39,7 +39,7 @@
     Ok(Finished::new(exit, &report))
 }
 
-/// Asks all nodes that answered before.
+/// Asks all nodes that responded before.
 async fn ask(fleet: &Fleet, view: FleetView) -> Answers {
     let services = services_by_node(&view);
     let (reached, unreached): (Vec<_>, Vec<_>) = view
@@ -81,7 +81,7 @@
     Answers { answered, silent }
 }
 
-/// Services of all nodes, as the members that answered know them.
+/// Services of all nodes, as known to the members that responded.
 fn services_by_node(view: &FleetView) -> BTreeMap<String, String> {
     let statuses = view
         .nodes
--- a/src/egress/announce.rs
+++ b/src/egress/announce.rs
@@ -60,6 +60,9 @@
         node.metrics.invalid_reports.inc();
         event!(Event::LoadReportInvalid, "node={}", node.settings.node_id);
     }
+    if load.work_time.percent().is_some() {
+        node.downstream().record_work_time();
+    }
     let report = LoadReport {
         busy_ratio: load.busy_ratio,
         waiting_count: load.waiting_count,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -49,6 +49,9 @@
     /// Admitted shares follow the work that downstream services can complete, as a ratio of the
     /// work offered to them.
     Supply,
+    /// `supply` beside a target that reports how long its work takes, otherwise `steps`. The steps
+    /// aim at a share of the announced slots, which is no measure of capacity where speeds change.
+    Auto,
 }
 
 /// Cost by which a target is chosen.
--- a/tests/admission_chain_shares.rs
+++ b/tests/admission_chain_shares.rs
@@ -245,3 +245,20 @@
     assert!(share < 0.3, "{share}");
     assert_eq!(run(&mut control, false), 1.0);
 }
+
+/// Deployments whose targets do not report how long work takes are to be served by the steps as
+/// before.
+#[test]
+fn auto_follows_supply_only_beside_a_target_that_reports_its_work_time() {
+    for (reports_work_time, follows_supply) in [(false, false), (true, true)] {
+        let mut control = DownstreamControl::new(DownstreamChoice::Auto);
+        if reports_work_time {
+            control.record_work_time();
+        }
+        for index in 0..100 {
+            control.record_level(SERVICE, supply_level(40, 0), index * 5000);
+        }
+        let share = control.share(Class::Browse);
+        assert_eq!(share < 0.5, follows_supply, "{share}");
+    }
+}
