Log leave notices with their kind, and sends to a target that leaves

A heartbeat that said draining left no line at all, and no line told whether a notice was the first that the node's process got.

No decision changes.

--- a/src/egress/announce.rs
+++ b/src/egress/announce.rs
@@ -102,6 +102,7 @@
         connection_count,
     };
     let was_end_planned = is_end_planned(node);
+    let was_draining = is_target_draining(node);
     let was_cold = node.target.gate().is_cold(now_us);
     let has_restarted = node.target.announce(target, cold_left_ms, now_us);
     let process_id = node.target.process_id();
@@ -119,11 +120,18 @@
             admission.drain(now_us);
         }
     }
+    let age_ms = now_us / 1000;
     if has_restarted {
         node.quarantine.replace_process(was_end_planned, now_us);
         event!(
             Event::TargetAnnounced,
-            "service={service} instance={instance_id} slots={slot_count} cold_left_ms={cold_left_ms}"
+            "service={service} instance={instance_id} slots={slot_count} cold_left_ms={cold_left_ms} draining={is_draining} sequence={sequence:?} node_age_ms={age_ms}"
+        );
+    }
+    if is_draining && (has_restarted || !was_draining) {
+        event!(
+            Event::TargetLeaving,
+            "notice=heartbeat instance={instance_id} sequence={sequence:?} is_first_notice={has_restarted} node_age_ms={age_ms}"
         );
     }
     if cold_left_ms > 0 && !was_cold {
@@ -148,9 +156,10 @@
     let is_present = node
         .registration()
         .record_leave(instance_id, started_unix_ms);
+    let age_ms = node.timer.now_ms();
     event!(
         Event::TargetLeaving,
-        "instance={instance_id} is_present={is_present}"
+        "notice=leave instance={instance_id} is_present={is_present} node_age_ms={age_ms}"
     );
     if !is_present {
         return;
@@ -158,10 +167,20 @@
     drain_target(node);
 }
 
+fn is_target_draining<P: Policies>(node: &Node<P>) -> bool {
+    let own_state = node.own_state.borrow();
+    let target = own_state.target.as_ref();
+    target.is_some_and(|target| target.draining)
+}
+
 /// Records that the local target said in a response that it leaves.
 pub fn record_leaving_response<P: Policies>(node: &Node<P>) {
     if node.target.set_leaving() {
-        event!(Event::TargetLeaving, "is_present=true");
+        let age_ms = node.timer.now_ms();
+        event!(
+            Event::TargetLeaving,
+            "notice=response is_present=true node_age_ms={age_ms}"
+        );
         drain_target(node);
     }
 }
--- a/src/node/admission_table.rs
+++ b/src/node/admission_table.rs
@@ -131,6 +131,13 @@
         });
     }
 
+    /// Time since the drain started, in microseconds.
+    #[must_use]
+    pub fn drain_age_us(&self, now_us: u64) -> Option<u64> {
+        let drain = self.drain.as_ref()?;
+        Some(now_us.saturating_sub(drain.started_us))
+    }
+
     /// Refuses all queued requests as not run; later arrivals are still admitted.
     pub fn refuse_waiting(&mut self, now_us: u64) {
         self.with_policy(|policy, decisions| policy.refuse_waiting(now_us, decisions));
--- a/src/target/gate_check.rs
+++ b/src/target/gate_check.rs
@@ -3,8 +3,10 @@
 use {
     super::{GateClosed, Priority},
     crate::{
+        event,
+        events::Event,
         model::{Reason, Refusal, RequestContext, ServiceKey, begins_chain},
-        node::{Node, Policies},
+        node::{DRAIN_ANNOUNCE_US, Node, Policies},
     },
 };
 
@@ -22,15 +24,40 @@
     checked.map_err(to_refusal)
 }
 
-/// Checks and counts a request that is sent immediately afterwards.
-pub fn try_pass_gate<P: Policies>(node: &Node<P>, context: &RequestContext) -> Result<(), Refusal> {
+/// Checks and counts a request, admitted at `admitted_us`, that is sent immediately afterwards.
+pub fn try_pass_gate<P: Policies>(
+    node: &Node<P>,
+    context: &RequestContext,
+    admitted_us: u64,
+) -> Result<(), Refusal> {
     let (priority, cold_limit_per_s) = (priority(context), cold_limit_per_s(node, context.service));
     let now_us = node.timer.now_us();
     let passed = node
         .target
         .gate()
         .try_pass(priority, cold_limit_per_s, now_us);
-    passed.map_err(to_refusal)
+    passed.map_err(to_refusal)?;
+    log_late_send(node, context, admitted_us, now_us);
+    Ok(())
+}
+
+/// Logs a send at a time at which the leaving target accepts no requests any more.
+fn log_late_send<P: Policies>(
+    node: &Node<P>,
+    context: &RequestContext,
+    admitted_us: u64,
+    now_us: u64,
+) {
+    let drain_age_us = node.admission().drain_age_us(now_us);
+    let Some(age_us) = drain_age_us.filter(|age_us| *age_us >= DRAIN_ANNOUNCE_US) else {
+        return;
+    };
+    let (id, since_leave_ms) = (context.request_id, age_us / 1000);
+    let since_admission_ms = now_us.saturating_sub(admitted_us) / 1000;
+    event!(
+        Event::LeavingTargetUsed,
+        "request={id} since_leave_ms={since_leave_ms} since_admission_ms={since_admission_ms}"
+    );
 }
 
 fn priority(context: &RequestContext) -> Priority {
--- a/src/target/serve.rs
+++ b/src/target/serve.rs
@@ -232,7 +232,7 @@
     let remaining_ms = remaining_us / 1000;
     let request = identify(context, outbound);
     let sent_us = node.timer.now_us();
-    let try_pass = || try_pass_gate(node, context);
+    let try_pass = || try_pass_gate(node, context, sent_us);
     let sent = exchange(
         &node.dialect,
         &node.target,
