Keep the leave of a target that the node does not know yet

Callers saw requests run at a target whose leave had been acknowledged; on a service that is replaced, work is cut off when the target exits.

Cause: Registration::record_leave kept nothing without a current process, but the notice was acknowledged. A heartbeat sent before the leave and delivered after it then registered the target as ready. Nodes that have just been killed and started are in that state until the first heartbeat.

The leave of an unknown process is now kept, by id and start, and its heartbeats are outdated, as they are after the leave of a known one.

--- a/src/egress/announce.rs
+++ b/src/egress/announce.rs
@@ -84,9 +84,10 @@
         sequence,
         cold_left_ms,
     } = heartbeat;
+    let now_us = node.timer.now_us();
     let notice_status =
         node.registration()
-            .record_heartbeat(&instance_id, started_unix_ms, sequence);
+            .record_heartbeat(&instance_id, started_unix_ms, sequence, now_us);
     if notice_status == NoticeStatus::Outdated {
         event!(
             Event::NoticeOutdated,
@@ -94,7 +95,6 @@
         );
         return;
     }
-    let now_us = node.timer.now_us();
     let target = PoolTarget {
         instance_id: instance_id.clone(),
         port,
@@ -153,10 +153,11 @@
 }
 
 fn record_leave<P: Policies>(node: &Node<P>, instance_id: &str, started_unix_ms: Option<u64>) {
+    let now_us = node.timer.now_us();
     let is_present = node
         .registration()
-        .record_leave(instance_id, started_unix_ms);
-    let age_ms = node.timer.now_ms();
+        .record_leave(instance_id, started_unix_ms, now_us);
+    let age_ms = now_us / 1000;
     event!(
         Event::TargetLeaving,
         "notice=leave instance={instance_id} is_present={is_present} node_age_ms={age_ms}"
--- a/src/target/mod.rs
+++ b/src/target/mod.rs
@@ -1,5 +1,6 @@
 //! The local target: send limits, connections and requests.
 
+mod departed;
 mod exchange;
 mod gate;
 mod gate_check;
--- a/src/target/registration.rs
+++ b/src/target/registration.rs
@@ -1,5 +1,7 @@
 //! Tracks which target process is the current one from its heartbeats and leave notices.
 
+use super::departed::DepartedProcesses;
+
 /// How a notice of the target relates to earlier ones.
 #[derives::key]
 pub enum NoticeStatus {
@@ -28,13 +30,17 @@
 #[derive(Debug, Default)]
 pub struct Registration {
     current: Option<Process>,
+    departed: DepartedProcesses,
 }
 
 impl Registration {
     /// Creates a registration without a process.
     #[must_use]
     pub const fn new() -> Self {
-        Self { current: None }
+        Self {
+            current: None,
+            departed: DepartedProcesses::new(),
+        }
     }
 
     /// Records a heartbeat of a process.
@@ -43,7 +49,11 @@
         instance_id: &str,
         started_unix_ms: u64,
         sequence: Option<u64>,
+        now_us: u64,
     ) -> NoticeStatus {
+        if self.departed.contains(instance_id, started_unix_ms, now_us) {
+            return NoticeStatus::Outdated;
+        }
         let status = self.classify(instance_id, started_unix_ms, sequence);
         match (status, &mut self.current) {
             (NoticeStatus::NewProcess, current) => {
@@ -60,20 +70,26 @@
         status
     }
 
-    /// Records that a process shuts down for good; returns whether it is the current
-    /// one.
-    pub fn record_leave(&mut self, instance_id: &str, started_unix_ms: Option<u64>) -> bool {
-        let Some(process) = &mut self.current else {
-            return false;
-        };
-        let has_same_start = started_unix_ms.is_none_or(|started_unix_ms| {
-            started_unix_ms == process.started_unix_ms
-                || started_unix_ms == 0
+    /// Records that a process shuts down for good; returns whether it is the current one.
+    ///
+    /// The leave of an unknown process is kept too: its heartbeats may still be on their way.
+    pub fn record_leave(
+        &mut self,
+        instance_id: &str,
+        started_unix_ms: Option<u64>,
+        now_us: u64,
+    ) -> bool {
+        let started_unix_ms = started_unix_ms.unwrap_or(0);
+        let current = self.current.as_mut().filter(|process| {
+            let has_same_start = started_unix_ms == 0
                 || process.started_unix_ms == 0
+                || started_unix_ms == process.started_unix_ms;
+            process.instance_id == instance_id && has_same_start
         });
-        if process.instance_id != instance_id || !has_same_start {
+        let Some(process) = current else {
+            self.departed.insert(instance_id, started_unix_ms, now_us);
             return false;
-        }
+        };
         process.has_left = true;
         true
     }
--- a/tests/target_registration.rs
+++ b/tests/target_registration.rs
@@ -73,11 +73,11 @@
         for (index, (notice, expected)) in case.notices.into_iter().enumerate() {
             let status = match notice {
                 Alive(instance_id, started_unix_ms, sequence) => Some(
-                    registration.record_heartbeat(instance_id, started_unix_ms, Some(sequence)),
+                    registration.record_heartbeat(instance_id, started_unix_ms, Some(sequence), 0),
                 ),
                 Leave(instance_id, started_unix_ms) => {
                     assert!(
-                        registration.record_leave(instance_id, started_unix_ms),
+                        registration.record_leave(instance_id, started_unix_ms, 0),
                         "{}: {index}",
                         case.name
                     );
@@ -122,8 +122,88 @@
     ];
     for case in cases {
         let mut registration = Registration::new();
-        registration.record_heartbeat("i-2", 200, Some(1));
-        let is_applied = registration.record_leave(case.leave.0, case.leave.1);
+        registration.record_heartbeat("i-2", 200, Some(1), 0);
+        let is_applied = registration.record_leave(case.leave.0, case.leave.1, 0);
         assert_eq!(is_applied, case.is_applied, "{}", case.name);
     }
 }
+
+/// Guards against a leave notice that is forgotten because it arrives before the heartbeats of
+/// its process, at a node that has just started.
+#[test]
+fn a_leave_before_the_first_heartbeat_holds() {
+    struct Case {
+        name: &'static str,
+        is_known_before: bool,
+        leave: (&'static str, Option<u64>),
+        /// Instance id, start and time of a heartbeat after the leave.
+        heartbeat: (&'static str, u64, u64),
+        expected: NoticeStatus,
+    }
+    const SECOND_US: u64 = 1_000_000;
+    let cases = [
+        Case {
+            name: "same process",
+            is_known_before: false,
+            leave: ("i-2", Some(200)),
+            heartbeat: ("i-2", 200, 3 * SECOND_US),
+            expected: NoticeStatus::Outdated,
+        },
+        Case {
+            name: "same process, much later",
+            is_known_before: false,
+            leave: ("i-2", Some(200)),
+            heartbeat: ("i-2", 200, 600 * SECOND_US),
+            expected: NoticeStatus::Outdated,
+        },
+        Case {
+            name: "same process, beside an earlier one",
+            is_known_before: true,
+            leave: ("i-2", Some(200)),
+            heartbeat: ("i-2", 200, SECOND_US),
+            expected: NoticeStatus::Outdated,
+        },
+        Case {
+            name: "leave without a start",
+            is_known_before: false,
+            leave: ("i-2", None),
+            heartbeat: ("i-2", 200, 3 * SECOND_US),
+            expected: NoticeStatus::Outdated,
+        },
+        Case {
+            name: "the instance started again under its id",
+            is_known_before: false,
+            leave: ("i-2", Some(200)),
+            heartbeat: ("i-2", 300, SECOND_US),
+            expected: NoticeStatus::NewProcess,
+        },
+        Case {
+            name: "the instance started again long after a leave without a start",
+            is_known_before: false,
+            leave: ("i-2", None),
+            heartbeat: ("i-2", 300, 60 * SECOND_US),
+            expected: NoticeStatus::NewProcess,
+        },
+        Case {
+            name: "another instance",
+            is_known_before: false,
+            leave: ("i-2", Some(200)),
+            heartbeat: ("i-3", 200, SECOND_US),
+            expected: NoticeStatus::NewProcess,
+        },
+    ];
+    for case in cases {
+        let mut registration = Registration::new();
+        if case.is_known_before {
+            registration.record_heartbeat("i-1", 100, Some(9), 0);
+        }
+        assert!(
+            !registration.record_leave(case.leave.0, case.leave.1, 0),
+            "{}",
+            case.name
+        );
+        let (instance_id, started_unix_ms, now_us) = case.heartbeat;
+        let status = registration.record_heartbeat(instance_id, started_unix_ms, Some(5), now_us);
+        assert_eq!(status, case.expected, "{}", case.name);
+    }
+}
