Count the limits of a drain from the first notice of the leave

Callers saw requests run at a target later than promised after its leave was acknowledged, when the node beside it had been restarted, or had taken the target for lost, and the sender did not know of the leave: it had stood still meanwhile.

Cause: the drain belonged to the admission policy of one process of the node and of one registration of the target. Both were replaced while the target went on, and the next heartbeat that said draining began a new second of accepted requests and 1.5 s of queue.

The registration now keeps since when its process leaves, also over a silence of the target. A process whose first notice at this node already says so, although it is older than the node, may have been acknowledged at any time: it gets nothing any more. A target without id and start is forgotten with its silence, since the next one looks the same. The limits are pure state in admission/drain.rs.

--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -7,6 +7,7 @@
 mod delay;
 mod downstream;
 mod downstream_control;
+mod drain;
 mod limit;
 mod objective_queue;
 mod queue;
@@ -31,6 +32,7 @@
     chain_shares::ChainShares,
     downstream::DownstreamAdmission,
     downstream_control::DownstreamControl,
+    drain::{DRAIN_ANNOUNCE_US, Drain},
     limit::{ConcurrencyLimit, MIN_LIMIT, REPORT_AGE_LIMIT_US},
     queueing_delay::queueing_delay_us,
     reported_load::ReportedLoad,
--- a/src/egress/announce.rs
+++ b/src/egress/announce.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        admission::{LoadReport, TargetSize},
+        admission::{Drain, LoadReport, TargetSize},
         dialect::{
             Dialect, Heartbeat, NoticeError, TargetLoad, TargetNotice, TargetState, WorkTime,
         },
@@ -12,7 +12,7 @@
         membership::Announcement,
         node::{Node, Policies},
         quarantine::is_end_planned,
-        target::{NoticeStatus, PoolTarget},
+        target::{NoticeStatus, PoolTarget, ProcessNotice},
     },
     hyper::{Request, Response, body::Incoming},
 };
@@ -85,9 +85,17 @@
         cold_left_ms,
     } = heartbeat;
     let now_us = node.timer.now_us();
-    let notice_status =
-        node.registration()
-            .record_heartbeat(&instance_id, started_unix_ms, sequence, now_us);
+    let notice = ProcessNotice {
+        instance_id: &instance_id,
+        started_unix_ms,
+        sequence,
+        is_leaving: state == TargetState::Draining,
+    };
+    let (notice_status, leave_start) = {
+        let mut registration = node.registration();
+        let status = registration.record_heartbeat(notice, now_us);
+        (status, registration.leave_start())
+    };
     if notice_status == NoticeStatus::Outdated {
         event!(
             Event::NoticeOutdated,
@@ -111,13 +119,16 @@
         connection_count,
         is_exact: P::Dialect::SLOTS_ARE_EXACT,
     };
-    let is_draining = state == TargetState::Draining || node.target.is_leaving();
+    let is_draining = leave_start.is_some();
     {
         let mut admission = node.admission();
         admission.set_size(size, has_restarted, now_us);
+        if let Some(leave_start) = leave_start {
+            admission.drain(Drain::of_leave(leave_start, now_us));
+        }
         // Also for a target that starts while its node drains.
-        if is_draining || node.is_draining() {
-            admission.drain(now_us);
+        if node.is_draining() {
+            admission.drain(Drain::new(now_us));
         }
     }
     let age_ms = now_us / 1000;
@@ -177,6 +188,7 @@
 /// Records that the local target said in a response that it leaves.
 pub fn record_leaving_response<P: Policies>(node: &Node<P>) {
     if node.target.set_leaving() {
+        node.registration().record_leaving(node.timer.now_us());
         let age_ms = node.timer.now_ms();
         event!(
             Event::TargetLeaving,
@@ -187,7 +199,11 @@
 }
 
 fn drain_target<P: Policies>(node: &Node<P>) {
-    node.admission().drain(node.timer.now_us());
+    let leave_start = node.registration().leave_start();
+    if let Some(leave_start) = leave_start {
+        let now_us = node.timer.now_us();
+        node.admission().drain(Drain::of_leave(leave_start, now_us));
+    }
     node.own_state.send_if_modified(|own_state| {
         let Some(target) = &mut own_state.target else {
             return false;
--- a/src/node/admission_table.rs
+++ b/src/node/admission_table.rs
@@ -4,8 +4,8 @@
     super::{Node, Policies},
     crate::{
         admission::{
-            AdmissionPolicy, Arrival, Decision, LoadReport, ReportedLoad, TargetResult, TargetSize,
-            TicketKey,
+            AdmissionPolicy, Arrival, Decision, Drain, LoadReport, ReportedLoad, TargetResult,
+            TargetSize, TicketKey,
         },
         model::{AdmissionLevel, Class, Reason, Refusal},
         settings::QueueOrder,
@@ -14,17 +14,6 @@
     tokio::sync::oneshot,
 };
 
-/// Time from the start of a drain in which arriving requests are still admitted,
-/// while the drain propagates to other nodes.
-///
-/// Refusing at once would use up retries of every request that other nodes have
-/// already sent, and callers would see refusals during a planned shutdown.
-pub const DRAIN_ANNOUNCE_US: u64 = 1_000_000;
-/// Time from the start of a drain in which queued requests may still start. A
-/// departing target must not receive new work after 2 s; requests that still wait
-/// are refused as not run and sent to other targets.
-const DRAIN_QUEUE_US: u64 = 1_500_000;
-
 type AdmissionResult = Result<(), Refusal>;
 
 /// The admission policy and the requests that wait for its decision.
@@ -39,15 +28,15 @@
     epoch: u64,
     waiting: HashMap<TicketKey, oneshot::Sender<AdmissionResult>>,
     decisions: Vec<Decision>,
-    drain: Option<Drain>,
+    drain: Option<DrainProgress>,
     announced_us: Option<u64>,
     work_time_reported_us: Option<u64>,
 }
 
 /// Progress of a drain.
 #[derive(Debug, Clone, Copy)]
-struct Drain {
-    started_us: u64,
+struct DrainProgress {
+    drain: Drain,
     refuses_arrivals: bool,
     has_refused_waiting: bool,
 }
@@ -121,21 +110,21 @@
         &self.reported_load
     }
 
-    /// Starts to drain, which is propagated upstream at once. Arriving requests are
-    /// refused after [`DRAIN_ANNOUNCE_US`], queued ones after `DRAIN_QUEUE_US`.
-    pub fn drain(&mut self, now_us: u64) {
-        self.drain.get_or_insert(Drain {
-            started_us: now_us,
+    /// Drains, which is propagated upstream at once. Of several drains, the limits that end first
+    /// count.
+    pub fn drain(&mut self, drain: Drain) {
+        let progress = self.drain.get_or_insert(DrainProgress {
+            drain,
             refuses_arrivals: false,
             has_refused_waiting: false,
         });
+        progress.drain = progress.drain.earliest(drain);
     }
 
-    /// Time since the drain started, in microseconds.
+    /// The drain in progress.
     #[must_use]
-    pub fn drain_age_us(&self, now_us: u64) -> Option<u64> {
-        let drain = self.drain.as_ref()?;
-        Some(now_us.saturating_sub(drain.started_us))
+    pub fn drain_in_progress(&self) -> Option<Drain> {
+        self.drain.as_ref().map(|progress| progress.drain)
     }
 
     /// Refuses all queued requests as not run; later arrivals are still admitted.
@@ -188,14 +177,14 @@
     }
 
     fn advance_drain(&mut self, now_us: u64) {
-        let Some(drain) = &mut self.drain else {
+        let Some(progress) = &mut self.drain else {
             return;
         };
-        let elapsed_us = now_us.saturating_sub(drain.started_us);
-        let starts_refusing = elapsed_us >= DRAIN_ANNOUNCE_US && !drain.refuses_arrivals;
-        let ends_queue = elapsed_us >= DRAIN_QUEUE_US && !drain.has_refused_waiting;
-        drain.refuses_arrivals |= starts_refusing;
-        drain.has_refused_waiting |= ends_queue;
+        let starts_refusing =
+            !progress.drain.accepts_arrivals(now_us) && !progress.refuses_arrivals;
+        let ends_queue = !progress.drain.allows_starts(now_us) && !progress.has_refused_waiting;
+        progress.refuses_arrivals |= starts_refusing;
+        progress.has_refused_waiting |= ends_queue;
         if starts_refusing {
             self.with_policy(|policy, _| policy.drain());
         }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -5,13 +5,14 @@
 mod evacuation;
 mod guarded;
 mod in_flight;
+mod level;
 mod loop_lag;
 mod route_table;
 mod start;
 mod tasks;
 
 pub use {
-    admission_table::{AdmissionTable, DRAIN_ANNOUNCE_US, Ticket, admit},
+    admission_table::{AdmissionTable, Ticket, admit},
     calls::{CallHandle, CallTable, InFlightCall},
     guarded::{Home, KeyGuard, dispatch, serve_at_home},
     in_flight::InFlightGuard,
@@ -32,7 +33,7 @@
         exchange::OutboundRequest,
         freshness::{Freshness, Snapshot},
         membership::{MemberProbes, OwnState, View},
-        model::{AdmissionLevel, Class, Names, RegionKey, RegionSet, WorkspaceKey},
+        model::{Names, RegionKey, RegionSet, WorkspaceKey},
         peer::{FleetAuth, SeenAttempts},
         quarantine::Quarantine,
         quota::QuotaGate,
@@ -197,6 +198,7 @@
             floor_count: inputs.settings.retry_floor,
         });
         let downstream = DownstreamControl::new(inputs.settings.downstream_admission);
+        let registration = Registration::new().with_node_start(inputs.timer.steady_unix_ms());
         Arc::new(Self {
             auth,
             seen_attempts: SeenAttempts::new(),
@@ -227,7 +229,7 @@
             routes: Mutex::new(routes),
             retries: Mutex::new(retries),
             calls: Mutex::new(CallTable::new()),
-            registration: Mutex::new(Registration::new()),
+            registration: Mutex::new(registration),
             downstream: Mutex::new(downstream),
             loop_lag: Mutex::new(LoopLag::new()),
             refusals: Mutex::new(RefusalRecord::new()),
@@ -339,26 +341,6 @@
         lock(&self.admission)
     }
 
-    /// Admission level propagated upstream in responses to requests of this class.
-    #[must_use]
-    pub fn level(&self, class: Class) -> AdmissionLevel {
-        let now_us = self.timer.now_us();
-        let level = self.admission().level(class, now_us);
-        let cold_percent = self.target.gate().load_percent(now_us);
-        let lag_percent = self.loop_lag().load_percent();
-        let (below_percent, below_supply_percent) = {
-            let downstream = self.downstream();
-            (downstream.load_percent(), downstream.supply_percent(now_us))
-        };
-        AdmissionLevel {
-            load_percent: level.load_percent.max(lag_percent).max(cold_percent),
-            below_percent,
-            below_supply_percent,
-            draining: level.draining || self.is_draining(),
-            ..level
-        }
-    }
-
     /// Known targets and the routing policy.
     pub fn routes(&self) -> MutexGuard<'_, RouteTable<P::Routing>> {
         lock(&self.routes)
--- a/src/node/tasks.rs
+++ b/src/node/tasks.rs
@@ -110,6 +110,7 @@
 fn remove_silent_target<P: Policies>(node: &Node<P>, now_ms: u64) {
     if node.target.remove_if_silent(now_ms, TARGET_SILENCE_MS) {
         event!(Event::TargetLost, "silent_ms={TARGET_SILENCE_MS}");
+        node.registration().record_silence();
         node.own_state.send_modify(|own| own.target = None);
     }
 }
--- a/src/shutdown/mod.rs
+++ b/src/shutdown/mod.rs
@@ -5,9 +5,10 @@
 
 use {
     crate::{
+        admission::{DRAIN_ANNOUNCE_US, Drain},
         event,
         events::Event,
-        node::{DRAIN_ANNOUNCE_US, Node, Policies},
+        node::{Node, Policies},
         timer::TICK_MS,
     },
     std::{
@@ -33,7 +34,7 @@
     }
     let started_ms = node.timer.now_ms();
     let now_us = node.timer.now_us();
-    node.admission().drain(now_us);
+    node.admission().drain(Drain::new(now_us));
     let accept_duration = Duration::from_millis(node.settings.drain_accept_ms);
     tokio::time::sleep(accept_duration.max(Duration::from_micros(DRAIN_ANNOUNCE_US))).await;
     node.callers_closing.cancel();
--- a/src/target/gate_check.rs
+++ b/src/target/gate_check.rs
@@ -6,7 +6,7 @@
         event,
         events::Event,
         model::{Reason, Refusal, RequestContext, ServiceKey, begins_chain},
-        node::{DRAIN_ANNOUNCE_US, Node, Policies},
+        node::{Node, Policies},
     },
 };
 
@@ -48,11 +48,11 @@
     admitted_us: u64,
     now_us: u64,
 ) {
-    let drain_age_us = node.admission().drain_age_us(now_us);
-    let Some(age_us) = drain_age_us.filter(|age_us| *age_us >= DRAIN_ANNOUNCE_US) else {
+    let drain = node.admission().drain_in_progress();
+    let Some(drain) = drain.filter(|drain| !drain.accepts_arrivals(now_us)) else {
         return;
     };
-    let (id, since_leave_ms) = (context.request_id, age_us / 1000);
+    let (id, since_leave_ms) = (context.request_id, drain.age_us(now_us) / 1000);
     let since_admission_ms = now_us.saturating_sub(admitted_us) / 1000;
     event!(
         Event::LeavingTargetUsed,
--- a/src/target/mod.rs
+++ b/src/target/mod.rs
@@ -15,6 +15,6 @@
     gate::{GateClosed, Priority, SendGate},
     named_limit::NamedLimit,
     pool::{PoolError, PoolTarget, PooledConnection, TargetPool, UNKNOWN_PROCESS_ID},
-    registration::{NoticeStatus, Registration},
+    registration::{LeaveStart, NoticeStatus, ProcessNotice, Registration},
     serve::serve_local,
 };
--- a/src/target/pool.rs
+++ b/src/target/pool.rs
@@ -177,12 +177,6 @@
         state.target.is_some() && !std::mem::replace(&mut state.is_leaving, true)
     }
 
-    /// Whether the target said in a response that it leaves.
-    #[must_use]
-    pub fn is_leaving(&self) -> bool {
-        self.lock_state().is_leaving
-    }
-
     /// Process id of the target if it said in a response that it leaves.
     #[must_use]
     pub fn leaving_process_id(&self) -> u64 {
--- a/src/target/registration.rs
+++ b/src/target/registration.rs
@@ -1,4 +1,5 @@
-//! Tracks which target process is the current one from its heartbeats and leave notices.
+//! Tracks which target process is the current one, and whether it leaves, from its heartbeats
+//! and leave notices.
 
 use super::departed::DepartedProcesses;
 
@@ -14,12 +15,52 @@
     Outdated,
 }
 
+/// Since when a target process leaves.
+#[derives::key]
+pub enum LeaveStart {
+    /// The first notice of it arrived at this time of the node's timer, in microseconds.
+    NoticedUs(u64),
+    /// The first notice of the process that this node got already said so: an earlier process of
+    /// the node may have acknowledged it at any time before.
+    BeforeNode,
+}
+
+/// A heartbeat as far as it concerns the process that sent it.
+#[derive(Debug, Clone, Copy)]
+pub struct ProcessNotice<'a> {
+    /// Instance id; empty where targets have none.
+    pub instance_id: &'a str,
+    /// Start of the process in milliseconds since the Unix epoch; 0 if not reported.
+    pub started_unix_ms: u64,
+    /// Increases with each heartbeat of a process; `None` if heartbeats arrive in order.
+    pub sequence: Option<u64>,
+    /// Whether it says that the process leaves.
+    pub is_leaving: bool,
+}
+
 #[derive(Debug)]
 struct Process {
     instance_id: String,
     started_unix_ms: u64,
     sequence: Option<u64>,
     has_left: bool,
+    /// Whether the process has been known not to leave since this node started.
+    is_confirmed: bool,
+    leave_start: Option<LeaveStart>,
+}
+
+impl Process {
+    const fn is_identified(&self) -> bool {
+        !self.instance_id.is_empty() || self.started_unix_ms != 0
+    }
+
+    fn begin_leave(&mut self, now_us: u64) {
+        let start = match self.is_confirmed {
+            true => LeaveStart::NoticedUs(now_us),
+            false => LeaveStart::BeforeNode,
+        };
+        self.leave_start.get_or_insert(start);
+    }
 }
 
 /// The current target process. Pure state: performs no I/O and reads no clock.
@@ -31,6 +72,7 @@
 pub struct Registration {
     current: Option<Process>,
     departed: DepartedProcesses,
+    node_started_unix_ms: u64,
 }
 
 impl Registration {
@@ -40,32 +82,43 @@
         Self {
             current: None,
             departed: DepartedProcesses::new(),
+            node_started_unix_ms: 0,
         }
     }
 
+    /// The registration at a node that started at this time, in milliseconds since the Unix epoch.
+    #[must_use]
+    pub const fn with_node_start(mut self, started_unix_ms: u64) -> Self {
+        self.node_started_unix_ms = started_unix_ms;
+        self
+    }
+
     /// Records a heartbeat of a process.
-    pub fn record_heartbeat(
-        &mut self,
-        instance_id: &str,
-        started_unix_ms: u64,
-        sequence: Option<u64>,
-        now_us: u64,
-    ) -> NoticeStatus {
-        if self.departed.contains(instance_id, started_unix_ms, now_us) {
-            return NoticeStatus::Outdated;
-        }
-        let status = self.classify(instance_id, started_unix_ms, sequence);
-        match (status, &mut self.current) {
-            (NoticeStatus::NewProcess, current) => {
-                *current = Some(Process {
-                    instance_id: instance_id.to_owned(),
-                    started_unix_ms,
-                    sequence,
+    pub fn record_heartbeat(&mut self, notice: ProcessNotice<'_>, now_us: u64) -> NoticeStatus {
+        let status = self.classify(notice, now_us);
+        match status {
+            NoticeStatus::NewProcess => {
+                self.current = Some(Process {
+                    instance_id: notice.instance_id.to_owned(),
+                    started_unix_ms: notice.started_unix_ms,
+                    sequence: notice.sequence,
                     has_left: false,
+                    is_confirmed: !self.is_older_than_node(notice.started_unix_ms),
+                    leave_start: None,
                 });
             }
-            (NoticeStatus::Current, Some(process)) => process.sequence = sequence,
-            (NoticeStatus::Current, None) | (NoticeStatus::Outdated, _) => {}
+            NoticeStatus::Current => {
+                if let Some(process) = &mut self.current {
+                    process.sequence = notice.sequence;
+                }
+            }
+            NoticeStatus::Outdated => return status,
+        }
+        if let Some(process) = &mut self.current {
+            if notice.is_leaving {
+                process.begin_leave(now_us);
+            }
+            process.is_confirmed = true;
         }
         status
     }
@@ -91,15 +144,43 @@
             return false;
         };
         process.has_left = true;
+        process.begin_leave(now_us);
         true
     }
 
-    fn classify(
-        &self,
-        instance_id: &str,
-        started_unix_ms: u64,
-        sequence: Option<u64>,
-    ) -> NoticeStatus {
+    /// Records that the current process said in a response that it leaves.
+    pub fn record_leaving(&mut self, now_us: u64) {
+        if let Some(process) = &mut self.current {
+            process.begin_leave(now_us);
+        }
+    }
+
+    /// Since when the current process leaves.
+    #[must_use]
+    pub fn leave_start(&self) -> Option<LeaveStart> {
+        self.current.as_ref()?.leave_start
+    }
+
+    /// Records that the target has been silent for so long that it counts as lost. A process that
+    /// cannot be told from the next one is forgotten.
+    pub fn record_silence(&mut self) {
+        self.current.take_if(|process| !process.is_identified());
+    }
+
+    const fn is_older_than_node(&self, started_unix_ms: u64) -> bool {
+        started_unix_ms < self.node_started_unix_ms
+    }
+
+    fn classify(&self, notice: ProcessNotice<'_>, now_us: u64) -> NoticeStatus {
+        let ProcessNotice {
+            instance_id,
+            started_unix_ms,
+            sequence,
+            ..
+        } = notice;
+        if self.departed.contains(instance_id, started_unix_ms, now_us) {
+            return NoticeStatus::Outdated;
+        }
         let Some(process) = &self.current else {
             return NoticeStatus::NewProcess;
         };
--- a/tests/target_registration.rs
+++ b/tests/target_registration.rs
@@ -1,7 +1,24 @@
 //! Which process of a target is the current one when notices are delayed,
 //! duplicated or from an earlier process.
 
-use dogwoodbridge::target::{NoticeStatus, Registration};
+use dogwoodbridge::target::{NoticeStatus, ProcessNotice, Registration};
+
+/// Records the heartbeat of a process that does not leave.
+fn record_heartbeat(
+    registration: &mut Registration,
+    instance_id: &str,
+    started_unix_ms: u64,
+    sequence: u64,
+    now_us: u64,
+) -> NoticeStatus {
+    let notice = ProcessNotice {
+        instance_id,
+        started_unix_ms,
+        sequence: Some(sequence),
+        is_leaving: false,
+    };
+    registration.record_heartbeat(notice, now_us)
+}
 
 enum Notice {
     Alive(&'static str, u64, u64),
@@ -72,9 +89,13 @@
         let mut registration = Registration::new();
         for (index, (notice, expected)) in case.notices.into_iter().enumerate() {
             let status = match notice {
-                Alive(instance_id, started_unix_ms, sequence) => Some(
-                    registration.record_heartbeat(instance_id, started_unix_ms, Some(sequence), 0),
-                ),
+                Alive(instance_id, started_unix_ms, sequence) => Some(record_heartbeat(
+                    &mut registration,
+                    instance_id,
+                    started_unix_ms,
+                    sequence,
+                    0,
+                )),
                 Leave(instance_id, started_unix_ms) => {
                     assert!(
                         registration.record_leave(instance_id, started_unix_ms, 0),
@@ -122,7 +143,7 @@
     ];
     for case in cases {
         let mut registration = Registration::new();
-        registration.record_heartbeat("i-2", 200, Some(1), 0);
+        record_heartbeat(&mut registration, "i-2", 200, 1, 0);
         let is_applied = registration.record_leave(case.leave.0, case.leave.1, 0);
         assert_eq!(is_applied, case.is_applied, "{}", case.name);
     }
@@ -195,7 +216,7 @@
     for case in cases {
         let mut registration = Registration::new();
         if case.is_known_before {
-            registration.record_heartbeat("i-1", 100, Some(9), 0);
+            record_heartbeat(&mut registration, "i-1", 100, 9, 0);
         }
         assert!(
             !registration.record_leave(case.leave.0, case.leave.1, 0),
@@ -203,7 +224,7 @@
             case.name
         );
         let (instance_id, started_unix_ms, now_us) = case.heartbeat;
-        let status = registration.record_heartbeat(instance_id, started_unix_ms, Some(5), now_us);
+        let status = record_heartbeat(&mut registration, instance_id, started_unix_ms, 5, now_us);
         assert_eq!(status, case.expected, "{}", case.name);
     }
 }
