Check the drain again before a request is sent

A request that is admitted just before the end of a drain may wait for a connection to the target for up to 500 ms, or longer while the process gets no processor time, and nobody looked at the drain again before the send.

By reading; not reproduced.

The gate before the send now refuses such a request as not run, so that its sender tries another target.

--- a/src/target/gate_check.rs
+++ b/src/target/gate_check.rs
@@ -32,32 +32,36 @@
 ) -> Result<(), Refusal> {
     let (priority, cold_limit_per_s) = (priority(context), cold_limit_per_s(node, context.service));
     let now_us = node.timer.now_us();
+    check_drain(node, context, admitted_us, now_us)?;
     let passed = node
         .target
         .gate()
         .try_pass(priority, cold_limit_per_s, now_us);
-    passed.map_err(to_refusal)?;
-    log_late_send(node, context, admitted_us, now_us);
-    Ok(())
+    passed.map_err(to_refusal)
 }
 
-/// Logs a send at a time at which the leaving target accepts no requests any more.
-fn log_late_send<P: Policies>(
+/// Refuses a request that was admitted in time but waited for a connection until after the end of
+/// the drain.
+fn check_drain<P: Policies>(
     node: &Node<P>,
     context: &RequestContext,
     admitted_us: u64,
     now_us: u64,
-) {
+) -> Result<(), Refusal> {
     let drain = node.admission().drain_in_progress();
     let Some(drain) = drain.filter(|drain| !drain.accepts_arrivals(now_us)) else {
-        return;
+        return Ok(());
     };
+    if !drain.allows_starts(now_us) {
+        return Err(Refusal::not_run(Reason::Draining));
+    }
     let (id, since_leave_ms) = (context.request_id, drain.age_us(now_us) / 1000);
     let since_admission_ms = now_us.saturating_sub(admitted_us) / 1000;
     event!(
         Event::LeavingTargetUsed,
         "request={id} since_leave_ms={since_leave_ms} since_admission_ms={since_admission_ms}"
     );
+    Ok(())
 }
 
 fn priority(context: &RequestContext) -> Priority {
--- a/src/target/serve.rs
+++ b/src/target/serve.rs
@@ -243,7 +243,8 @@
     )
     .await;
     match sent {
-        Err(refusal) if refusal.reason == Reason::TargetLimited => {
+        // The target has not failed.
+        Err(refusal) if matches!(refusal.reason, Reason::TargetLimited | Reason::Draining) => {
             running.fail(TargetResult::Cancelled, refusal)
         }
         Err(refusal) => {
