Ask a target that is older than its node whether it stays

Callers saw requests run at a target whose leave had been acknowledged by the node beside it, after that node had been killed and started again.

Cause: nothing of the leave outlives the process that acknowledged it, and a final leave is sent once. A heartbeat that was sent before the leave and arrives after the restart then makes the target ready, for the next process has no sequence to compare it with. The neighbours remember processes that drain, but may have been killed at the same moment, and the node's own requests never asked them.

The first heartbeat of a process that is older than the node's is now held back until another source confirms it: one health check of the target, which says so while it leaves, or its next heartbeat. The check takes one request on the same machine; waiting for the next heartbeat alone would take a target away for a second and a half at each restart of its node. A target that started after its node needs none, as no leave can have been forgotten. The dialect says whether heartbeats may be late. The native one asks nothing: its targets announce themselves every second, and it has no health check. E319 tells the result.

--- a/src/conf/hosts.rs
+++ b/src/conf/hosts.rs
@@ -60,6 +60,8 @@
     /// Sustainable rate of a cold target, in requests per second; 0: targets are
     /// never cold.
     pub cold_rate_per_s: u32,
+    /// Path at which a target tells whether it is healthy and stays; empty if there is none.
+    pub health_path: String,
 }
 
 /// A workspace with its keys.
@@ -162,6 +164,10 @@
                 .cold_rates_per_s
                 .insert(service_key, cold_rate_per_s);
         }
+        if !service.health_path.is_empty() {
+            let health_path = service.health_path.clone();
+            compiled.health_paths.insert(service_key, health_path);
+        }
     }
     for workspace in &configuration.workspaces {
         add_workspace(workspace, names, &mut compiled);
--- a/src/conf/mod.rs
+++ b/src/conf/mod.rs
@@ -98,6 +98,8 @@
     /// Sustainable rates of cold targets, in requests per second, for services
     /// whose targets start cold.
     pub cold_rates_per_s: HashMap<ServiceKey, u32>,
+    /// Paths at which targets tell whether they are healthy and stay.
+    pub health_paths: HashMap<ServiceKey, String>,
     /// Workspaces by key.
     pub workspaces: HashMap<WorkspaceKey, WorkspaceRules>,
     /// Granted keys and their workspaces.
--- a/src/dialect/mod.rs
+++ b/src/dialect/mod.rs
@@ -38,6 +38,9 @@
     /// Whether a target processes exactly as many requests at a time as it
     /// announces slots.
     const SLOTS_ARE_EXACT: bool;
+    /// Whether a heartbeat may arrive seconds after it was sent, also after a leave that was sent
+    /// later. A target is then asked for its health where only its heartbeat says that it stays.
+    const HEARTBEATS_MAY_BE_LATE: bool;
 
     /// Request id set by the caller; available even if the rest of the request
     /// is malformed.
@@ -78,6 +81,10 @@
         response: &Response<Incoming>,
     ) -> TargetSignal;
 
+    /// Whether a target's response to a health check says that this process is healthy and
+    /// stays.
+    fn is_staying(&self, response: &Response<Incoming>, instance_id: &str) -> bool;
+
     /// Decodes a notice of the local target.
     fn read_notice(
         &self,
--- a/src/dialect/native.rs
+++ b/src/dialect/native.rs
@@ -71,6 +71,7 @@
 impl Dialect for Native {
     const CALLS_USE_CALLER_PORT: bool = false;
     const SLOTS_ARE_EXACT: bool = false;
+    const HEARTBEATS_MAY_BE_LATE: bool = false;
 
     fn request_id(&self, _headers: &HeaderMap) -> Option<RequestId> {
         None
@@ -160,6 +161,10 @@
         }
     }
 
+    fn is_staying(&self, _response: &Response<Incoming>, _instance_id: &str) -> bool {
+        true
+    }
+
     fn read_notice(
         &self,
         method: &Method,
--- a/src/egress/announce.rs
+++ b/src/egress/announce.rs
@@ -1,6 +1,7 @@
 //! Notices of the local target: heartbeats, graceful leave and load reports.
 
 use {
+    super::confirm::confirm,
     crate::{
         admission::{Drain, LoadReport, TargetSize},
         dialect::{
@@ -15,13 +16,14 @@
         target::{NoticeStatus, PoolTarget, ProcessNotice},
     },
     hyper::{Request, Response, body::Incoming},
+    std::sync::Arc,
 };
 
 const MAX_NOTICE_BYTES: usize = 16 << 10;
 
 /// Handles a notice that the local target sends to its node.
 pub async fn handle<P: Policies>(
-    node: &Node<P>,
+    node: &Arc<Node<P>>,
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
     let result = apply_notice(node, request).await;
@@ -32,7 +34,7 @@
 }
 
 async fn apply_notice<P: Policies>(
-    node: &Node<P>,
+    node: &Arc<Node<P>>,
     request: Request<Incoming>,
 ) -> Result<(), NoticeError> {
     let path = request.uri().path().to_owned();
@@ -72,37 +74,44 @@
     node.admission().record_load_report(report);
 }
 
-fn record_heartbeat<P: Policies>(node: &Node<P>, heartbeat: Heartbeat) {
+fn record_heartbeat<P: Policies>(node: &Arc<Node<P>>, heartbeat: Heartbeat) {
+    let notice = ProcessNotice {
+        instance_id: &heartbeat.instance_id,
+        started_unix_ms: heartbeat.started_unix_ms,
+        sequence: heartbeat.sequence,
+        is_leaving: heartbeat.state == TargetState::Draining,
+    };
+    let now_us = node.timer.now_us();
+    let notice_status = node.registration().record_heartbeat(notice, now_us);
+    match notice_status {
+        NoticeStatus::NewProcess | NoticeStatus::Current => apply_heartbeat(node, heartbeat),
+        NoticeStatus::Unconfirmed => {
+            tokio::spawn(confirm(Arc::clone(node), heartbeat));
+        }
+        NoticeStatus::Outdated => event!(
+            Event::NoticeOutdated,
+            "instance={} started_unix_ms={} sequence={:?}",
+            heartbeat.instance_id,
+            heartbeat.started_unix_ms,
+            heartbeat.sequence
+        ),
+    }
+}
+
+/// Makes the process that sent the heartbeat the local target.
+pub fn apply_heartbeat<P: Policies>(node: &Node<P>, heartbeat: Heartbeat) {
     let Heartbeat {
         instance_id,
         service,
         port,
         slot_count,
         connection_count,
-        state,
+        state: _,
         started_unix_ms,
         sequence,
         cold_left_ms,
     } = heartbeat;
     let now_us = node.timer.now_us();
-    let notice = ProcessNotice {
-        instance_id: &instance_id,
-        started_unix_ms,
-        sequence,
-        is_leaving: state == TargetState::Draining,
-    };
-    let (notice_status, leave_start) = {
-        let mut registration = node.registration();
-        let status = registration.record_heartbeat(notice, now_us);
-        (status, registration.leave_start())
-    };
-    if notice_status == NoticeStatus::Outdated {
-        event!(
-            Event::NoticeOutdated,
-            "instance={instance_id} started_unix_ms={started_unix_ms} sequence={sequence:?}"
-        );
-        return;
-    }
     let target = PoolTarget {
         instance_id: instance_id.clone(),
         port,
@@ -119,10 +128,11 @@
         connection_count,
         is_exact: P::Dialect::SLOTS_ARE_EXACT,
     };
-    let is_draining = leave_start.is_some();
-    {
+    let is_draining = {
         let mut admission = node.admission();
         admission.set_size(size, has_restarted, now_us);
+        // Read under the lock: a leave that is recorded later drains the new policy.
+        let leave_start = node.registration().leave_start();
         if let Some(leave_start) = leave_start {
             admission.drain(Drain::of_leave(leave_start, now_us));
         }
@@ -130,7 +140,8 @@
         if node.is_draining() {
             admission.drain(Drain::new(now_us));
         }
-    }
+        leave_start.is_some()
+    };
     let age_ms = now_us / 1000;
     if has_restarted {
         node.quarantine.replace_process(was_end_planned, now_us);
@@ -213,8 +224,10 @@
 }
 
 /// Notifies gossip and routing only of changes, not of each repeated heartbeat.
-fn publish_announcement<P: Policies>(node: &Node<P>, announcement: Announcement) {
+fn publish_announcement<P: Policies>(node: &Node<P>, mut announcement: Announcement) {
     node.own_state.send_if_modified(|own_state| {
+        // A leave may have been recorded since the heartbeat.
+        announcement.draining |= node.registration().leave_start().is_some();
         if own_state.target.as_ref() == Some(&announcement) {
             return false;
         }
--- a/src/egress/mod.rs
+++ b/src/egress/mod.rs
@@ -5,6 +5,7 @@
 mod attempts;
 mod call;
 mod child;
+mod confirm;
 mod retry_rules;
 mod silent_call;
 
--- a/src/events.rs
+++ b/src/events.rs
@@ -70,6 +70,7 @@
     TargetCrashed = 316, Warn, "The target ended without notice; the requests that ran are suspected to be the cause.";
     TargetLimited = 317, Info, "The target named another limit of requests per second, or none any more.";
     LeavingTargetUsed = 318, Info, "A request was sent to a target that leaves, after requests were no longer accepted for it.";
+    TargetChecked = 319, Info, "The target's health was checked: it is older than the node, and its first heartbeat may be late.";
     RoutePicked = 400, Info, "A target was picked for a request.";
     RouteRefused = 401, Info, "No target could be picked for a request.";
     TargetEjected = 402, Warn, "A target fails or is slow and is ejected: it gets no new requests for a limited time.";
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -198,7 +198,9 @@
             floor_count: inputs.settings.retry_floor,
         });
         let downstream = DownstreamControl::new(inputs.settings.downstream_admission);
-        let registration = Registration::new().with_node_start(inputs.timer.steady_unix_ms());
+        let registration = Registration::new()
+            .with_node_start(inputs.timer.steady_unix_ms())
+            .with_confirmation(P::Dialect::HEARTBEATS_MAY_BE_LATE);
         Arc::new(Self {
             auth,
             seen_attempts: SeenAttempts::new(),
--- /dev/null
+++ b/src/target/health.rs
@@ -0,0 +1,58 @@
+//! Asks the local target whether it is healthy and stays.
+
+use {
+    super::pool::connect,
+    crate::dialect::Dialect,
+    bytes::Bytes,
+    http_body_util::Full,
+    hyper::{
+        Request, Uri,
+        header::{HOST, HeaderValue},
+    },
+    std::{
+        net::{IpAddr, SocketAddr},
+        time::Duration,
+    },
+};
+
+/// Maximum time for the response. The check waits for a slot like any request.
+const HEALTH_TIMEOUT: Duration = Duration::from_millis(1000);
+
+/// What a target says in response to a health check.
+#[derives::key]
+pub enum Health {
+    /// It is healthy and stays.
+    Staying,
+    /// It leaves or fails.
+    Unavailable,
+    /// It did not respond in time.
+    Unknown,
+}
+
+/// Sends one health check to the target at this port, on a connection of its own.
+pub async fn check_health<D: Dialect>(
+    dialect: &D,
+    ip: IpAddr,
+    port: u16,
+    path: &str,
+    instance_id: &str,
+) -> Health {
+    let address = SocketAddr::new(ip, port);
+    let Ok(uri) = path.parse::<Uri>() else {
+        return Health::Unknown;
+    };
+    let exchange = async {
+        let mut connection = connect(ip, address).await.ok()?;
+        let mut request = Request::new(Full::<Bytes>::default());
+        *request.uri_mut() = uri;
+        let host = HeaderValue::try_from(address.to_string()).ok()?;
+        request.headers_mut().insert(HOST, host);
+        let response = connection.send(request).await.ok()?;
+        Some(dialect.is_staying(&response, instance_id))
+    };
+    match tokio::time::timeout(HEALTH_TIMEOUT, exchange).await {
+        Ok(Some(true)) => Health::Staying,
+        Ok(Some(false)) => Health::Unavailable,
+        Ok(None) | Err(_) => Health::Unknown,
+    }
+}
--- a/src/target/mod.rs
+++ b/src/target/mod.rs
@@ -4,6 +4,7 @@
 mod exchange;
 mod gate;
 mod gate_check;
+mod health;
 mod named_limit;
 mod pool;
 mod registration;
@@ -13,6 +14,7 @@
 pub use {
     exchange::{TargetResponse, exchange},
     gate::{GateClosed, Priority, SendGate},
+    health::{Health, check_health},
     named_limit::NamedLimit,
     pool::{PoolError, PoolTarget, PooledConnection, TargetPool, UNKNOWN_PROCESS_ID},
     registration::{LeaveStart, NoticeStatus, ProcessNotice, Registration},
--- a/src/target/pool.rs
+++ b/src/target/pool.rs
@@ -5,7 +5,7 @@
     crate::peer::connect_from,
     bytes::Bytes,
     http_body_util::Full,
-    hyper::client::conn::http1,
+    hyper::{Request, Response, body::Incoming, client::conn::http1},
     hyper_util::rt::TokioIo,
     std::{
         hash::{Hash, Hasher},
@@ -81,12 +81,22 @@
 }
 
 #[derive(Debug)]
-struct Connection {
+pub(super) struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
     task: AbortHandle,
     usable_until: Option<Instant>,
 }
 
+impl Connection {
+    /// Sends one request; the connection is not used for others.
+    pub(super) async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> hyper::Result<Response<Incoming>> {
+        self.sender.send_request(request).await
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.task.abort();
@@ -299,7 +309,7 @@
     }
 }
 
-async fn connect(ip: IpAddr, address: SocketAddr) -> Result<Connection, PoolError> {
+pub(super) async fn connect(ip: IpAddr, address: SocketAddr) -> Result<Connection, PoolError> {
     let stream = connect_from(ip, address).await?;
     let (sender, connection) = http1::Builder::new()
         .handshake(TokioIo::new(stream))
--- a/src/target/registration.rs
+++ b/src/target/registration.rs
@@ -10,6 +10,10 @@
     NewProcess,
     /// Newer notice of the current process.
     Current,
+    /// First notice of a process that is older than the node's. It may have been sent before a
+    /// leave that an earlier process of the node acknowledged; to be applied only once another
+    /// source confirms that the target does not leave.
+    Unconfirmed,
     /// From an earlier process or one that left, or older than a notice already
     /// received; to be ignored.
     Outdated,
@@ -73,6 +77,7 @@
     current: Option<Process>,
     departed: DepartedProcesses,
     node_started_unix_ms: u64,
+    requires_confirmation: bool,
 }
 
 impl Registration {
@@ -83,6 +88,7 @@
             current: None,
             departed: DepartedProcesses::new(),
             node_started_unix_ms: 0,
+            requires_confirmation: false,
         }
     }
 
@@ -93,11 +99,19 @@
         self
     }
 
+    /// The registration where heartbeats may arrive late, so that the first one of a process that
+    /// is older than the node has to be confirmed.
+    #[must_use]
+    pub const fn with_confirmation(mut self, requires_confirmation: bool) -> Self {
+        self.requires_confirmation = requires_confirmation;
+        self
+    }
+
     /// Records a heartbeat of a process.
     pub fn record_heartbeat(&mut self, notice: ProcessNotice<'_>, now_us: u64) -> NoticeStatus {
         let status = self.classify(notice, now_us);
         match status {
-            NoticeStatus::NewProcess => {
+            NoticeStatus::NewProcess | NoticeStatus::Unconfirmed => {
                 self.current = Some(Process {
                     instance_id: notice.instance_id.to_owned(),
                     started_unix_ms: notice.started_unix_ms,
@@ -118,11 +132,26 @@
             if notice.is_leaving {
                 process.begin_leave(now_us);
             }
-            process.is_confirmed = true;
+            process.is_confirmed |= status != NoticeStatus::Unconfirmed;
         }
         status
     }
 
+    /// Records that another source confirms that this process does not leave; returns whether it
+    /// is the current one and was unconfirmed.
+    pub fn confirm(&mut self, instance_id: &str, started_unix_ms: u64) -> bool {
+        let Some(process) = &mut self.current else {
+            return false;
+        };
+        let is_current =
+            process.instance_id == instance_id && process.started_unix_ms == started_unix_ms;
+        if !is_current || process.has_left || process.is_confirmed {
+            return false;
+        }
+        process.is_confirmed = true;
+        true
+    }
+
     /// Records that a process shuts down for good; returns whether it is the current one.
     ///
     /// The leave of an unknown process is kept too: its heartbeats may still be on their way.
@@ -176,20 +205,26 @@
             instance_id,
             started_unix_ms,
             sequence,
-            ..
+            is_leaving,
         } = notice;
         if self.departed.contains(instance_id, started_unix_ms, now_us) {
             return NoticeStatus::Outdated;
         }
+        let needs_confirmation =
+            self.requires_confirmation && !is_leaving && self.is_older_than_node(started_unix_ms);
+        let new_process = match needs_confirmation {
+            true => NoticeStatus::Unconfirmed,
+            false => NoticeStatus::NewProcess,
+        };
         let Some(process) = &self.current else {
-            return NoticeStatus::NewProcess;
+            return new_process;
         };
         let is_same_process =
             process.instance_id == instance_id && process.started_unix_ms == started_unix_ms;
         if !is_same_process {
             return match started_unix_ms < process.started_unix_ms {
                 true => NoticeStatus::Outdated,
-                false => NoticeStatus::NewProcess,
+                false => new_process,
             };
         }
         let is_out_of_order = match (sequence, process.sequence) {
--- a/tests/target_leave.rs
+++ b/tests/target_leave.rs
@@ -33,6 +33,15 @@
     acknowledged_us: u64,
 }
 
+const fn notice(started_unix_ms: u64, sequence: u64, is_leaving: bool) -> ProcessNotice<'static> {
+    ProcessNotice {
+        instance_id: INSTANCE,
+        started_unix_ms,
+        sequence: Some(sequence),
+        is_leaving,
+    }
+}
+
 /// A node with its registration. Its timer counts from its start.
 struct Fixture {
     registration: Registration,
@@ -52,12 +61,7 @@
 
     fn heartbeat(&mut self, is_leaving: bool, now_us: u64) -> NoticeStatus {
         self.sequence += 1;
-        let notice = ProcessNotice {
-            instance_id: INSTANCE,
-            started_unix_ms: STARTED_UNIX_MS,
-            sequence: Some(self.sequence),
-            is_leaving,
-        };
+        let notice = notice(STARTED_UNIX_MS, self.sequence, is_leaving);
         self.registration
             .record_heartbeat(notice, now_us - self.started_us)
     }
@@ -218,3 +222,102 @@
     assert_eq!(status, NoticeStatus::NewProcess);
     assert_eq!(registration.leave_start(), None);
 }
+
+/// Guards against a heartbeat that was sent before a leave and arrives after a restart of the
+/// node, and against a health check that is made where no leave can have been forgotten.
+#[test]
+fn only_what_may_be_a_late_heartbeat_is_confirmed() {
+    struct Case {
+        name: &'static str,
+        requires_confirmation: bool,
+        started_unix_ms: u64,
+        is_leaving: bool,
+        expected: NoticeStatus,
+    }
+    let cases = [
+        Case {
+            name: "older than the node",
+            requires_confirmation: true,
+            started_unix_ms: STARTED_UNIX_MS,
+            is_leaving: false,
+            expected: NoticeStatus::Unconfirmed,
+        },
+        Case {
+            name: "started after the node",
+            requires_confirmation: true,
+            started_unix_ms: NODE_STARTED_UNIX_MS,
+            is_leaving: false,
+            expected: NoticeStatus::NewProcess,
+        },
+        Case {
+            name: "older, says that it leaves",
+            requires_confirmation: true,
+            started_unix_ms: STARTED_UNIX_MS,
+            is_leaving: true,
+            expected: NoticeStatus::NewProcess,
+        },
+        Case {
+            name: "heartbeats are never late",
+            requires_confirmation: false,
+            started_unix_ms: STARTED_UNIX_MS,
+            is_leaving: false,
+            expected: NoticeStatus::NewProcess,
+        },
+    ];
+    for case in cases {
+        let mut registration = Registration::new()
+            .with_node_start(NODE_STARTED_UNIX_MS)
+            .with_confirmation(case.requires_confirmation);
+        let notice = notice(case.started_unix_ms, 1, case.is_leaving);
+        let status = registration.record_heartbeat(notice, SECOND_US);
+        assert_eq!(status, case.expected, "{}", case.name);
+    }
+}
+
+/// Guards against a health check that makes a target ready although a leave or a newer process
+/// was recorded while it was under way.
+#[test]
+fn a_confirmation_counts_only_for_the_process_that_it_concerns() {
+    struct Case {
+        name: &'static str,
+        between: fn(&mut Registration),
+        is_confirmed: bool,
+    }
+    let cases = [
+        Case {
+            name: "nothing in between",
+            between: |_| {},
+            is_confirmed: true,
+        },
+        Case {
+            name: "it has left",
+            between: |registration| {
+                registration.record_leave(INSTANCE, Some(STARTED_UNIX_MS), SECOND_US);
+            },
+            is_confirmed: false,
+        },
+        Case {
+            name: "its next heartbeat has confirmed it",
+            between: |registration| {
+                registration.record_heartbeat(notice(STARTED_UNIX_MS, 2, false), SECOND_US);
+            },
+            is_confirmed: false,
+        },
+        Case {
+            name: "another process has started",
+            between: |registration| {
+                registration.record_heartbeat(notice(NODE_STARTED_UNIX_MS, 1, false), SECOND_US);
+            },
+            is_confirmed: false,
+        },
+    ];
+    for case in cases {
+        let mut registration = Registration::new()
+            .with_node_start(NODE_STARTED_UNIX_MS)
+            .with_confirmation(true);
+        registration.record_heartbeat(notice(STARTED_UNIX_MS, 1, false), 0);
+        (case.between)(&mut registration);
+        let is_confirmed = registration.confirm(INSTANCE, STARTED_UNIX_MS);
+        assert_eq!(is_confirmed, case.is_confirmed, "{}", case.name);
+    }
+}
