--- a/src/egress/announce.rs
+++ b/src/egress/announce.rs
@@ -88,6 +88,7 @@
         NoticeStatus::Unconfirmed => {
             tokio::spawn(confirm(Arc::clone(node), heartbeat));
         }
+        NoticeStatus::InCheck => {}
         NoticeStatus::Outdated => event!(
             Event::NoticeOutdated,
             "instance={} started_unix_ms={} sequence={:?}",
--- a/src/egress/confirm.rs
+++ b/src/egress/confirm.rs
@@ -12,23 +12,21 @@
     std::{sync::Arc, time::Duration},
 };
 
-/// Time between two looks for the health path while the node has no configuration.
+/// Time between two looks for a configuration while there is none.
 const CONFIGURATION_POLL: Duration = Duration::from_millis(50);
-/// Maximum wait for a configuration. By then the target's next heartbeat has arrived, which
-/// confirms the first one.
-const CONFIGURATION_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Asks the target whether it stays, and applies its heartbeat if it does.
 ///
-/// If it does not say so, its next heartbeat decides.
+/// If it does not answer, its next heartbeat counts; if it denies, it is asked again then.
 pub async fn confirm<P: Policies>(node: Arc<Node<P>>, heartbeat: Heartbeat) {
     let health = tokio::select! {
         () = node.stopped.cancelled() => return,
         health = check_target(&node, &heartbeat) => health,
     };
     let (instance_id, started_unix_ms) = (&heartbeat.instance_id, heartbeat.started_unix_ms);
-    let is_confirmed =
-        health == Health::Staying && node.registration().confirm(instance_id, started_unix_ms);
+    let is_confirmed = node
+        .registration()
+        .record_check(instance_id, started_unix_ms, health);
     let (sequence, age_ms) = (heartbeat.sequence, node.timer.now_ms());
     event!(
         Event::TargetChecked,
@@ -40,28 +38,21 @@
 }
 
 async fn check_target<P: Policies>(node: &Node<P>, heartbeat: &Heartbeat) -> Health {
-    let path = tokio::time::timeout(CONFIGURATION_TIMEOUT, health_path(node, &heartbeat.service));
-    let Ok(path) = path.await else {
+    // Until then the node serves no requests.
+    while node.running().revision == 0 {
+        tokio::time::sleep(CONFIGURATION_POLL).await;
+    }
+    let service = node.names.service(&heartbeat.service);
+    let running = node.running();
+    let Some(path) = running.health_paths.get(&service) else {
         return Health::Unknown;
     };
-    let ip = node.settings.ip;
     check_health(
         &node.dialect,
-        ip,
+        node.settings.ip,
         heartbeat.port,
-        &path,
+        path,
         &heartbeat.instance_id,
     )
     .await
 }
-
-/// Waits until the configuration has a health path for the service.
-async fn health_path<P: Policies>(node: &Node<P>, service: &str) -> String {
-    let service = node.names.service(service);
-    loop {
-        if let Some(path) = node.running().health_paths.get(&service) {
-            return path.clone();
-        }
-        tokio::time::sleep(CONFIGURATION_POLL).await;
-    }
-}
--- a/src/target/registration.rs
+++ b/src/target/registration.rs
@@ -1,7 +1,11 @@
 //! Tracks which target process is the current one, and whether it leaves, from its heartbeats
 //! and leave notices.
 
-use super::departed::DepartedProcesses;
+use super::{Health, departed::DepartedProcesses};
+
+/// Maximum age of a heartbeat when it arrives, with a margin. Later after its start a node gets
+/// no heartbeat that was sent before.
+const LATENESS_LIMIT_US: u64 = 5_000_000;
 
 /// How a notice of the target relates to earlier ones.
 #[derives::key]
@@ -14,6 +18,8 @@
     /// leave that an earlier process of the node acknowledged; to be applied only once another
     /// source confirms that the target does not leave.
     Unconfirmed,
+    /// Notice of such a process while it is being checked; nothing is to be done.
+    InCheck,
     /// From an earlier process or one that left, or older than a notice already
     /// received; to be ignored.
     Outdated,
@@ -42,14 +48,26 @@
     pub is_leaving: bool,
 }
 
+/// Whether a process has been known not to leave since the node started.
+#[derives::key]
+enum Confirmation {
+    /// It is being asked.
+    InCheck,
+    /// It said that it leaves or is ill.
+    Denied,
+    /// It did not answer.
+    Unanswered,
+    /// It stays, or no leave of it can have been forgotten.
+    Confirmed,
+}
+
 #[derive(Debug)]
 struct Process {
     instance_id: String,
     started_unix_ms: u64,
     sequence: Option<u64>,
     has_left: bool,
-    /// Whether the process has been known not to leave since this node started.
-    is_confirmed: bool,
+    confirmation: Confirmation,
     leave_start: Option<LeaveStart>,
 }
 
@@ -59,12 +77,27 @@
     }
 
     fn begin_leave(&mut self, now_us: u64) {
-        let start = match self.is_confirmed {
-            true => LeaveStart::NoticedUs(now_us),
-            false => LeaveStart::BeforeNode,
+        let start = match self.confirmation {
+            Confirmation::Confirmed => LeaveStart::NoticedUs(now_us),
+            _ => LeaveStart::BeforeNode,
         };
         self.leave_start.get_or_insert(start);
     }
+
+    /// Records a newer heartbeat that says that the process stays.
+    const fn record_stay(&mut self, now_us: u64) -> NoticeStatus {
+        match self.confirmation {
+            Confirmation::InCheck => NoticeStatus::InCheck,
+            Confirmation::Denied if now_us < LATENESS_LIMIT_US => {
+                self.confirmation = Confirmation::InCheck;
+                NoticeStatus::Unconfirmed
+            }
+            Confirmation::Denied | Confirmation::Unanswered | Confirmation::Confirmed => {
+                self.confirmation = Confirmation::Confirmed;
+                NoticeStatus::Current
+            }
+        }
+    }
 }
 
 /// The current target process. Pure state: performs no I/O and reads no clock.
@@ -109,47 +142,71 @@
 
     /// Records a heartbeat of a process.
     pub fn record_heartbeat(&mut self, notice: ProcessNotice<'_>, now_us: u64) -> NoticeStatus {
-        let status = self.classify(notice, now_us);
-        match status {
-            NoticeStatus::NewProcess | NoticeStatus::Unconfirmed => {
-                self.current = Some(Process {
-                    instance_id: notice.instance_id.to_owned(),
-                    started_unix_ms: notice.started_unix_ms,
-                    sequence: notice.sequence,
-                    has_left: false,
-                    is_confirmed: !self.is_older_than_node(notice.started_unix_ms),
-                    leave_start: None,
-                });
-            }
-            NoticeStatus::Current => {
-                if let Some(process) = &mut self.current {
-                    process.sequence = notice.sequence;
+        match (self.classify(notice, now_us), &mut self.current) {
+            (NoticeStatus::NewProcess, _) => self.begin_process(notice, now_us),
+            (NoticeStatus::Current, Some(process)) => {
+                process.sequence = notice.sequence;
+                if !notice.is_leaving {
+                    return process.record_stay(now_us);
                 }
-            }
-            NoticeStatus::Outdated => return status,
-        }
-        if let Some(process) = &mut self.current {
-            if notice.is_leaving {
                 process.begin_leave(now_us);
+                process.confirmation = Confirmation::Confirmed;
+                NoticeStatus::Current
             }
-            process.is_confirmed |= status != NoticeStatus::Unconfirmed;
+            (status, _) => status,
+        }
+    }
+
+    fn begin_process(&mut self, notice: ProcessNotice<'_>, now_us: u64) -> NoticeStatus {
+        let is_older_than_node = notice.started_unix_ms < self.node_started_unix_ms;
+        let needs_check = is_older_than_node && self.requires_confirmation && !notice.is_leaving;
+        let mut process = Process {
+            instance_id: notice.instance_id.to_owned(),
+            started_unix_ms: notice.started_unix_ms,
+            sequence: notice.sequence,
+            has_left: false,
+            confirmation: match is_older_than_node {
+                true => Confirmation::InCheck,
+                false => Confirmation::Confirmed,
+            },
+            leave_start: None,
+        };
+        if notice.is_leaving {
+            process.begin_leave(now_us);
+        }
+        if !needs_check {
+            process.confirmation = Confirmation::Confirmed;
+        }
+        self.current = Some(process);
+        match needs_check {
+            true => NoticeStatus::Unconfirmed,
+            false => NoticeStatus::NewProcess,
         }
-        status
     }
 
-    /// Records that another source confirms that this process does not leave; returns whether it
-    /// is the current one and was unconfirmed.
-    pub fn confirm(&mut self, instance_id: &str, started_unix_ms: u64) -> bool {
+    /// Records what a process said when it was asked whether it stays; returns whether it is the
+    /// current one and confirmed by that.
+    pub fn record_check(
+        &mut self,
+        instance_id: &str,
+        started_unix_ms: u64,
+        health: Health,
+    ) -> bool {
         let Some(process) = &mut self.current else {
             return false;
         };
         let is_current =
             process.instance_id == instance_id && process.started_unix_ms == started_unix_ms;
-        if !is_current || process.has_left || process.is_confirmed {
+        let is_in_check = process.confirmation == Confirmation::InCheck && !process.has_left;
+        if !is_current || !is_in_check {
             return false;
         }
-        process.is_confirmed = true;
-        true
+        process.confirmation = match health {
+            Health::Staying => Confirmation::Confirmed,
+            Health::Unavailable => Confirmation::Denied,
+            Health::Unknown => Confirmation::Unanswered,
+        };
+        health == Health::Staying
     }
 
     /// Records that a process shuts down for good; returns whether it is the current one.
@@ -196,35 +253,25 @@
         self.current.take_if(|process| !process.is_identified());
     }
 
-    const fn is_older_than_node(&self, started_unix_ms: u64) -> bool {
-        started_unix_ms < self.node_started_unix_ms
-    }
-
     fn classify(&self, notice: ProcessNotice<'_>, now_us: u64) -> NoticeStatus {
         let ProcessNotice {
             instance_id,
             started_unix_ms,
             sequence,
-            is_leaving,
+            ..
         } = notice;
         if self.departed.contains(instance_id, started_unix_ms, now_us) {
             return NoticeStatus::Outdated;
         }
-        let needs_confirmation =
-            self.requires_confirmation && !is_leaving && self.is_older_than_node(started_unix_ms);
-        let new_process = match needs_confirmation {
-            true => NoticeStatus::Unconfirmed,
-            false => NoticeStatus::NewProcess,
-        };
         let Some(process) = &self.current else {
-            return new_process;
+            return NoticeStatus::NewProcess;
         };
         let is_same_process =
             process.instance_id == instance_id && process.started_unix_ms == started_unix_ms;
         if !is_same_process {
             return match started_unix_ms < process.started_unix_ms {
                 true => NoticeStatus::Outdated,
-                false => new_process,
+                false => NoticeStatus::NewProcess,
             };
         }
         let is_out_of_order = match (sequence, process.sequence) {
--- a/tests/target_leave.rs
+++ b/tests/target_leave.rs
@@ -2,7 +2,7 @@
 
 use dogwoodbridge::{
     admission::Drain,
-    target::{NoticeStatus, ProcessNotice, Registration},
+    target::{Health, NoticeStatus, ProcessNotice, Registration},
 };
 
 const SECOND_US: u64 = 1_000_000;
@@ -297,9 +297,18 @@
             is_confirmed: false,
         },
         Case {
-            name: "its next heartbeat has confirmed it",
+            name: "its next heartbeat, which may be late too",
             between: |registration| {
-                registration.record_heartbeat(notice(STARTED_UNIX_MS, 2, false), SECOND_US);
+                let next = notice(STARTED_UNIX_MS, 2, false);
+                let status = registration.record_heartbeat(next, SECOND_US);
+                assert_eq!(status, NoticeStatus::InCheck);
+            },
+            is_confirmed: true,
+        },
+        Case {
+            name: "its next heartbeat says that it leaves",
+            between: |registration| {
+                registration.record_heartbeat(notice(STARTED_UNIX_MS, 2, true), SECOND_US);
             },
             is_confirmed: false,
         },
@@ -317,7 +326,56 @@
             .with_confirmation(true);
         registration.record_heartbeat(notice(STARTED_UNIX_MS, 1, false), 0);
         (case.between)(&mut registration);
-        let is_confirmed = registration.confirm(INSTANCE, STARTED_UNIX_MS);
+        let is_confirmed = registration.record_check(INSTANCE, STARTED_UNIX_MS, Health::Staying);
         assert_eq!(is_confirmed, case.is_confirmed, "{}", case.name);
     }
 }
+
+/// Guards against two late heartbeats of a target that left, the second of which would confirm
+/// the first, and against a target that is lost for good because its health check fails.
+#[test]
+fn heartbeats_after_a_check_count_by_its_result() {
+    struct Case {
+        name: &'static str,
+        health: Health,
+        /// Time of the next heartbeat.
+        now_us: u64,
+        expected: NoticeStatus,
+    }
+    let cases = [
+        Case {
+            name: "it stays",
+            health: Health::Staying,
+            now_us: SECOND_US,
+            expected: NoticeStatus::Current,
+        },
+        Case {
+            name: "it did not answer",
+            health: Health::Unknown,
+            now_us: SECOND_US,
+            expected: NoticeStatus::Current,
+        },
+        Case {
+            name: "it leaves or is ill, the heartbeat may be late",
+            health: Health::Unavailable,
+            now_us: SECOND_US,
+            expected: NoticeStatus::Unconfirmed,
+        },
+        Case {
+            name: "it is ill, the heartbeat cannot be late any more",
+            health: Health::Unavailable,
+            now_us: 6 * SECOND_US,
+            expected: NoticeStatus::Current,
+        },
+    ];
+    for case in cases {
+        let mut registration = Registration::new()
+            .with_node_start(NODE_STARTED_UNIX_MS)
+            .with_confirmation(true);
+        registration.record_heartbeat(notice(STARTED_UNIX_MS, 1, false), 0);
+        registration.record_check(INSTANCE, STARTED_UNIX_MS, case.health);
+        let next = notice(STARTED_UNIX_MS, 2, false);
+        let status = registration.record_heartbeat(next, case.now_us);
+        assert_eq!(status, case.expected, "{}", case.name);
+    }
+}
