Tell a target that is older than its node also by its sequence

By reading, while looking for what could skip the check: the start of the target and of the node were compared by the wall clock alone. Where the clock had been set back since the target started, a late heartbeat of a target that left counted as the first of a new process. A heartbeat that is not the first of its process is now checked too.

Case "older than the node, with a clock that was set back" of only_what_may_be_a_late_heartbeat_is_confirmed fails without the change.

--- a/src/target/registration.rs
+++ b/src/target/registration.rs
@@ -3,6 +3,9 @@
 
 use super::{Health, departed::DepartedProcesses};
 
+/// Sequences of heartbeats start at this number at most.
+const FIRST_SEQUENCE: u64 = 1;
+
 /// How a notice of the target relates to earlier ones.
 #[derives::key]
 pub enum NoticeStatus {
@@ -154,14 +157,14 @@
     }
 
     fn begin_process(&mut self, notice: ProcessNotice<'_>, now_us: u64) -> NoticeStatus {
-        let is_older_than_node = notice.started_unix_ms < self.node_started_unix_ms;
-        let needs_check = is_older_than_node && self.requires_confirmation && !notice.is_leaving;
+        let may_predate_node = self.may_predate_node(notice);
+        let needs_check = may_predate_node && self.requires_confirmation && !notice.is_leaving;
         let mut process = Process {
             instance_id: notice.instance_id.to_owned(),
             started_unix_ms: notice.started_unix_ms,
             sequence: notice.sequence,
             has_left: false,
-            confirmation: match is_older_than_node {
+            confirmation: match may_predate_node {
                 true => Confirmation::InCheck,
                 false => Confirmation::Confirmed,
             },
@@ -180,6 +183,15 @@
         }
     }
 
+    /// Whether an earlier process of the node may have got notices of the sender. The clock alone
+    /// does not tell: it may have been set back since the target started.
+    fn may_predate_node(&self, notice: ProcessNotice<'_>) -> bool {
+        notice.started_unix_ms < self.node_started_unix_ms
+            || notice
+                .sequence
+                .is_some_and(|sequence| sequence > FIRST_SEQUENCE)
+    }
+
     /// Records what a process said when it was asked whether it stays; returns whether it is the
     /// current one and confirmed by that.
     pub fn record_check(
--- a/tests/target_leave.rs
+++ b/tests/target_leave.rs
@@ -231,14 +231,24 @@
         name: &'static str,
         requires_confirmation: bool,
         started_unix_ms: u64,
+        sequence: u64,
         is_leaving: bool,
         expected: NoticeStatus,
     }
     let cases = [
+        Case {
+            name: "older than the node, with a clock that was set back",
+            requires_confirmation: true,
+            started_unix_ms: NODE_STARTED_UNIX_MS + 60_000,
+            sequence: 7,
+            is_leaving: false,
+            expected: NoticeStatus::Unconfirmed,
+        },
         Case {
             name: "older than the node",
             requires_confirmation: true,
             started_unix_ms: STARTED_UNIX_MS,
+            sequence: 1,
             is_leaving: false,
             expected: NoticeStatus::Unconfirmed,
         },
@@ -246,6 +256,7 @@
             name: "started after the node",
             requires_confirmation: true,
             started_unix_ms: NODE_STARTED_UNIX_MS,
+            sequence: 1,
             is_leaving: false,
             expected: NoticeStatus::NewProcess,
         },
@@ -253,6 +264,7 @@
             name: "older, says that it leaves",
             requires_confirmation: true,
             started_unix_ms: STARTED_UNIX_MS,
+            sequence: 1,
             is_leaving: true,
             expected: NoticeStatus::NewProcess,
         },
@@ -260,6 +272,7 @@
             name: "heartbeats are never late",
             requires_confirmation: false,
             started_unix_ms: STARTED_UNIX_MS,
+            sequence: 1,
             is_leaving: false,
             expected: NoticeStatus::NewProcess,
         },
@@ -268,7 +281,7 @@
         let mut registration = Registration::new()
             .with_node_start(NODE_STARTED_UNIX_MS)
             .with_confirmation(case.requires_confirmation);
-        let notice = notice(case.started_unix_ms, 1, case.is_leaving);
+        let notice = notice(case.started_unix_ms, case.sequence, case.is_leaving);
         let status = registration.record_heartbeat(notice, SECOND_US);
         assert_eq!(status, case.expected, "{}", case.name);
     }
