Let a target without identity follow one that left

tests/silent_node.rs a_call_at_a_silent_node_is_retried_when_another_target_returns failed (504 instead of 200) since the leave is kept with the process: a target of the native interface that reports neither an id nor a start announced that it drains and then that it does not. Its node went on to report it as draining.

Such an announcement can only be another process: it is a new one, with a new admission policy. Before, it got requests again but its node refused them after the first second, since the drain was not reset; that state had no test. a_target_without_identity_can_follow_one_that_left covers both ways, with and without a silence.

--- a/src/egress/announce.rs
+++ b/src/egress/announce.rs
@@ -131,9 +131,11 @@
     };
     let is_draining = {
         let mut admission = node.admission();
-        admission.set_size(size, has_restarted, now_us);
         // Read under the lock: a leave that is recorded later drains the new policy.
         let leave_start = node.registration().leave_start();
+        let is_drain_over =
+            admission.drain_in_progress().is_some() && leave_start.is_none() && !node.is_draining();
+        admission.set_size(size, has_restarted || is_drain_over, now_us);
         if let Some(leave_start) = leave_start {
             admission.drain(Drain::of_leave(leave_start, now_us));
         }
--- a/src/target/registration.rs
+++ b/src/target/registration.rs
@@ -286,8 +286,12 @@
             (Some(sequence), Some(last_sequence)) => sequence <= last_sequence,
             _ => false,
         };
+        // Without an id and a start, one that stays after one that left can only be another.
+        let returns =
+            !process.is_identified() && process.leave_start.is_some() && !notice.is_leaving;
         match is_out_of_order || process.has_left {
             true => NoticeStatus::Outdated,
+            false if returns => NoticeStatus::NewProcess,
             false => NoticeStatus::Current,
         }
     }
--- a/tests/target_leave.rs
+++ b/tests/target_leave.rs
@@ -206,21 +206,26 @@
 }
 
 /// Guards against a target that cannot be used any more because an earlier one on its instance
-/// left: neither has an id or a start, and the second one comes after a silence.
+/// left, where neither has an id or a start.
 #[test]
-fn a_target_without_identity_returns_after_a_silence() {
-    let mut registration = Registration::new().with_node_start(NODE_STARTED_UNIX_MS);
-    let notice = |is_leaving| ProcessNotice {
-        instance_id: "",
-        started_unix_ms: 0,
-        sequence: None,
-        is_leaving,
-    };
-    registration.record_heartbeat(notice(true), SECOND_US);
-    registration.record_silence();
-    let status = registration.record_heartbeat(notice(false), 7 * SECOND_US);
-    assert_eq!(status, NoticeStatus::NewProcess);
-    assert_eq!(registration.leave_start(), None);
+fn a_target_without_identity_can_follow_one_that_left() {
+    for is_silent_between in [true, false] {
+        let mut registration = Registration::new().with_node_start(NODE_STARTED_UNIX_MS);
+        let notice = |is_leaving| ProcessNotice {
+            instance_id: "",
+            started_unix_ms: 0,
+            sequence: None,
+            is_leaving,
+        };
+        registration.record_heartbeat(notice(false), 0);
+        registration.record_heartbeat(notice(true), SECOND_US);
+        if is_silent_between {
+            registration.record_silence();
+        }
+        let status = registration.record_heartbeat(notice(false), 7 * SECOND_US);
+        assert_eq!(status, NoticeStatus::NewProcess);
+        assert_eq!(registration.leave_start(), None);
+    }
 }
 
 /// Guards against a heartbeat that was sent before a leave and arrives after a restart of the
