Build a new registration in one step

Written by the reading of the diff: the confirmation was set, used for the start of the leave and then overwritten. No decision changes; tests/target_leave.rs and tests/target_registration.rs pass.

--- a/src/target/registration.rs
+++ b/src/target/registration.rs
@@ -159,24 +159,21 @@
     fn begin_process(&mut self, notice: ProcessNotice<'_>, now_us: u64) -> NoticeStatus {
         let may_predate_node = self.may_predate_node(notice);
         let needs_check = may_predate_node && self.requires_confirmation && !notice.is_leaving;
-        let mut process = Process {
+        let leave_start = match may_predate_node {
+            true => LeaveStart::BeforeNode,
+            false => LeaveStart::NoticedUs(now_us),
+        };
+        self.current = Some(Process {
             instance_id: notice.instance_id.to_owned(),
             started_unix_ms: notice.started_unix_ms,
             sequence: notice.sequence,
             has_left: false,
-            confirmation: match may_predate_node {
+            confirmation: match needs_check {
                 true => Confirmation::InCheck,
                 false => Confirmation::Confirmed,
             },
-            leave_start: None,
-        };
-        if notice.is_leaving {
-            process.begin_leave(now_us);
-        }
-        if !needs_check {
-            process.confirmation = Confirmation::Confirmed;
-        }
-        self.current = Some(process);
+            leave_start: notice.is_leaving.then_some(leave_start),
+        });
         match needs_check {
             true => NoticeStatus::Unconfirmed,
             false => NoticeStatus::NewProcess,
