Read a health check's answer that arrived while the node stood still

The node is stopped right after it asks a target that left whether it stays. When it resumes, the limit of the check is noticed before the denial that waits in the socket; the check counts as not answered, and a late heartbeat then makes the target ready.

The limit now leaves time for what has arrived, as at other places.

--- a/src/target/health.rs
+++ b/src/target/health.rs
@@ -2,7 +2,7 @@
 
 use {
     super::pool::connect,
-    crate::dialect::Dialect,
+    crate::{dialect::Dialect, timer::timeout_unless_suspended},
     bytes::Bytes,
     http_body_util::Full,
     hyper::{
@@ -50,6 +50,6 @@
         let response = connection.send(request).await.ok()?;
         Some(dialect.read_health(&response, instance_id))
     };
-    let health = tokio::time::timeout(HEALTH_TIMEOUT, exchange).await;
+    let health = timeout_unless_suspended(HEALTH_TIMEOUT, exchange).await;
     health.ok().flatten().unwrap_or(Health::Unknown)
 }
