Count a target as lost by the period of its heartbeats

Cause: a target was removed 5.0 s after its last heartbeat, whatever its period. In the whole fleet the period is 5 s, so each target of a healthy fleet was lost and regained about once in each period, which also put two records of each node into gossip. The other deployments, and the small twin of the fleet, use 1.5 s, which hid it.

Ruled out: starvation of processor time; the loss shows with time that is not charged, too.

Change: the deployment states the period (--target-heartbeat-ms, from HeartbeatS); a target is removed after two periods and 2 s for a late heartbeat: 5.0 s at 1.5 s as before, 12 s at 5 s.

Test: a_target_outlasts_a_lost_and_a_late_heartbeat.

--- a/src/node/tasks.rs
+++ b/src/node/tasks.rs
@@ -13,9 +13,6 @@
     tokio::sync::broadcast::error::RecvError,
 };
 
-/// Time without a heartbeat after which the target is removed, in milliseconds.
-const TARGET_SILENCE_MS: u64 = 5000;
-
 /// Performs the periodic checks until the node stops.
 ///
 /// They run every [`TICK_MS`] while requests are in flight. On an idle node nothing
@@ -108,8 +105,9 @@
 }
 
 fn remove_silent_target<P: Policies>(node: &Node<P>, now_ms: u64) {
-    if node.target.remove_if_silent(now_ms, TARGET_SILENCE_MS) {
-        event!(Event::TargetLost, "silent_ms={TARGET_SILENCE_MS}");
+    let silence_ms = node.settings.target_silence_ms();
+    if node.target.remove_if_silent(now_ms, silence_ms) {
+        event!(Event::TargetLost, "silent_ms={silence_ms}");
         node.registration().record_silence();
         node.own_state.send_modify(|own| own.target = None);
     }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -9,6 +9,9 @@
 /// Minimum length of the fleet and operator secrets.
 pub const MIN_SECRET_BYTES: usize = 16;
 
+/// How late a heartbeat may arrive without being taken for lost.
+const MAX_HEARTBEAT_DELAY_MS: u64 = 2000;
+
 /// Default ports of a node.
 pub mod ports {
     /// Callers: HTTP/1.1 and HTTP/2.
@@ -203,6 +206,9 @@
     /// Maximum requests to a cold target in any second, in percent of its service's cold rate
     #[arg(long, env = "DOGWOOD_COLD_PERCENT", default_value_t = 100)]
     pub cold_percent: u32,
+    /// Interval between two heartbeats of the local target, in milliseconds
+    #[arg(long, env = "DOGWOOD_TARGET_HEARTBEAT_MS", default_value_t = 1500)]
+    pub target_heartbeat_ms: u64,
     /// Time for which callers are still accepted after a drain starts, in milliseconds
     #[arg(long, env = "DOGWOOD_DRAIN_ACCEPT_MS", default_value_t = 1000)]
     pub drain_accept_ms: u64,
@@ -266,9 +272,20 @@
         check_positive("max-body-bytes", self.max_body_bytes)?;
         check_positive("max-header-bytes", self.max_header_bytes)?;
         check_positive("max-connections", self.max_connections)?;
+        check_positive("target-heartbeat-ms", self.target_heartbeat_ms)?;
         self.check_ports()
     }
 
+    /// Time without a heartbeat after which the target is removed, in milliseconds.
+    ///
+    /// One heartbeat may be lost and the next one late without an effect.
+    #[must_use]
+    pub const fn target_silence_ms(&self) -> u64 {
+        self.target_heartbeat_ms
+            .saturating_mul(2)
+            .saturating_add(MAX_HEARTBEAT_DELAY_MS)
+    }
+
     /// Returns the address at which other nodes reach this node.
     #[must_use]
     pub fn reachable_ip(&self) -> IpAddr {
@@ -326,8 +343,11 @@
     Ok(())
 }
 
-fn check_positive(flag: &str, value: usize) -> Result<(), SettingsError> {
-    if value == 0 {
+fn check_positive<T: Copy + Default + PartialEq>(
+    flag: &str,
+    value: T,
+) -> Result<(), SettingsError> {
+    if value == T::default() {
         Err(SettingsError::Zero {
             flag: flag.to_owned(),
         })
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -108,3 +108,20 @@
         assert!(error.contains(&case.flag), "{error}");
     }
 }
+
+/// A deployment whose targets send a heartbeat every five seconds: each target
+/// was removed five seconds after its last one, so that a healthy fleet lost and
+/// regained all its targets in every period.
+#[test]
+fn a_target_outlasts_a_lost_and_a_late_heartbeat() {
+    /// How late heartbeats of healthy targets arrive.
+    const LATEST_ARRIVAL_MS: u64 = 1500;
+    for period_ms in [500, 1500, 5000, 30_000] {
+        let settings = parse_settings(&["--target-heartbeat-ms", &period_ms.to_string()]).unwrap();
+        let next_but_one_ms = 2 * period_ms + LATEST_ARRIVAL_MS;
+        assert!(
+            settings.target_silence_ms() > next_but_one_ms,
+            "{period_ms} ms"
+        );
+    }
+}
