Check only targets with requests on a tick, and sample a silent zone

Cause: every 10 ms while any request is in flight, the router went through all targets for silence and through all targets of all services for ejections: 982 targets a hundred times a second at each node. When one node of a zone did not respond, each caller probed all nodes of that zone every 80 to 300 ms. With single nodes failing in all zones these are probes from all to all: they grow with the square of the fleet.

Change: the router keeps the targets that have attempts in progress or are silent, and updates a service only after one of its targets changed.

--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -11,7 +11,9 @@
 mod service;
 mod silence;
 mod target;
+mod watched_targets;
 mod zone_router;
+mod zone_silence;
 
 pub use {
     target::{DRAIN_AGE_LIMIT_US, LEVEL_AGE_LIMIT_US},
--- a/src/routing/service.rs
+++ b/src/routing/service.rs
@@ -5,7 +5,7 @@
         Distance, TargetKey,
         completion::ServiceMean,
         ejection::{ejection_limit, median_us},
-        target::Target,
+        target::{Health, Target},
     },
     crate::{arena::Arena, settings::TargetChoice},
 };
@@ -30,6 +30,10 @@
     pub mean: ServiceMean,
     /// Whether a recent response of any target reported its queue.
     pub has_figures: bool,
+    /// Whether a target or its results changed since the last update.
+    pub has_changed: bool,
+    /// Whether a target is ejected or on trial.
+    has_unhealthy: bool,
 }
 
 impl Service {
@@ -43,6 +47,12 @@
         self.tiers.iter().flatten().copied()
     }
 
+    /// Whether the mean or an ejection may differ from the last update. Otherwise
+    /// the targets of a large idle service would be compared on every tick.
+    pub const fn needs_update(&self) -> bool {
+        self.has_changed || self.has_unhealthy || self.has_figures
+    }
+
     /// Updates the mean load and service time of the targets from their recent figures.
     pub fn update_mean(&mut self, targets: &Arena<TargetKey, Target>, now_us: u64) {
         let (mut slot_count, mut request_count, mut figure_count) = (0.0, 0.0, 0);
@@ -92,6 +102,7 @@
     }
     let max_ejected_count = ejection_limit(service.target_count());
     let mut ejected_count = 0;
+    let mut has_unhealthy = false;
     for key in service.keys() {
         let Some(target) = targets.get_mut(key) else {
             continue;
@@ -117,5 +128,7 @@
             ejected_count += 1;
             changes.push((key, true));
         }
+        has_unhealthy |= target.health != Health::Healthy;
     }
+    service.has_unhealthy = has_unhealthy;
 }
--- a/src/routing/target.rs
+++ b/src/routing/target.rs
@@ -64,6 +64,8 @@
     pub ejection_count: u32,
     /// Whether its node responds.
     pub silence: Silence,
+    /// Whether its availability zone does not respond.
+    pub is_zone_silent: bool,
     /// Its queue and speed, for the choice by expected completion.
     pub figures: Figures,
     /// Admission level in the latest response, with the time of its receipt.
@@ -79,6 +81,7 @@
         Self {
             info,
             silence: Silence::new(now_us),
+            is_zone_silent: false,
             outstanding_count: 0,
             figures: Figures::new(),
             latency: Latency::new(),
@@ -143,7 +146,7 @@
     /// Whether it may get no new requests, regardless of its load.
     #[must_use]
     pub fn is_unavailable(&self, now_us: u64) -> bool {
-        self.is_draining(now_us) || self.silence.is_silent()
+        self.is_draining(now_us) || self.is_zone_silent || self.silence.is_silent()
     }
 
     /// Whether it is ejected.
--- a/src/routing/zone_router.rs
+++ b/src/routing/zone_router.rs
@@ -9,13 +9,15 @@
         AttemptResult, Distance, RoutePolicy, RouteRequest, SilenceCheck, TargetInfo, TargetKey,
         service::{Service, tier_index, update_ejections},
         target::{Health, Target},
+        zone_silence::ZoneWatches,
     },
     crate::{
         arena::Arena,
-        model::{AdmissionLevel, Class, Reason, Refusal, ZoneKey},
+        model::{AdmissionLevel, Class, Reason, Refusal},
         settings::TargetChoice,
     },
     rand::Rng,
+    std::collections::BTreeSet,
 };
 
 /// Time between two requests sent to a service although all its targets shed
@@ -41,6 +43,11 @@
 #[derive(Debug)]
 pub struct ZoneRouter {
     pub(super) targets: Arena<TargetKey, Target>,
+    /// Targets that have attempts in progress, are silent or are probed. The
+    /// others cannot become silent, so that a tick costs as much as there are
+    /// requests, however many targets exist.
+    pub(super) watched: BTreeSet<TargetKey>,
+    pub(super) zone_watches: ZoneWatches,
     services: Vec<Service>,
     /// Changes since the last tick, which the next one returns.
     changes: Vec<(TargetKey, bool)>,
@@ -53,6 +60,8 @@
     fn new() -> Self {
         Self {
             targets: Arena::new(),
+            watched: BTreeSet::new(),
+            zone_watches: ZoneWatches::default(),
             services: Vec::new(),
             changes: Vec::new(),
             choice: TargetChoice::Latency,
@@ -87,7 +96,9 @@
     }
 
     fn remove(&mut self, target: TargetKey) {
+        self.watched.remove(&target);
         if let Some(entry) = self.targets.remove(target) {
+            self.zone_watches.remove_target(entry.info.zone, target);
             self.unlink(target, entry.info);
         }
     }
@@ -109,6 +120,7 @@
         if let Some(target) = self.targets.get_mut(key) {
             target.outstanding_count += 1;
             target.figures.record_sent(request.class);
+            self.watched.insert(key);
         }
         Ok(key)
     }
@@ -126,14 +138,18 @@
         };
         entry.outstanding_count = entry.outstanding_count.saturating_sub(1);
         entry.record_result(result, latency_us, level, now_us);
+        if level.is_some() {
+            self.zone_watches.record_response(entry.info.zone);
+        }
+        let service = &mut self.services[entry.info.service.index()];
+        service.has_changed = true;
         // A node that aborts attempts at once seems to be the fastest and idle.
         // Between two ticks it would attract enough attempts to exhaust the
         // retries of the whole service, and callers would get failures although
         // another target is idle.
         if result == AttemptResult::Failed {
-            let service = entry.info.service.index();
             update_ejections(
-                &mut self.services[service],
+                service,
                 &mut self.targets,
                 self.choice,
                 now_us,
@@ -151,12 +167,16 @@
     ) {
         if let Some(entry) = self.targets.get_mut(target) {
             entry.figures.record_level(class, level, now_us);
+            self.services[entry.info.service.index()].has_changed = true;
         }
     }
 
     fn record_response(&mut self, target: TargetKey, now_us: u64) -> bool {
-        let entry = self.targets.get_mut(target);
-        entry.is_some_and(|entry| entry.silence.record_response(now_us))
+        let Some(entry) = self.targets.get_mut(target) else {
+            return false;
+        };
+        self.zone_watches.record_response(entry.info.zone);
+        entry.silence.record_response(now_us)
     }
 
     fn is_silent(&self, target: TargetKey) -> bool {
@@ -165,25 +185,16 @@
     }
 
     fn check_silence(&mut self, now_us: u64) -> SilenceCheck {
-        let mut check = SilenceCheck::default();
-        let suspected_zones = self.suspected_zones();
-        for (key, target) in self.targets.iter_mut() {
-            let is_waiting =
-                target.outstanding_count > 0 || suspected_zones.contains(&target.info.zone);
-            let step = target.silence.check(is_waiting, now_us);
-            if step.should_probe {
-                check.to_probe.push(key);
-            }
-            if step.became_silent {
-                check.newly_silent.push(key);
-            }
-        }
-        check
+        self.check_watched(now_us)
     }
 
     fn tick(&mut self, now_us: u64) -> Vec<(TargetKey, bool)> {
         let mut changes = std::mem::take(&mut self.changes);
         for service in &mut self.services {
+            if !service.needs_update() {
+                continue;
+            }
+            service.has_changed = false;
             service.update_mean(&self.targets, now_us);
             update_ejections(
                 service,
@@ -214,17 +225,10 @@
             .map(|entry| entry.outstanding_count)
     }
 
-    /// Zones of which a node has just begun not to respond. The zone's other nodes
-    /// may be unreachable too, and are probed before requests hang at each.
-    fn suspected_zones(&self) -> Vec<ZoneKey> {
-        let targets = self.targets.iter().map(|(_, target)| target);
-        let mut zones: Vec<ZoneKey> = targets
-            .filter(|target| target.silence.is_suspected())
-            .map(|target| target.info.zone)
-            .collect();
-        zones.sort_unstable();
-        zones.dedup();
-        zones
+    /// Number of targets whose silence is checked on every tick.
+    #[must_use]
+    pub fn watched_count(&self) -> usize {
+        self.watched.len()
     }
 
     fn link(&mut self, key: TargetKey, info: TargetInfo) {
@@ -233,11 +237,13 @@
             self.services.resize_with(index + 1, Service::default);
         }
         self.services[index].tiers[tier_index(info.distance)].push(key);
+        self.services[index].has_changed = true;
     }
 
     fn unlink(&mut self, key: TargetKey, info: TargetInfo) {
-        let tier = &mut self.services[info.service.index()].tiers[tier_index(info.distance)];
-        tier.retain(|other| *other != key);
+        let service = &mut self.services[info.service.index()];
+        service.tiers[tier_index(info.distance)].retain(|other| *other != key);
+        service.has_changed = true;
     }
 
     /// Picks a target that admits the class: preferably one with room, else a
