Keep sums of lent shares instead of adding them up for each report

Cause: the divider of the rates gets five reports a second from each node. For each one it went through all reporters three times: to end leases, to count them and to add up what they request ahead. The work grew with the square of the fleet at one node: 4,910 reports a second times 982 reporters.

Change: leases end in the order of arrival, each looked at once; the sums by workspace follow each report.

Not changed: the number of reports that one node takes, which grows with the fleet. It is the next limit of this role.

--- a/src/quota/division.rs
+++ b/src/quota/division.rs
@@ -13,7 +13,7 @@
 use {
     super::{Rate, RefillBucket},
     crate::model::{CLASS_COUNT, Class},
-    std::collections::{BTreeMap, HashMap, HashSet},
+    std::collections::{HashMap, HashSet, VecDeque},
 };
 
 /// How long a report lends the reporter's share, counted from its arrival. Also
@@ -109,7 +109,13 @@
 /// and reads no clock.
 #[derive(Debug, Clone, Default)]
 pub struct Division {
-    reporters: BTreeMap<String, LentShare>,
+    reporters: HashMap<String, LentShare>,
+    /// Arrivals of reports in their order, with the reporters. A report that a
+    /// later one replaced stays until its lease is over.
+    arrivals: VecDeque<(u64, String)>,
+    /// Sum over the reporters of the tokens that they request ahead of need, by
+    /// workspace.
+    ahead_totals: HashMap<String, u32>,
     accounts: HashMap<String, Account>,
     /// Start of the current period in which at least one share is lent.
     lent_since_us: u64,
@@ -143,8 +149,7 @@
         needs: &HashMap<String, TokenNeed>,
         now_us: u64,
     ) {
-        self.reporters
-            .retain(|_, lent_share| now_us < lent_share.received_us + LEASE_US);
+        self.expire_shares(now_us);
         if self.reporters.is_empty() {
             self.lent_since_us = now_us;
         }
@@ -153,19 +158,55 @@
         }
         let ahead_counts = needs
             .iter()
-            .map(|(workspace, need)| (workspace.clone(), need.ahead_counts.iter().sum()));
+            .map(|(workspace, need)| (workspace, need.ahead_counts.iter().sum()))
+            .filter(|(_, ahead_count)| *ahead_count > 0);
         let lent_share = LentShare {
             received_us: now_us,
-            ahead_counts: ahead_counts.collect(),
+            ahead_counts: ahead_counts
+                .map(|(workspace, ahead_count)| (workspace.clone(), ahead_count))
+                .collect(),
         };
-        self.reporters
-            .insert(reporter.node_id.to_owned(), lent_share);
+        for (workspace, ahead_count) in &lent_share.ahead_counts {
+            *self.ahead_totals.entry(workspace.clone()).or_default() += ahead_count;
+        }
+        let node_id = reporter.node_id.to_owned();
+        self.arrivals.push_back((now_us, node_id.clone()));
+        if let Some(previous) = self.reporters.insert(node_id, lent_share) {
+            self.subtract_ahead(&previous);
+        }
+    }
+
+    /// Ends the leases that are over. Each report is looked at once more when its
+    /// lease ends, so that the cost of a report does not grow with the fleet.
+    fn expire_shares(&mut self, now_us: u64) {
+        while let Some((received_us, node_id)) = self.arrivals.front()
+            && now_us >= received_us + LEASE_US
+        {
+            let lent_share = self.reporters.get(node_id);
+            if lent_share.is_some_and(|lent_share| lent_share.received_us == *received_us)
+                && let Some(expired) = self.reporters.remove(node_id)
+            {
+                self.subtract_ahead(&expired);
+            }
+            self.arrivals.pop_front();
+        }
+    }
+
+    fn subtract_ahead(&mut self, lent_share: &LentShare) {
+        for (workspace, ahead_count) in &lent_share.ahead_counts {
+            if let Some(total) = self.ahead_totals.get_mut(workspace) {
+                *total = total.saturating_sub(*ahead_count);
+            }
+        }
     }
 
     /// Number of nodes whose shares are currently lent.
     #[must_use]
     pub fn reporter_count(&self, now_us: u64) -> usize {
-        self.active_shares(now_us).count()
+        let shares = self.reporters.values();
+        shares
+            .filter(|lent_share| now_us < lent_share.received_us + LEASE_US)
+            .count()
     }
 
     /// Grants a reporter the tokens it needs of a workspace, as far as the
@@ -179,9 +220,10 @@
         member_count: usize,
         now_us: u64,
     ) -> TokenGrant {
-        let reporter_count = self.reporter_count(now_us).max(1);
+        self.expire_shares(now_us);
+        let reporter_count = self.reporters.len().max(1);
         let lent_ratio = reporter_count as f64 / member_count.max(reporter_count) as f64;
-        let ahead_total = self.ahead_total(workspace, now_us);
+        let ahead_total = self.ahead_totals.get(workspace).copied().unwrap_or(0);
         // The bucket refills also while nobody requests tokens: the first
         // requests after a pause may be as many as the burst.
         let lent_since_us = self.lent_since_us;
@@ -262,18 +304,6 @@
             account.handed_over_until_us = now_us + LEASE_US;
         }
     }
-
-    fn ahead_total(&self, workspace: &str, now_us: u64) -> u32 {
-        self.active_shares(now_us)
-            .filter_map(|lent_share| lent_share.ahead_counts.get(workspace))
-            .sum()
-    }
-
-    fn active_shares(&self, now_us: u64) -> impl Iterator<Item = &LentShare> {
-        self.reporters
-            .values()
-            .filter(move |lent_share| now_us < lent_share.received_us + LEASE_US)
-    }
 }
 
 /// Initial tokens of a fleet that consists of new processes only.
