Make a membership change cost the same at any fleet size

Cause, by a profile of a start: each received packet with a new record made a view of all members by cloning and sorting them, and each view was compared with all rows of the route table by a scan within a scan, rebuilt all links and sorted all divider candidates. With n members a start cost each node n views of n members: 0.09 of a core at 982 nodes without a request. Each packet collected and sorted all updates, each draw of a random member filtered all. A queue of updates from the start was sent at 160 records a second without rank, so that a drain waited behind it. The table was asked for once in ten seconds: of 1,000 nodes in memory the middle one knew 99 in 100 others after 14 s, the last one not within 24 s.

Change: - Views share the members that did not change; the route table, the divider candidates and the relays follow the difference of two views. Views follow each other at an interval in proportion to their size. - The member table keeps indexes: present members by zone, suspects, gone members, pending updates in the order in which they are sent. - Updates have a rank: changes of availability before other changes, joins and synced records. A long queue is sent to more members per tick. Updates that are not about availability end when a random member of the zone has an equal table. - A node that starts asks members of its own zone for the table each second while tables differ; the transfer is built when it is sent, with the records of the requester's zone first. - Of a large fleet, 32 members ping a suspected one instead of all.

Ruled out: that bytes or decoding bind a start; 1,000 nodes spend 3.9 ms a second each on protocol and codec in a start (test profile).

Tried and not kept: dropping all updates that are not urgent at an equal table. A suspicion is not in the table's hash, so that a member reachable only through a third zone was declared dead (a_member_reachable_through_a_third_zone_is_not_declared_dead); of 200 nodes the last one missed a drain for more than 0.9 s in 4 of 30 starts. Updates about availability are now urgent until few sends are left: 3 to 6 steps in 30 starts.

--- a/benches/quota.rs
+++ b/benches/quota.rs
@@ -65,9 +65,7 @@
     let member = member(0);
     let own = Slot::new(&member);
     let table = SliceTable::new(own.clone());
-    let view = View {
-        members: vec![member],
-    };
+    let view = View::new([member]);
     let always_fresh = Snapshot {
         freshness: Freshness::Fresh,
         valid_until_ms: u64::MAX,
@@ -138,7 +136,7 @@
 fn plan() {
     let members: Vec<Member> = (0..580).map(member).collect();
     let own = Slot::new(&members[0]);
-    let view = View { members };
+    let view = View::new(members);
     let mut planner = Planner::new(own.clone());
     let table = SliceTable::new(own.clone());
     let observed = |table, now_ms| PlannerInput {
--- a/lab/tests/quota_faults.rs
+++ b/lab/tests/quota_faults.rs
@@ -163,7 +163,7 @@
         })
         .collect();
     members.sort_by(|a, b| a.node_id.cmp(&b.node_id));
-    let view = View { members };
+    let view = View::new(members);
     let bank = pool_nodes(&view, workspace, "");
     let bank = bank.first().expect("a mesh with nodes");
     let place = mesh
--- a/src/daemon/hosted/discovery.rs
+++ b/src/daemon/hosted/discovery.rs
@@ -169,7 +169,7 @@
 
     fn zone_addresses(&self) -> BTreeSet<SocketAddr> {
         let view = self.view.borrow();
-        let members = view.members.iter();
+        let members = view.iter();
         members
             .filter(|member| member.zone == self.zone && member.is_usable())
             .map(Member::gossip_address)
--- a/src/daemon/operated.rs
+++ b/src/daemon/operated.rs
@@ -138,13 +138,7 @@
             freshness: self.node.freshness().into(),
             owned_slice_count: self.owned_slice_count(),
             target: self.target_status(),
-            members: self
-                .node
-                .view()
-                .members
-                .iter()
-                .map(MemberStatus::from)
-                .collect(),
+            members: self.node.view().iter().map(MemberStatus::from).collect(),
         }
     }
 
--- a/src/daemon/seeds.rs
+++ b/src/daemon/seeds.rs
@@ -136,10 +136,7 @@
         if relay_rank(&view, &self.zone, &self.node_id) != Some(0) {
             return Vec::new();
         }
-        let members = view
-            .members
-            .iter()
-            .filter(|member| member.zone == self.zone);
+        let members = view.iter().filter(|member| member.zone == self.zone);
         members
             .filter(|member| member.is_usable())
             .take(ADDRESSES_PER_ZONE)
--- a/src/documents/follower.rs
+++ b/src/documents/follower.rs
@@ -14,7 +14,7 @@
         backoff::Backoff,
         event,
         events::Event,
-        membership::{MemberProbes, PeerStamp, View, relay_rank, relays},
+        membership::{MemberProbes, PeerStamp, View, relay_rank, relays, usable_member_count},
         timer::Timer,
     },
     rand::Rng,
@@ -102,11 +102,7 @@
     }
 
     pub(super) fn zone_member_count(&self) -> usize {
-        let view = self.view.borrow();
-        let members = view.members.iter();
-        members
-            .filter(|member| member.zone == self.zone && member.is_usable())
-            .count()
+        usable_member_count(&self.view.borrow(), &self.zone)
     }
 
     /// Whether a relay of the zone reaches the origin, as far as known.
--- a/src/freshness/tracker.rs
+++ b/src/freshness/tracker.rs
@@ -105,7 +105,7 @@
         table_zones: impl IntoIterator<Item = &'a str>,
     ) {
         let left = zones_fully_left(view);
-        let members = view.members.iter().filter(|m| m.node_id != self.node_id);
+        let members = view.iter().filter(|m| m.node_id != self.node_id);
         self.has_zone_peers = members
             .clone()
             .any(|m| m.zone == self.zone && m.is_usable());
@@ -243,10 +243,10 @@
 
 fn zones_fully_left(view: &View) -> BTreeSet<&str> {
     let has_remaining_member = |zone: &str| {
-        let mut members = view.members.iter().filter(|m| m.zone == zone);
+        let mut members = view.iter().filter(|m| m.zone == zone);
         members.any(|member| member.state != MemberState::Left)
     };
-    let zones: BTreeSet<&str> = view.members.iter().map(|m| m.zone.as_str()).collect();
+    let zones: BTreeSet<&str> = view.iter().map(|m| m.zone.as_str()).collect();
     zones
         .into_iter()
         .filter(|zone| !has_remaining_member(zone))
--- a/src/membership/gossip.rs
+++ b/src/membership/gossip.rs
@@ -27,6 +27,13 @@
 /// Period at which the protocol checks its timers and queues.
 const GOSSIP_TICK_MS: u64 = 100;
 
+/// Minimum interval between two views, for each member in them. The work that
+/// a view causes in other modules grows with its members, and a fleet that
+/// starts changes with nearly every datagram: the interval bounds that work as a
+/// share of time for any size of the fleet. The next tick publishes what is
+/// left.
+const VIEW_INTERVAL_PER_MEMBER_US: u64 = 50;
+
 /// Stamps and revocations that a slow subscriber may lag behind.
 const CHANNEL_LENGTH: usize = 1024;
 
@@ -119,6 +126,7 @@
             view: view_sender,
             gossip: gossip.clone(),
             hints: inputs.hints.clone(),
+            next_view_us: 0,
         };
         tokio::spawn(task.run(inputs, requests, shutdown));
         Ok(gossip)
@@ -155,6 +163,7 @@
     view: watch::Sender<Arc<View>>,
     gossip: Gossip,
     hints: mpsc::Sender<Hint>,
+    next_view_us: u64,
 }
 
 impl GossipTask {
@@ -177,6 +186,9 @@
                 Ok(()) = inputs.own_state.changed() => {
                     let own = inputs.own_state.borrow_and_update().clone();
                     self.swim.set_own_state(own, self.timer.now_ms(), &mut self.rng, &mut out);
+                    // Modules of this node must not learn later than others
+                    // that it drains.
+                    self.next_view_us = 0;
                 }
                 Some(digests) = inputs.revocations.recv() => {
                     self.swim.revoke(&digests, self.timer.now_ms(), &mut self.rng, &mut out);
@@ -270,7 +282,17 @@
                 }
             }
         }
+        self.publish_view();
+    }
+
+    fn publish_view(&mut self) {
+        let now_us = self.timer.now_us();
+        if now_us < self.next_view_us {
+            return;
+        }
         if let Some(view) = self.swim.take_view() {
+            let member_count = u64::try_from(view.members.len()).unwrap_or(u64::MAX);
+            self.next_view_us = now_us + member_count.saturating_mul(VIEW_INTERVAL_PER_MEMBER_US);
             self.view.send_replace(Arc::new(view));
         }
     }
--- a/src/membership/joining.rs
+++ b/src/membership/joining.rs
@@ -1,7 +1,7 @@
 //! Discovery of the other members when a node starts.
 
 use {
-    super::{Liveness, Outgoing, PacketKind, Swim, updates::Scope},
+    super::{Liveness, Outgoing, PacketKind, Swim, updates::Scope, zone_index::Among},
     rand::{
         Rng,
         seq::{IndexedRandom, SliceRandom},
@@ -49,10 +49,10 @@
             false => SAME_ZONE_SEEDS_PER_TICK,
         });
         receivers.append(&mut other_zone_seeds);
-        let zone = self.own_record.zone.clone();
-        let same_zone_member = self.random_addresses(1, rng, |record| record.zone == zone);
+        let own_zone = Among::Zone(&self.own_record.zone);
+        let same_zone_member = self.random_addresses(own_zone, 1, rng);
         receivers.extend(match same_zone_member.is_empty() {
-            true => self.random_addresses(1, rng, |_| true),
+            true => self.random_addresses(Among::All, 1, rng),
             false => same_zone_member,
         });
         for to in receivers {
--- a/src/membership/member.rs
+++ b/src/membership/member.rs
@@ -1,8 +1,12 @@
 //! Members of the fleet: nodes and their targets.
 
 use {
+    super::relays::ZoneSummaries,
     crate::documents::Versions,
-    std::net::{IpAddr, SocketAddr},
+    std::{
+        net::{IpAddr, SocketAddr},
+        sync::{Arc, OnceLock},
+    },
 };
 
 /// State of a member in this node's view.
@@ -104,21 +108,92 @@
 }
 
 /// All members that this node knows, itself included, sorted by `node_id`.
-#[derives::value]
-#[derive(Eq, Default)]
+///
+/// Consecutive views share the members that have not changed, so that a view
+/// costs a pointer for each member and [`View::changes_since`] compares pointers.
+#[derive(Debug, Clone, Default)]
 pub struct View {
     /// Members in every state, except those whose tombstone has expired.
-    pub members: Vec<Member>,
+    pub members: Vec<Arc<Member>>,
+    /// Derived from the members when it is first needed.
+    zones: OnceLock<ZoneSummaries>,
+}
+
+impl PartialEq for View {
+    fn eq(&self, other: &Self) -> bool {
+        self.members == other.members
+    }
+}
+
+impl Eq for View {}
+
+/// Differences between two views.
+#[derive(Debug, Default)]
+pub struct ViewChanges<'a> {
+    /// Members that are new or have changed.
+    pub changed: Vec<&'a Member>,
+    /// Members that the later view no longer contains.
+    pub removed: Vec<&'a Member>,
 }
 
 impl View {
+    /// A view of these members.
+    #[must_use]
+    pub fn new(members: impl IntoIterator<Item: Into<Arc<Member>>>) -> Self {
+        let mut members: Vec<Arc<Member>> = members.into_iter().map(Into::into).collect();
+        members.sort_by(|left, right| left.node_id.cmp(&right.node_id));
+        Self::from_sorted(members)
+    }
+
+    /// A view of these members, which are sorted by node id.
+    pub(super) const fn from_sorted(members: Vec<Arc<Member>>) -> Self {
+        Self {
+            members,
+            zones: OnceLock::new(),
+        }
+    }
+
+    /// Relays and sizes of the availability zones.
+    pub(super) fn zones(&self) -> &ZoneSummaries {
+        self.zones.get_or_init(|| ZoneSummaries::new(&self.members))
+    }
+
+    /// All members.
+    pub fn iter(&self) -> impl DoubleEndedIterator<Item = &Member> + Clone {
+        self.members.iter().map(Arc::as_ref)
+    }
+
     /// The member with this node id.
     #[must_use]
     pub fn member(&self, node_id: &str) -> Option<&Member> {
         let index = self
             .members
             .binary_search_by(|member| member.node_id.as_str().cmp(node_id));
-        index.ok().map(|index| &self.members[index])
+        index.ok().map(|index| self.members[index].as_ref())
+    }
+
+    /// Differences between this view and an earlier one.
+    #[must_use]
+    pub fn changes_since<'a>(&'a self, earlier: &'a Self) -> ViewChanges<'a> {
+        let mut changes = ViewChanges::default();
+        let mut old_members = earlier.members.iter().peekable();
+        for member in &self.members {
+            if old_members
+                .next_if(|old| Arc::ptr_eq(old, member))
+                .is_some()
+            {
+                continue;
+            }
+            while let Some(old) = old_members.next_if(|old| old.node_id < member.node_id) {
+                changes.removed.push(old);
+            }
+            let old = old_members.next_if(|old| old.node_id == member.node_id);
+            if old != Some(member) {
+                changes.changed.push(member);
+            }
+        }
+        changes.removed.extend(old_members.map(Arc::as_ref));
+        changes
     }
 }
 
--- a/src/membership/probing.rs
+++ b/src/membership/probing.rs
@@ -2,10 +2,12 @@
 
 use {
     super::{
-        Liveness, Outgoing, PacketKind, Record, Swim, SwimEvent, View, relays,
+        Liveness, Outgoing, PacketKind, RELAY_COUNT, Swim, SwimEvent,
+        relays::relay_weight,
         swim::{Probe, ProbeCause},
         table::MemberKey,
         updates::Scope,
+        zone_index::Among,
     },
     rand::{Rng, seq::IndexedRandom},
     std::net::SocketAddr,
@@ -37,6 +39,11 @@
 /// zone's last reply exceed the freshness limit.
 const ROUNDS_PER_ZONE_CYCLE: usize = 3;
 
+/// Mean number of members that ping a suspected one at each of a few ages of the
+/// suspicion; all of them in smaller fleets. A refutation reaches the others by
+/// updates.
+const MEAN_SUSPECT_PING_COUNT: f64 = 32.0;
+
 /// Rounds between probes of dead members. After a partition, only such a probe
 /// notifies a member that it was declared dead.
 const DEAD_PROBE_PERIOD_ROUNDS: u64 = 2;
@@ -84,12 +91,21 @@
     // A suspicion and its refutation are sent as updates, and both may be lost:
     // the suspected member never receives the suspicion, or its refutation
     // reaches only some nodes. A node would then declare a member dead that
-    // responds to every request. So each node pings the suspected member itself
-    // before declaring it dead; the ping contains the suspicion and the ack
-    // refutes it.
-    pub(super) fn ping_suspects(&mut self, now_ms: u64, out: &mut Vec<Outgoing>) {
+    // responds to every request. So some nodes ping the suspected member
+    // themselves before declaring it dead; the ping contains the suspicion and
+    // the ack refutes it.
+    pub(super) fn ping_suspects<R: Rng>(
+        &mut self,
+        now_ms: u64,
+        rng: &mut R,
+        out: &mut Vec<Outgoing>,
+    ) {
+        let member_count = self.table.zones().member_count().max(1);
+        let share = MEAN_SUSPECT_PING_COUNT / member_count as f64;
         for key in self.table.suspects_to_ping(now_ms) {
-            self.ping(key, ProbeCause::SuspicionCheck, now_ms, out);
+            if rng.random_bool(share.min(1.0)) {
+                self.ping(key, ProbeCause::SuspicionCheck, now_ms, out);
+            }
         }
     }
 
@@ -113,8 +129,8 @@
         let Some(entry) = self.table.get(subject) else {
             return;
         };
-        let zone = entry.record.zone.clone();
-        if let Some(other) = self.random_keys(1, rng, |record| record.zone == zone).pop() {
+        let zone = Among::Zone(&entry.record.zone);
+        if let Some(other) = self.table.zones().draw(zone, 1, rng).pop() {
             self.ping(other, ProbeCause::ZoneRetry, now_ms, out);
         }
     }
@@ -131,9 +147,13 @@
             return;
         };
         let subject_id = entry.record.node_id.clone();
-        for helper in self.random_addresses(INDIRECT_PROBE_COUNT, rng, |record| {
-            record.node_id != subject_id
-        }) {
+        let mut helpers = self
+            .table
+            .zones()
+            .draw(Among::All, INDIRECT_PROBE_COUNT + 1, rng);
+        helpers.retain(|helper| *helper != subject);
+        helpers.truncate(INDIRECT_PROBE_COUNT);
+        for helper in self.addresses(&helpers) {
             let kind = PacketKind::PingRequest {
                 subject: subject_id.clone(),
             };
@@ -148,9 +168,8 @@
         rng: &mut R,
         out: &mut Vec<Outgoing>,
     ) {
-        let zone = self.own_record.zone.clone();
         let probes_relay = self.round.is_multiple_of(self.relay_probe_period_rounds());
-        let own_zone = self.pick_matching(rng, |record| record.zone == zone, probes_relay);
+        let own_zone = self.pick_in_own_zone(rng, probes_relay);
         let other_zones = self.pick_other_zones(rng);
         let dead = if self.round.is_multiple_of(DEAD_PROBE_PERIOD_ROUNDS) {
             self.pick_dead(rng)
@@ -193,43 +212,31 @@
         out.push(Outgoing { to, packet });
     }
 
-    pub(super) fn pick_matching<R: Rng>(
-        &self,
-        rng: &mut R,
-        matches: impl Fn(&Record) -> bool,
-        relays_only: bool,
-    ) -> Option<MemberKey> {
-        if relays_only && let Some(relay) = self.pick_relay(rng) {
+    fn pick_in_own_zone<R: Rng>(&self, rng: &mut R, prefers_relay: bool) -> Option<MemberKey> {
+        if prefers_relay && let Some(relay) = self.pick_relay(rng) {
             return Some(relay);
         }
-        self.random_keys(1, rng, matches).pop()
+        let own_zone = Among::Zone(&self.own_record.zone);
+        self.table.zones().draw(own_zone, 1, rng).pop()
     }
 
-    pub(super) fn relay_probe_period_rounds(&self) -> u64 {
-        let zone = self.own_record.zone.as_str();
-        let members = self
-            .table
-            .iter()
-            .filter(|(_, entry)| entry.record.zone == zone);
-        let rounds = members.count().div_ceil(MEMBERS_PER_RELAY_ROUND);
-        u64::try_from(rounds.clamp(1, MAX_RELAY_PROBE_PERIOD_ROUNDS)).unwrap_or(1)
+    fn relay_probe_period_rounds(&self) -> u64 {
+        let member_count = self.table.zones().members(&self.own_record.zone).len();
+        let round_count = member_count.div_ceil(MEMBERS_PER_RELAY_ROUND);
+        u64::try_from(round_count.clamp(1, MAX_RELAY_PROBE_PERIOD_ROUNDS)).unwrap_or(1)
     }
 
-    pub(super) fn pick_relay<R: Rng>(&self, rng: &mut R) -> Option<MemberKey> {
-        let zone = self.own_record.zone.as_str();
-        let members = self
-            .table
+    fn pick_relay<R: Rng>(&self, rng: &mut R) -> Option<MemberKey> {
+        let members = self.table.zones().members(&self.own_record.zone);
+        let records = members
             .iter()
-            .filter(|(_, entry)| entry.record.zone == zone)
-            .map(|(_, entry)| entry.record.to_member());
-        let view = View {
-            members: members.collect(),
-        };
-        let relays = relays(&view, zone);
-        self.random_keys(1, rng, |record| {
-            relays.iter().any(|relay| relay.node_id == record.node_id)
-        })
-        .pop()
+            .filter_map(|key| Some((*key, &self.table.get(*key)?.record)));
+        let mut candidates: Vec<(u64, MemberKey)> = records
+            .map(|(key, record)| (relay_weight(&record.node_id), key))
+            .collect();
+        candidates.sort_unstable_by(|left, right| right.cmp(left));
+        candidates.truncate(RELAY_COUNT);
+        candidates.choose(rng).map(|(_, key)| *key)
     }
 
     /// Picks a member of each other zone whose turn it is in this round.
@@ -238,60 +245,41 @@
     // the freshness limit, and a healthy node would regard itself as cut off
     // while the platform is down.
     pub(super) fn pick_other_zones<R: Rng>(&self, rng: &mut R) -> Vec<MemberKey> {
-        let mut zones: Vec<&str> = self
-            .table
-            .iter()
-            .filter(|(_, entry)| entry.record.liveness <= Liveness::Suspect)
-            .map(|(_, entry)| entry.record.zone.as_str())
-            .filter(|zone| *zone != self.own_record.zone)
-            .collect();
-        zones.sort_unstable();
-        zones.dedup();
+        let own_zone = self.own_record.zone.as_str();
+        let zones = self.table.zones().zones();
+        let zones: Vec<&str> = zones.filter(|zone| *zone != own_zone).collect();
         let probe_count = zones.len().div_ceil(ROUNDS_PER_ZONE_CYCLE);
         let zone_cycle = zones.iter().copied().cycle();
         let first = usize::try_from(self.round).unwrap_or(0) * probe_count;
         let first = first.checked_rem(zones.len()).unwrap_or(0);
         let due: Vec<&str> = zone_cycle.skip(first).take(probe_count).collect();
         due.into_iter()
-            .filter_map(|zone| self.random_keys(1, rng, |record| record.zone == zone).pop())
+            .filter_map(|zone| self.table.zones().draw(Among::Zone(zone), 1, rng).pop())
             .collect()
     }
 
-    pub(super) fn pick_dead<R: Rng>(&self, rng: &mut R) -> Option<MemberKey> {
-        let dead: Vec<MemberKey> = self
-            .table
-            .iter()
+    fn pick_dead<R: Rng>(&self, rng: &mut R) -> Option<MemberKey> {
+        let gone = self.table.gone();
+        let dead: Vec<MemberKey> = gone
             .filter(|(_, entry)| entry.record.liveness == Liveness::Dead)
             .map(|(key, _)| key)
             .collect();
         dead.choose(rng).copied()
     }
 
-    pub(super) fn random_keys<R: Rng>(
-        &self,
-        count: usize,
-        rng: &mut R,
-        matches: impl Fn(&Record) -> bool,
-    ) -> Vec<MemberKey> {
-        let candidates: Vec<MemberKey> = self
-            .table
-            .iter()
-            .filter(|(_, entry)| entry.record.liveness <= Liveness::Suspect)
-            .filter(|(_, entry)| matches(&entry.record))
-            .map(|(key, _)| key)
-            .collect();
-        candidates.choose_multiple(rng, count).copied().collect()
-    }
-
+    /// Gossip addresses of some random members.
     pub(super) fn random_addresses<R: Rng>(
         &self,
+        among: Among<'_>,
         count: usize,
         rng: &mut R,
-        matches: impl Fn(&Record) -> bool,
     ) -> Vec<SocketAddr> {
-        let keys = self.random_keys(count, rng, matches);
-        keys.into_iter()
-            .filter_map(|key| self.table.get(key))
+        self.addresses(&self.table.zones().draw(among, count, rng))
+    }
+
+    fn addresses(&self, keys: &[MemberKey]) -> Vec<SocketAddr> {
+        keys.iter()
+            .filter_map(|key| self.table.get(*key))
             .map(|entry| entry.record.gossip_address())
             .collect()
     }
--- a/src/membership/swim.rs
+++ b/src/membership/swim.rs
@@ -7,20 +7,17 @@
         joining::{JOIN_TICK_COUNT, SeedAddresses},
         probing::PROBE_PERIOD_MS,
         table::{MemberKey, MemberTable, Merge},
+        table_sync::{SYNC_PARTS_PER_TICK, SyncTransfer},
         updates::Scope,
     },
     crate::{documents::Versions, keys::KeyDigest},
     rand::Rng,
     std::{
-        collections::{BTreeMap, BTreeSet},
+        collections::{BTreeMap, BTreeSet, VecDeque},
         net::SocketAddr,
     },
 };
 
-/// Maximum number of sync parts sent between two ticks. When a whole fleet
-/// starts, many nodes request the tables of a few members.
-const SYNC_PARTS_PER_TICK: usize = 16;
-
 /// A packet to send.
 #[derives::value]
 pub struct Outgoing {
@@ -96,16 +93,18 @@
     pub(super) next_sequence: u64,
     pub(super) round: u64,
     pub(super) next_round_ms: u64,
+    /// When the first ack with a different table arrived.
+    pub(super) started_ms: Option<u64>,
     pub(super) last_sync_request_ms: Option<u64>,
     /// When acks began to show a table hash other than this node's; `None`
     /// while the hashes are equal.
     pub(super) tables_differ_since_ms: Option<u64>,
     /// Keys revoked so far, in order of arrival, with the remaining sends.
     pub(super) revocations: Vec<(KeyDigest, u32)>,
-    /// Queued sync parts.
-    pub(super) sync_parts: Vec<Outgoing>,
+    /// Tables that are being sent, one after the other.
+    pub(super) sync_transfers: VecDeque<SyncTransfer>,
     /// Sync parts that may still be sent before the next tick.
-    sync_parts_left: usize,
+    pub(super) sync_parts_left: usize,
     /// Remaining ticks in which this node requests members from seeds.
     pub(super) join_ticks_left: u32,
 }
@@ -125,10 +124,11 @@
             next_sequence: 1,
             round: 0,
             next_round_ms: 0,
+            started_ms: None,
             last_sync_request_ms: None,
             tables_differ_since_ms: None,
             revocations: Vec::new(),
-            sync_parts: Vec::new(),
+            sync_transfers: VecDeque::new(),
             sync_parts_left: SYNC_PARTS_PER_TICK,
             join_ticks_left: 0,
         }
@@ -213,9 +213,8 @@
     ) {
         self.expire_probes(now_ms, rng, out, events);
         events.extend(self.table.tick(now_ms).into_iter().map(SwimEvent::Dead));
-        self.ping_suspects(now_ms, out);
-        self.sync_parts_left = SYNC_PARTS_PER_TICK;
-        self.send_sync_parts(out);
+        self.ping_suspects(now_ms, rng, out);
+        self.continue_sync_transfers(now_ms, out);
         self.send_urgent_updates(now_ms, rng, out);
         if self.join_ticks_left > 0 {
             self.join_ticks_left -= 1;
@@ -294,19 +293,13 @@
                 }
             }
             PacketKind::SyncRequest => {
-                self.queue_sync_parts(sender_address, now_ms, rng);
-                self.send_sync_parts(out);
+                self.queue_sync_transfer(sender_address, &packet.sender, rng);
+                self.send_sync_parts(now_ms, out);
             }
             PacketKind::SyncPart | PacketKind::Updates => {}
         }
     }
 
-    fn send_sync_parts(&mut self, out: &mut Vec<Outgoing>) {
-        let sent_part_count = self.sync_parts.len().min(self.sync_parts_left);
-        self.sync_parts_left -= sent_part_count;
-        out.extend(self.sync_parts.drain(..sent_part_count));
-    }
-
     fn process_ack(
         &mut self,
         packet: &Packet,
@@ -344,6 +337,10 @@
             probe_sent_ms: probe.sent_ms,
         }));
         self.sync_if_different(packet, now_ms, out);
+        let is_same_zone = self.table.scope_of(&packet.sender.zone) == Scope::SameZone;
+        if is_same_zone && self.tables_differ_since_ms.is_none() {
+            self.table.drop_relaxed_updates();
+        }
     }
 
     fn merge_record(
--- a/src/membership/updates.rs
+++ b/src/membership/updates.rs
@@ -7,7 +7,11 @@
 //! from there.
 
 use {
-    super::Record,
+    super::{
+        Record,
+        table::MemberKey,
+        update_queue::{Position, Rank},
+    },
     std::hash::{Hash, Hasher},
     xxhash_rust::xxh3::Xxh3,
 };
@@ -32,6 +36,11 @@
     OtherZone,
 }
 
+impl Scope {
+    /// All scopes.
+    pub const ALL: [Self; 2] = [Self::SameZone, Self::OtherZone];
+}
+
 /// How often this node sends an update, given the size of the fleet.
 #[derives::value]
 #[derive(Copy)]
@@ -54,19 +63,16 @@
                 / own_zone_member_count.max(1) as f64,
         }
     }
-
-    /// Remaining sends at or below which an update is no longer urgent.
-    const fn urgent_limit(&self) -> u32 {
-        self.same_zone_send_count / 2
-    }
 }
 
 /// An update: how often a changed record may still be sent.
 #[derives::value]
 #[derive(Copy)]
 pub struct Update {
-    same_zone_left: u32,
-    other_zone_send_count: u32,
+    rank: Rank,
+    same_zone_total_count: u32,
+    same_zone_sent_count: u32,
+    other_zone_sent_count: u32,
     /// In 0..1; decides how a fractional average is rounded. `None` if the
     /// record is not sent to other zones.
     other_zone_rounding: Option<f64>,
@@ -75,10 +81,12 @@
 impl Update {
     /// Update for a record that just changed at the node with this id.
     #[must_use]
-    pub fn new(record: &Record, own_id: &str, share: &UpdateShare) -> Self {
+    pub fn new(record: &Record, rank: Rank, own_id: &str, share: &UpdateShare) -> Self {
         Self {
-            same_zone_left: share.same_zone_send_count,
-            other_zone_send_count: 0,
+            rank,
+            same_zone_total_count: share.same_zone_send_count,
+            same_zone_sent_count: 0,
+            other_zone_sent_count: 0,
             other_zone_rounding: Some(rounding(record, own_id)),
         }
     }
@@ -87,39 +95,65 @@
     #[must_use]
     pub const fn from_sync() -> Self {
         Self {
-            same_zone_left: SYNC_SENDS,
-            other_zone_send_count: 0,
+            rank: Rank::Synced,
+            same_zone_total_count: SYNC_SENDS,
+            same_zone_sent_count: 0,
+            other_zone_sent_count: 0,
             other_zone_rounding: None,
         }
     }
 
+    /// Position in the queue of this scope.
+    #[must_use]
+    pub const fn position(&self, key: MemberKey, scope: Scope) -> Position {
+        Position {
+            rank: self.rank,
+            sent_count: match scope {
+                Scope::SameZone => self.same_zone_sent_count,
+                Scope::OtherZone => self.other_zone_sent_count,
+            },
+            key,
+        }
+    }
+
     /// Remaining sends.
     #[must_use]
     pub fn sends_left(&self, scope: Scope, share: &UpdateShare) -> u32 {
         match scope {
-            Scope::SameZone => self.same_zone_left,
+            Scope::SameZone => self
+                .same_zone_total_count
+                .saturating_sub(self.same_zone_sent_count),
             Scope::OtherZone => self.other_zone_rounding.map_or(0, |rounding| {
                 let allowed_count = (share.other_zone_send_mean + rounding).floor() as u32;
-                allowed_count.saturating_sub(self.other_zone_send_count)
+                allowed_count.saturating_sub(self.other_zone_sent_count)
             }),
         }
     }
 
-    /// Whether it should be sent at once instead of with the next packet.
+    /// Whether it should be sent at once instead of with the next packet: to other
+    /// zones always, within the zone until half of its sends or, if it concerns
+    /// availability, until few are left. After half of them, the one member in
+    /// hundreds that missed it would send requests to the target for seconds.
     #[must_use]
     pub fn is_urgent(&self, scope: Scope, share: &UpdateShare) -> bool {
-        let limit = match scope {
-            Scope::SameZone => share.urgent_limit(),
-            Scope::OtherZone => 0,
-        };
-        self.sends_left(scope, share) > limit
+        match scope {
+            Scope::SameZone => {
+                let relaxed_count = match self.rank {
+                    Rank::Availability => self.same_zone_total_count / 6,
+                    Rank::Change | Rank::Join => self.same_zone_total_count / 2,
+                    Rank::Synced => SYNC_SENDS,
+                };
+                self.sends_left(scope, share) > relaxed_count
+            }
+            Scope::OtherZone => self.sends_left(scope, share) > 0,
+        }
     }
 
     /// Records a send.
     pub const fn record_send(&mut self, scope: Scope) {
         match scope {
-            Scope::SameZone => self.same_zone_left = self.same_zone_left.saturating_sub(1),
-            Scope::OtherZone => self.other_zone_send_count += 1,
+            Scope::SameZone => self.same_zone_sent_count += 1,
+            Scope::OtherZone => self.other_zone_sent_count += 1,
         }
     }
 }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -8,6 +8,7 @@
 mod level;
 mod loop_lag;
 mod route_table;
+mod row_builder;
 mod start;
 mod tasks;
 
--- a/src/node/route_table.rs
+++ b/src/node/route_table.rs
@@ -1,14 +1,15 @@
 //! Known targets of the fleet: the routing policy and how each target is reached.
 
 use {
+    super::row_builder::RowBuilder,
     crate::{
         conf::Evacuations,
         event,
         events::Event,
         membership::{Announcement, Member, MemberState, OwnState, View},
-        model::{Names, Refusal, RegionKey, ServiceKey, ZoneKey},
+        model::{Names, Refusal, ServiceKey},
         peer::PeerLink,
-        routing::{Distance, RoutePolicy, RouteRequest, TargetInfo, TargetKey},
+        routing::{RoutePolicy, RouteRequest, TargetInfo, TargetKey},
         settings::{Settings, TargetChoice},
         target::UNKNOWN_PROCESS_ID,
     },
@@ -32,7 +33,7 @@
 #[derive(Debug, Clone, Copy)]
 pub struct FleetState<'a> {
     /// All members.
-    pub view: &'a View,
+    pub view: &'a Arc<View>,
     /// State that this node announces.
     pub own: &'a OwnState,
     /// Availability zones that get no work.
@@ -64,6 +65,9 @@
 #[derive(Debug)]
 pub struct RouteTable<R> {
     policy: R,
+    /// The view and evacuations that the rows and links reflect.
+    view: Arc<View>,
+    evacuations: Evacuations,
     rows: BTreeMap<String, Row>,
     links: HashMap<String, (NodeIdentity, Arc<PeerLink>)>,
     node_names: HashMap<TargetKey, String>,
@@ -78,6 +82,8 @@
     pub fn new(choice: TargetChoice) -> Self {
         Self {
             policy: R::new().with_target_choice(choice),
+            view: Arc::default(),
+            evacuations: Evacuations::default(),
             rows: BTreeMap::new(),
             links: HashMap::new(),
             node_names: HashMap::new(),
@@ -224,85 +230,96 @@
         starts_slowly: bool,
         now_us: u64,
     ) {
-        let FleetState {
-            view,
-            own,
-            evacuations,
-        } = fleet;
-        self.sync_links(view, settings);
-        let mut removed_nodes: Vec<String> = self.rows.keys().cloned().collect();
-        for member in &view.members {
-            if member.node_id == settings.node_id {
-                continue;
+        let build = RowBuilder {
+            settings,
+            names,
+            evacuations: fleet.evacuations,
+            starts_slowly,
+            now_us,
+        };
+        let earlier_view = std::mem::replace(&mut self.view, Arc::clone(fleet.view));
+        let changes = fleet.view.changes_since(&earlier_view);
+        for member in changes.removed {
+            self.remove_member(&member.node_id);
+        }
+        if self.evacuations == *fleet.evacuations {
+            for member in changes.changed {
+                self.sync_member(member, &build);
             }
-            let Some(target) = member.target.as_ref().filter(|_| is_in_fleet(member.state)) else {
-                continue;
-            };
-            if target.draining {
-                self.remember_leaving(target.process_id, now_us / 1000);
+        } else {
+            self.evacuations.clone_from(fleet.evacuations);
+            for member in fleet.view.iter() {
+                self.sync_member(member, &build);
             }
-            let info = TargetInfo {
-                draining: target.draining
-                    || self.leaving.contains_key(&target.process_id)
-                    || member.state == MemberState::Draining
-                    || evacuations.contains(&member.zone),
-                ..target_info(
-                    target,
-                    (names.zone(&member.zone), names.region(&member.region)),
-                    distance(settings, member),
-                    starts_slowly,
-                    names,
-                )
-            };
-            let identity = member_identity(member);
-            removed_nodes.retain(|node| *node != member.node_id);
-            self.upsert(&member.node_id, info, identity, target.process_id, now_us);
         }
-        if let Some(target) = &own.target {
-            if target.draining {
-                self.remember_leaving(target.process_id, now_us / 1000);
-            }
-            let info = TargetInfo {
-                draining: target.draining
-                    || self.leaving.contains_key(&target.process_id)
-                    || own.draining
-                    || evacuations.contains(&settings.zone),
-                ..target_info(
-                    target,
-                    (names.zone(&settings.zone), names.region(&settings.region)),
-                    Distance::SameZone,
-                    starts_slowly,
-                    names,
-                )
-            };
-            let identity = NodeIdentity {
-                address: SocketAddr::new(settings.reachable_ip(), settings.peer_port),
-                started_unix_ms: 0,
-            };
-            removed_nodes.retain(|node| *node != settings.node_id);
-            self.upsert(&settings.node_id, info, identity, target.process_id, now_us);
+        self.sync_local_target(fleet.own, &build);
+    }
+
+    /// Updates the link to another member and the row of its target.
+    fn sync_member(&mut self, member: &Member, build: &RowBuilder<'_>) {
+        let node = &member.node_id;
+        if *node == build.settings.node_id {
+            return;
+        }
+        if !is_in_fleet(member.state) {
+            self.remove_member(node);
+            return;
         }
-        for node in removed_nodes {
-            self.remove(&node);
+        let identity = member_identity(member);
+        let has_link = self.links.get(node).is_some_and(|link| link.0 == identity);
+        if !has_link {
+            let link = PeerLink::new(build.settings.ip, identity.address);
+            self.links.insert(node.clone(), (identity, link));
         }
+        let Some(target) = &member.target else {
+            self.remove(node);
+            return;
+        };
+        let info = TargetInfo {
+            draining: self.is_leaving(target, build.now_us)
+                || member.state == MemberState::Draining
+                || build.evacuations.contains(&member.zone),
+            ..build.info(target, (&member.zone, &member.region))
+        };
+        self.upsert(node, info, identity, target.process_id, build.now_us);
+    }
+
+    fn sync_local_target(&mut self, own: &OwnState, build: &RowBuilder<'_>) {
+        let settings = build.settings;
+        let Some(target) = &own.target else {
+            self.remove(&settings.node_id);
+            return;
+        };
+        let info = TargetInfo {
+            draining: self.is_leaving(target, build.now_us)
+                || own.draining
+                || build.evacuations.contains(&settings.zone),
+            ..build.info(target, (&settings.zone, &settings.region))
+        };
+        let identity = NodeIdentity {
+            address: SocketAddr::new(settings.reachable_ip(), settings.peer_port),
+            started_unix_ms: 0,
+        };
+        self.upsert(
+            &settings.node_id,
+            info,
+            identity,
+            target.process_id,
+            build.now_us,
+        );
+    }
+
+    fn remove_member(&mut self, node: &str) {
+        self.links.remove(node);
+        self.remove(node);
     }
 
-    /// Keeps a link to every other member, so that each row of another node has one.
-    fn sync_links(&mut self, view: &View, settings: &Settings) {
-        let other_members = view
-            .members
-            .iter()
-            .filter(|member| member.node_id != settings.node_id && is_in_fleet(member.state));
-        let mut links = HashMap::new();
-        for member in other_members {
-            let identity = member_identity(member);
-            let link = match self.links.remove(&member.node_id) {
-                Some((link_identity, link)) if link_identity == identity => link,
-                _ => PeerLink::new(settings.ip, identity.address),
-            };
-            links.insert(member.node_id.clone(), (identity, link));
+    /// Whether the process said that it leaves, now or earlier.
+    fn is_leaving(&mut self, target: &Announcement, now_us: u64) -> bool {
+        if target.draining {
+            self.remember_leaving(target.process_id, now_us / 1000);
         }
-        self.links = links;
+        target.draining || self.leaving.contains_key(&target.process_id)
     }
 
     fn upsert(
@@ -358,31 +375,3 @@
 const fn is_in_fleet(state: MemberState) -> bool {
     !matches!(state, MemberState::Left | MemberState::Dead)
 }
-
-fn target_info(
-    target: &Announcement,
-    (zone, region): (ZoneKey, RegionKey),
-    distance: Distance,
-    starts_slowly: bool,
-    names: &Names,
-) -> TargetInfo {
-    TargetInfo {
-        service: names.service(&target.service),
-        zone,
-        region,
-        distance,
-        slot_count: target.slot_count,
-        draining: target.draining,
-        starts_slowly,
-    }
-}
-
-fn distance(settings: &Settings, member: &Member) -> Distance {
-    if member.region != settings.region {
-        Distance::OtherRegion
-    } else if member.zone != settings.zone {
-        Distance::SameRegion
-    } else {
-        Distance::SameZone
-    }
-}
--- a/src/quarantine/exchange.rs
+++ b/src/quarantine/exchange.rs
@@ -115,7 +115,6 @@
 ) -> usize {
     let view = node.view();
     let others: Vec<&Member> = view
-        .members
         .iter()
         .filter(|member| member.node_id != node.settings.node_id)
         .filter(|member| !matches!(member.state, MemberState::Left | MemberState::Dead))
--- a/src/quota/divider_choice.rs
+++ b/src/quota/divider_choice.rs
@@ -2,7 +2,7 @@
 //! no I/O and reads no clock.
 
 /// Number of divider candidates, by rank.
-const DIVIDER_COUNT: usize = 3;
+pub const DIVIDER_COUNT: usize = 3;
 /// Number of reports without a reply that a divider may miss before it can
 /// count as silent.
 const MAX_UNANSWERED_COUNT: u32 = 3;
--- a/src/quota/mod.rs
+++ b/src/quota/mod.rs
@@ -24,7 +24,7 @@
     borrowed_tokens::BorrowedTokens,
     bucket::{Bucket, capacity},
     divided::DividedQuota,
-    divider_choice::DividerChoice,
+    divider_choice::{DIVIDER_COUNT, DividerChoice},
     divider_role::{DividerRole, ReportAction},
     division::{ClassCounts, Division, LEASE_US, Reporter, TokenGrant, TokenNeed},
     gate::{LeasedQuota, QuotaInputs, Rates, spawn},
--- a/src/quota/placement.rs
+++ b/src/quota/placement.rs
@@ -14,7 +14,7 @@
         let hashed_text = format!("{workspace} {}", member.node_id);
         xxh3_64(hashed_text.as_bytes())
     };
-    let usable = view.members.iter().filter(|member| member.is_usable());
+    let usable = view.iter().filter(|member| member.is_usable());
     let first = usable.clone().max_by_key(weight);
     let zone_members = usable.filter(|member| member.zone == own_zone);
     let second = zone_members.max_by_key(weight);
--- a/src/quota/sharing/mod.rs
+++ b/src/quota/sharing/mod.rs
@@ -24,7 +24,6 @@
     datagrams::{HandoverPart, Message, Report},
     handover::{ReceivedHandovers, split},
     std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration},
-    takeover::divider_candidates,
     tokio::{net::UdpSocket, sync::watch},
     tokio_util::sync::CancellationToken,
 };
@@ -71,6 +70,10 @@
     division: Division,
     choice: DividerChoice,
     role: DividerRole,
+    /// The view that the candidates reflect.
+    view: Arc<View>,
+    /// Members that may divide in the last view, the preferred one first.
+    candidates: Vec<Arc<Member>>,
     /// Parts of the handover of this node, sent again if one is lost.
     handover: Vec<HandoverPart>,
     received_handovers: ReceivedHandovers,
@@ -97,6 +100,8 @@
         division: Division::new(),
         choice: DividerChoice::new(),
         role: DividerRole::new(),
+        view: Arc::default(),
+        candidates: Vec::new(),
         handover: Vec::new(),
         received_handovers: ReceivedHandovers::default(),
         outstanding: OutstandingReports::new(rand::random()),
@@ -293,13 +298,12 @@
         let view = self.inputs.view.borrow().clone();
         let is_dead = |member: &&Member| member.state == MemberState::Dead;
         let present_count = view
-            .members
             .iter()
             .filter(|member| !matches!(member.state, MemberState::Left | MemberState::Dead))
             .count();
         self.dead_since_us
             .retain(|node_id, _| view.member(node_id).as_ref().is_some_and(is_dead));
-        for member in view.members.iter().filter(is_dead) {
+        for member in view.iter().filter(is_dead) {
             let node_id = member.node_id.clone();
             self.dead_since_us.entry(node_id).or_insert(now_us);
         }
@@ -318,12 +322,10 @@
 
     /// Node id and address of the divider to report to.
     fn select_divider(&mut self, now_us: u64) -> (String, SocketAddr) {
-        let view = self.inputs.view.borrow();
-        let candidates = divider_candidates(&view);
-        let index = self.choice.select_index(candidates.len(), now_us);
+        let index = self.choice.select_index(self.candidates.len(), now_us);
         // The last node of a fleet divides for itself even while it leaves;
         // otherwise its callers would be refused until it has stopped.
-        let Some(member) = candidates.get(index) else {
+        let Some(member) = self.candidates.get(index) else {
             return (self.inputs.node_id.clone(), self.inputs.address);
         };
         let address = SocketAddr::new(member.ip, self.inputs.port);
--- a/src/quota/sharing/takeover.rs
+++ b/src/quota/sharing/takeover.rs
@@ -5,19 +5,36 @@
     crate::{
         event,
         events::Event,
-        membership::{Member, MemberState, View},
-        quota::Rate,
+        membership::{Member, MemberState, View, ViewChanges},
+        quota::{DIVIDER_COUNT, Rate},
     },
-    std::net::SocketAddr,
+    std::{net::SocketAddr, sync::Arc},
     xxhash_rust::xxh3::xxh3_64,
 };
 
 /// Members that may divide, the preferred one first.
-pub(super) fn divider_candidates(view: &View) -> Vec<&Member> {
+fn divider_candidates(view: &View) -> Vec<Arc<Member>> {
     let usable = view.members.iter().filter(|member| member.is_usable());
-    let mut candidates: Vec<&Member> = usable.collect();
-    candidates.sort_by_cached_key(|member| xxh3_64(member.node_id.as_bytes()));
-    candidates
+    let mut preferred: Vec<(u64, &Arc<Member>)> = Vec::with_capacity(DIVIDER_COUNT + 1);
+    for member in usable {
+        let weight = xxh3_64(member.node_id.as_bytes());
+        let index = preferred.partition_point(|(other, _)| *other < weight);
+        preferred.insert(index, (weight, member));
+        preferred.truncate(DIVIDER_COUNT);
+    }
+    let members = preferred.into_iter().map(|(_, member)| Arc::clone(member));
+    members.collect()
+}
+
+/// Whether a change of the view may change the candidates: one of them changed
+/// or is gone, or another member would precede the last of them.
+fn affects_candidates(changes: &ViewChanges<'_>, candidates: &[Arc<Member>]) -> bool {
+    let Some(last) = candidates.get(DIVIDER_COUNT - 1) else {
+        return true;
+    };
+    let last_weight = xxh3_64(last.node_id.as_bytes());
+    let mut members = changes.changed.iter().chain(&changes.removed);
+    members.any(|member| xxh3_64(member.node_id.as_bytes()) <= last_weight)
 }
 
 impl Sharing {
@@ -33,14 +50,17 @@
     /// the previous one.
     pub(super) async fn follow_candidates(&mut self) {
         let now_us = self.inputs.timer.now_us();
-        let (candidate_ids, is_draining) = {
-            let view = self.inputs.view.borrow_and_update();
-            let candidates = divider_candidates(&view);
-            let candidate_ids = candidates.iter().map(|member| member.node_id.clone());
+        let is_draining = {
+            let view = Arc::clone(&self.inputs.view.borrow_and_update());
+            let earlier_view = std::mem::replace(&mut self.view, Arc::clone(&view));
+            if affects_candidates(&view.changes_since(&earlier_view), &self.candidates) {
+                self.candidates = divider_candidates(&view);
+            }
             let own = view.member(&self.inputs.node_id);
-            let is_draining = own.is_some_and(|own| !own.is_usable());
-            (candidate_ids.collect::<Vec<_>>(), is_draining)
+            own.is_some_and(|own| !own.is_usable())
         };
+        let candidates = self.candidates.iter();
+        let candidate_ids: Vec<String> = candidates.map(|member| member.node_id.clone()).collect();
         let was_first = self.role.is_first(&self.inputs.node_id);
         self.role
             .set_candidates(&self.inputs.node_id, &candidate_ids, now_us);
--- a/src/slices/share.rs
+++ b/src/slices/share.rs
@@ -26,7 +26,7 @@
 
 /// Members that may own slices.
 pub fn eligible(view: &View) -> impl Iterator<Item = &Member> {
-    view.members.iter().filter(|member| member.is_usable())
+    view.iter().filter(|member| member.is_usable())
 }
 
 /// Shares of the members that should own slices of a section: each zone in
--- a/src/slices/task.rs
+++ b/src/slices/task.rs
@@ -162,7 +162,7 @@
 
     fn is_first_member(&self) -> bool {
         let view = self.inputs.view.borrow();
-        let mut usable_members = view.members.iter().filter(|member| member.is_usable());
+        let mut usable_members = view.iter().filter(|member| member.is_usable());
         usable_members
             .next()
             .is_none_or(|first| first.node_id == self.inputs.own_slot.node_id)
--- a/tests/documents.rs
+++ b/tests/documents.rs
@@ -105,7 +105,7 @@
         .map(|(id, zone, state)| member(id, zone, *state))
         .collect();
     members.sort_by(|a, b| a.node_id.cmp(&b.node_id));
-    Arc::new(View { members })
+    Arc::new(View::new(members))
 }
 
 fn relay_ids(view: &View, zone: &str) -> Vec<String> {
@@ -365,7 +365,6 @@
     let relays = relay_ids(&members, "a");
     let is_other = |member: &&Member| !relays.contains(&member.node_id);
     let other = members
-        .members
         .iter()
         .find(is_other)
         .expect("a member that is not a relay")
--- a/tests/freshness.rs
+++ b/tests/freshness.rs
@@ -208,7 +208,7 @@
             member("b2", "b", MemberState::Alive),
             member("c1", "c", case.zone_c_state),
         ];
-        tracker.observe_zones(&View { members }, []);
+        tracker.observe_zones(&View::new(members), []);
         if let Some(age_ms) = case.own_poll_age_ms {
             tracker.record_poll(NOW_MS - age_ms, VERSIONS_IN_FORCE);
         }
--- a/tests/local_mesh/mesh.rs
+++ b/tests/local_mesh/mesh.rs
@@ -173,7 +173,7 @@
     let mut members: Vec<Member> = instances.iter().map(member_of).collect();
     members.extend(fake_members.lock().unwrap().iter().cloned());
     members.sort_by(|a, b| a.node_id.cmp(&b.node_id));
-    let view = Arc::new(View { members });
+    let view = Arc::new(View::new(members));
     for instance in instances {
         instance.view.send_if_modified(|current| {
             let has_changed = *current != view;
--- a/tests/membership_support/mod.rs
+++ b/tests/membership_support/mod.rs
@@ -8,8 +8,8 @@
         documents::Versions,
         keys::KeyDigest,
         membership::{
-            Liveness, MemberPorts, MemberState, Outgoing, OwnState, PacketKind, PeerStamp, Record,
-            SeedAddresses, Swim, SwimEvent, View, relay_rank,
+            Liveness, MemberPorts, MemberState, Outgoing, OwnState, Packet, PacketKind, PeerStamp,
+            Record, SeedAddresses, Swim, SwimEvent, View, relay_rank,
         },
     },
     rand::{Rng, SeedableRng, rngs::StdRng},
@@ -43,6 +43,21 @@
     }
 }
 
+/// A packet of this sender without updates.
+pub fn empty_packet(sender: &Record) -> Packet {
+    Packet {
+        sender: sender.clone(),
+        sequence: 0,
+        kind: PacketKind::Updates,
+        versions: Versions::default(),
+        platform_age_ms: None,
+        is_origin_failing: false,
+        table_hash: 0,
+        updates: Vec::new(),
+        revocations: Vec::new(),
+    }
+}
+
 pub struct SimulatedNode {
     pub swim: Swim,
     pub address: SocketAddr,
--- a/tests/objects_support/mod.rs
+++ b/tests/objects_support/mod.rs
@@ -315,9 +315,7 @@
         let timer = Timer::new(shutdown.clone());
         let store = FakeStore::new(node_count, fault);
         let members = (0..node_count).map(|index| member(index, nodes_per_zone));
-        let view = Arc::new(View {
-            members: members.collect(),
-        });
+        let view = Arc::new(View::new(members));
         let (view_sender, view_receiver) = watch::channel(view.clone());
         let documents: Vec<_> = (0..node_count).map(|_| DocumentStore::new()).collect();
         let mut nodes = Vec::new();
@@ -401,9 +399,7 @@
     pub fn start_isolated(&self, mut apply: impl FnMut(&Document) + Send + 'static) -> Node {
         let (applied_sender, applied) = watch::channel(0);
         let (own_state, _) = watch::channel(OwnState::default());
-        let view = Arc::new(View {
-            members: vec![self.view.members[0].clone()],
-        });
+        let view = Arc::new(View::new([self.view.members[0].clone()]));
         let documents = DocumentStore::new();
         let evacuations = spawn_evacuations_task(&documents, self.shutdown.clone());
         let follower = FollowerInputs {
--- a/tests/quota_fleet.rs
+++ b/tests/quota_fleet.rs
@@ -199,7 +199,7 @@
 impl Fleet {
     fn start(net: u8, node_count: u8, lost_response_count: u32) -> Self {
         let members: Vec<Member> = (0..node_count).map(|index| member(net, index)).collect();
-        let view = View { members };
+        let view = View::new(members);
         let store = Store::new(lost_response_count);
         let shutdown = CancellationToken::new();
         let nodes = view.members.iter();
@@ -212,7 +212,7 @@
     }
 
     fn set_member_state(&mut self, index: usize, state: MemberState) {
-        self.view.members[index].state = state;
+        Arc::make_mut(&mut self.view.members[index]).state = state;
         let view = Arc::new(self.view.clone());
         for node in &self.nodes {
             node.view.send_replace(view.clone());
--- a/tests/quota_handover.rs
+++ b/tests/quota_handover.rs
@@ -143,7 +143,7 @@
 fn view_of(members: &[Member]) -> View {
     let mut members = members.to_vec();
     members.sort_by(|left, right| left.node_id.cmp(&right.node_id));
-    View { members }
+    View::new(members)
 }
 
 /// How the divider changes.
--- a/tests/slices.rs
+++ b/tests/slices.rs
@@ -10,7 +10,7 @@
             SliceTable, SliceTableError, Slot, Step, TAKEOVER_WAIT_MS,
         },
     },
-    std::collections::BTreeMap,
+    std::{collections::BTreeMap, sync::Arc},
 };
 
 fn member(zone: usize, index: usize) -> Member {
@@ -51,7 +51,7 @@
         let planners: Vec<Planner> = slots.map(Planner::new).collect();
         Self {
             table: SliceTable::new(planners[0].own_slot().clone()),
-            view: View { members },
+            view: View::new(members),
             planners,
             now_ms: 0,
             write_count: 0,
@@ -59,7 +59,7 @@
     }
 
     fn set_state(&mut self, index: usize, state: MemberState) {
-        self.view.members[index].state = state;
+        Arc::make_mut(&mut self.view.members[index]).state = state;
     }
 
     /// Runs all planners on the same table. Of those that want to write, one
@@ -211,9 +211,7 @@
 #[test]
 fn a_slot_whose_node_is_not_known_yet_is_not_suspected() {
     let fleet = Fleet::new(1, 2);
-    let view = View {
-        members: vec![fleet.view.members[1].clone()],
-    };
+    let view = View::new([fleet.view.members[1].clone()]);
     let mut planner = Planner::new(fleet.planners[1].own_slot().clone());
     let mut plan = |now_ms| {
         planner.plan(PlannerInput {
@@ -282,7 +280,7 @@
 fn a_replacement_at_another_address_waits_before_it_claims_its_slot() {
     let mut fleet = Fleet::new(1, 2);
     fleet.run_until_stable();
-    fleet.view.members[1].ip = [127, 0, 9, 9].into();
+    Arc::make_mut(&mut fleet.view.members[1]).ip = [127, 0, 9, 9].into();
     let own_slot = Slot::new(&fleet.view.members[1]);
     fleet.planners[1] = Planner::new(own_slot.clone());
     assert_eq!(
