Test that ticks, probes, updates and starts keep their cost as fleets grow

Cause: the faults of the whole fleet were costs that are small at 15 to 100 nodes; no test looked at two sizes.

--- a/tests/membership_joining.rs
+++ b/tests/membership_joining.rs
@@ -36,6 +36,14 @@
             loss_ratio: 0.05,
             limit_ms: 1000,
         },
+        // Hundreds of nodes wait for the table of a few; when each asked only
+        // once in ten seconds, the last ones knew the fleet after nine.
+        Case {
+            zone_count: 6,
+            nodes_per_zone: 50,
+            loss_ratio: 0.005,
+            limit_ms: 5000,
+        },
     ];
     for (seed, case) in (0..).zip(cases) {
         let mut fleet = Fleet::started_with_zone_seeds(case.zone_count, case.nodes_per_zone, seed);
@@ -75,3 +83,32 @@
     );
     assert!(fleet.all_see_each_other());
 }
+
+/// The records of a start were piggybacked on all packets until each was sent a
+/// number of times: at rest, control traffic grew with the fleet for minutes.
+#[test]
+fn a_fleet_at_rest_sends_no_more_records_the_larger_it_is() {
+    /// Mean records that a node sends in a second.
+    const MAX_RECORDS_PER_S: f64 = 1.0;
+    const REST_START_MS: u64 = 15_000;
+    const REST_MS: u64 = 10_000;
+    for nodes_per_zone in [8, 16, 32] {
+        let mut fleet = Fleet::started_with_zone_seeds(4, nodes_per_zone, 3);
+        while fleet.now_ms < REST_START_MS {
+            fleet.step();
+        }
+        assert!(fleet.all_see_each_other());
+        let record_count_before = fleet.record_count;
+        while fleet.now_ms < REST_START_MS + REST_MS {
+            fleet.step();
+        }
+        let record_count = (fleet.record_count - record_count_before) as f64;
+        let node_seconds = fleet.nodes.len() as f64 * REST_MS as f64 / 1000.0;
+        let records_per_s = record_count / node_seconds;
+        assert!(
+            records_per_s <= MAX_RECORDS_PER_S,
+            "{records_per_s} of {} nodes",
+            fleet.nodes.len()
+        );
+    }
+}
--- a/tests/quota_division.rs
+++ b/tests/quota_division.rs
@@ -7,7 +7,9 @@
 use {
     dogwoodbridge::{
         model::Class,
-        quota::{Division, LEASE_US, Rate, RefillBucket, Reporter, TokenHoldings},
+        quota::{
+            Division, LEASE_US, Rate, RefillBucket, Reporter, TokenGrant, TokenHoldings, TokenNeed,
+        },
     },
     rand::{Rng, SeedableRng, rngs::StdRng},
     std::collections::{HashMap, VecDeque},
@@ -400,3 +402,79 @@
         );
     }
 }
+
+/// A report of a node: when it arrives and what it requests ahead.
+struct TimedReport {
+    node_id: &'static str,
+    arrives_us: u64,
+    ahead_count: u32,
+}
+
+/// The grant to the last reporter.
+fn grant_after(reports: &[TimedReport]) -> TokenGrant {
+    let mut division = Division::new();
+    let mut grant = TokenGrant::default();
+    for report in reports {
+        let reporter = Reporter {
+            node_id: report.node_id,
+            process_id: 1,
+            is_new: false,
+        };
+        let need = TokenNeed {
+            ahead_counts: [0, report.ahead_count, 0],
+            ..TokenNeed::default()
+        };
+        let needs = HashMap::from([(WORKSPACE.to_owned(), need.clone())]);
+        let now_us = report.arrives_us;
+        division.record_report(reporter, &needs, now_us);
+        grant = division.grant(reporter, WORKSPACE, RATE, &need, 2, now_us);
+    }
+    grant
+}
+
+/// A divider of a thousand nodes keeps the sum of their demand instead of adding
+/// it up for each grant. If demand of a replaced report or of an expired lease
+/// stayed in the sum, other nodes would get too few tokens.
+#[test]
+fn demand_of_replaced_and_expired_reports_does_not_count() {
+    struct Case {
+        name: &'static str,
+        earlier: TimedReport,
+    }
+    let cases = [
+        Case {
+            name: "replaced by a report without demand",
+            earlier: TimedReport {
+                node_id: "b",
+                arrives_us: 2 * SECOND_US,
+                ahead_count: 50,
+            },
+        },
+        Case {
+            name: "lease is over",
+            earlier: TimedReport {
+                node_id: "c",
+                arrives_us: 2 * SECOND_US - LEASE_US,
+                ahead_count: 50,
+            },
+        },
+    ];
+    for case in cases {
+        let without_demand = TimedReport {
+            ahead_count: 0,
+            ..case.earlier
+        };
+        let grants = [case.earlier, without_demand].map(|earlier| {
+            let later = [("b", 2 * SECOND_US, 0), ("a", 2 * SECOND_US + 500_000, 60)];
+            let later = later.map(|(node_id, arrives_us, ahead_count)| TimedReport {
+                node_id,
+                arrives_us,
+                ahead_count,
+            });
+            let [b, a] = later;
+            grant_after(&[earlier, b, a])
+        });
+        assert_eq!(grants[0].counts, grants[1].counts, "{}", case.name);
+        assert!(grants[0].counts[1] > 0, "{}", case.name);
+    }
+}
--- a/tests/routing_silence.rs
+++ b/tests/routing_silence.rs
@@ -165,3 +165,113 @@
     fixture.send_requests(1_000_000);
     assert_eq!(fixture.pick(), Err(Reason::NoTarget));
 }
+
+/// One zone with this many targets, each at its own node, and a target of
+/// another zone.
+fn zone_fixture(target_count: usize) -> Fixture {
+    let mut fixture = Fixture::new(&vec![Distance::SameRegion; target_count]);
+    let info = TargetInfo {
+        service: SERVICE,
+        zone: ZoneKey::new(1),
+        region: RegionKey::new(0),
+        distance: Distance::SameRegion,
+        slot_count: 20,
+        draining: false,
+        starts_slowly: true,
+    };
+    let other = fixture.router.add(info, 0);
+    fixture.targets.push(other);
+    fixture
+}
+
+/// Single nodes of a large fleet fail in every zone. When each caller probed all
+/// nodes of such a zone, the probes grew with the square of the fleet and took
+/// the processor time of the nodes that responded.
+#[test]
+fn probes_for_a_failed_node_do_not_grow_with_its_zone() {
+    /// For the failed node and for the sample of its zone.
+    const MAX_PROBE_COUNT: usize = 40;
+    for target_count in [25, 50, 100, 200, 400] {
+        let mut fixture = zone_fixture(target_count);
+        let failed = fixture.pick().unwrap();
+        fixture.unreachable.push(failed);
+        let mut probe_count = 0;
+        for _ in 0..300 {
+            fixture.now_us += STEP_US;
+            let to_probe = fixture.router.check_silence(fixture.now_us).to_probe;
+            probe_count += to_probe.len();
+            for target in to_probe {
+                if target != failed {
+                    fixture.router.record_response(target, fixture.now_us);
+                }
+            }
+        }
+        assert!(
+            probe_count <= MAX_PROBE_COUNT,
+            "{probe_count} probes in a zone of {target_count}"
+        );
+        assert!(fixture.router.is_silent(failed));
+    }
+}
+
+/// A zone of hundreds of nodes is cut off. Only a sample of it is probed, and
+/// requests would hang at each of the others until their deadline.
+#[test]
+fn requests_avoid_all_targets_of_a_zone_whose_sample_is_silent() {
+    for target_count in [3, 25, 200] {
+        let mut fixture = zone_fixture(target_count);
+        fixture.send_requests(200_000);
+        let other = fixture.targets[target_count];
+        fixture.unreachable = fixture.targets[..target_count].to_vec();
+        let outage_start_us = fixture.now_us;
+        let is_cut_off = |(_, target): &(u64, TargetKey)| *target != other;
+        let picked = fixture.send_requests(2_000_000);
+        let last_us = picked.iter().rev().find(|pick| is_cut_off(pick));
+        let last_us = last_us.map_or(outage_start_us, |(picked_us, _)| *picked_us);
+        assert!(
+            last_us <= outage_start_us + MAX_DETECTION_US,
+            "{target_count} targets: {} us",
+            last_us - outage_start_us
+        );
+        fixture.unreachable.clear();
+        let outage_end_us = fixture.now_us;
+        let picked = fixture.send_requests(2_000_000);
+        let first_us = picked.iter().find(|pick| is_cut_off(pick));
+        let first_us = first_us.map_or(u64::MAX, |(picked_us, _)| *picked_us);
+        assert!(
+            first_us <= outage_end_us + MAX_DETECTION_US,
+            "{target_count} targets"
+        );
+    }
+}
+
+/// A node of a large fleet knows hundreds of targets and has requests at a few.
+/// When each tick checked all of them, idle targets took most of a node's
+/// control time.
+#[test]
+fn a_tick_checks_only_targets_with_requests() {
+    const REQUEST_COUNT: usize = 3;
+    for target_count in [50, 100, 200, 400] {
+        let mut fixture = Fixture::new(&vec![Distance::SameRegion; target_count]);
+        fixture.step();
+        assert_eq!(fixture.router.watched_count(), 0, "{target_count} targets");
+        let picked: Vec<TargetKey> = (0..REQUEST_COUNT)
+            .map(|_| fixture.pick().unwrap())
+            .collect();
+        fixture.step();
+        let watched_count = fixture.router.watched_count();
+        assert!(
+            (1..=REQUEST_COUNT).contains(&watched_count),
+            "{watched_count} of {target_count}"
+        );
+        for target in picked {
+            let result = AttemptResult::Completed;
+            let now_us = fixture.now_us;
+            fixture
+                .router
+                .end_attempt(target, result, 5000, None, now_us);
+        }
+        fixture.step();
+        assert_eq!(fixture.router.watched_count(), 0, "{target_count} targets");
+    }
+}
