Do not count the local target as part of a silent zone

Cause, found by reading the diff: when the sampled nodes of the own zone do not respond, all targets of the zone get no requests, the local one too. A node that is cut off from its zone would refuse what its own target could serve. Before the sampling each target was judged by itself.

Change: the route table names the local target to the routing policy. It is neither sampled nor silent with its zone, and its responses say nothing about the zone.

Test: the_local_target_serves_while_the_rest_of_its_zone_is_silent.

--- a/src/node/route_table.rs
+++ b/src/node/route_table.rs
@@ -346,6 +346,9 @@
             None => TargetLocation::Local,
         };
         let target = self.policy.add(info, now_us);
+        if matches!(location, TargetLocation::Local) {
+            self.policy.set_local(target);
+        }
         self.node_names.insert(target, node.to_owned());
         let row = Row {
             target,
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -120,6 +120,10 @@
     /// Updates what membership reports about a target.
     fn update(&mut self, target: TargetKey, info: TargetInfo);
 
+    /// Sets which target is the local one, which no network failure separates
+    /// from this node.
+    fn set_local(&mut self, target: TargetKey);
+
     /// Removes a target.
     fn remove(&mut self, target: TargetKey);
 
--- a/src/routing/watched_targets.rs
+++ b/src/routing/watched_targets.rs
@@ -41,7 +41,8 @@
         for zone in zones {
             let members = self.targets.iter();
             let members = members.filter(|(_, target)| target.info.zone == zone);
-            let members: Vec<TargetKey> = members.map(|(key, _)| key).collect();
+            let members = members.map(|(key, _)| key);
+            let members: Vec<TargetKey> = members.filter(|key| self.local != Some(*key)).collect();
             self.zone_watches.suspect(zone, &members, now_us);
         }
         self.watched.extend(self.zone_watches.sampled());
@@ -57,8 +58,8 @@
         for change in self.zone_watches.update(now_us, is_silent) {
             let members = self.targets.iter_mut();
             let members = members.filter(|(_, target)| target.info.zone == change.zone);
-            for (_, target) in members {
-                target.is_zone_silent = change.is_silent;
+            for (key, target) in members {
+                target.is_zone_silent = change.is_silent && self.local != Some(key);
             }
         }
     }
--- a/src/routing/zone_router.rs
+++ b/src/routing/zone_router.rs
@@ -48,6 +48,7 @@
     /// requests, however many targets exist.
     pub(super) watched: BTreeSet<TargetKey>,
     pub(super) zone_watches: ZoneWatches,
+    pub(super) local: Option<TargetKey>,
     services: Vec<Service>,
     /// Changes since the last tick, which the next one returns.
     changes: Vec<(TargetKey, bool)>,
@@ -62,6 +63,7 @@
             targets: Arena::new(),
             watched: BTreeSet::new(),
             zone_watches: ZoneWatches::default(),
+            local: None,
             services: Vec::new(),
             changes: Vec::new(),
             choice: TargetChoice::Latency,
@@ -95,7 +97,12 @@
         }
     }
 
+    fn set_local(&mut self, target: TargetKey) {
+        self.local = Some(target);
+    }
+
     fn remove(&mut self, target: TargetKey) {
+        self.local = self.local.filter(|local| *local != target);
         self.watched.remove(&target);
         if let Some(entry) = self.targets.remove(target) {
             self.zone_watches.remove_target(entry.info.zone, target);
@@ -138,7 +145,7 @@
         };
         entry.outstanding_count = entry.outstanding_count.saturating_sub(1);
         entry.record_result(result, latency_us, level, now_us);
-        if level.is_some() {
+        if level.is_some() && self.local != Some(target) {
             self.zone_watches.record_response(entry.info.zone);
         }
         let service = &mut self.services[entry.info.service.index()];
@@ -175,7 +182,9 @@
         let Some(entry) = self.targets.get_mut(target) else {
             return false;
         };
-        self.zone_watches.record_response(entry.info.zone);
+        if self.local != Some(target) {
+            self.zone_watches.record_response(entry.info.zone);
+        }
         entry.silence.record_response(now_us)
     }
 
--- a/tests/routing_silence.rs
+++ b/tests/routing_silence.rs
@@ -275,3 +275,22 @@
         assert_eq!(fixture.router.watched_count(), 0, "{target_count} targets");
     }
 }
+
+/// A node is cut off from the other nodes of its zone. Its callers can still be
+/// served by its own target, which no network failure separates from it.
+#[test]
+fn the_local_target_serves_while_the_rest_of_its_zone_is_silent() {
+    for target_count in [3, 25, 200] {
+        let mut fixture = Fixture::new(&vec![Distance::SameZone; target_count]);
+        let local = fixture.targets[target_count / 2];
+        fixture.router.set_local(local);
+        fixture.send_requests(200_000);
+        fixture.unreachable = fixture.targets.clone();
+        fixture.unreachable.retain(|target| *target != local);
+        fixture.send_requests(1_000_000);
+        for _ in 0..10 {
+            assert_eq!(fixture.pick(), Ok(local), "{target_count} targets");
+            fixture.step();
+        }
+    }
+}
