--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,5 +3,11 @@
 cd "$(dirname "$0")/../.." && [ -x target/review/standins ] || exit 2
 target/review/standins late-copy review/1 &
 standins=$!
-trap 'pkill -KILL -P "$standins"; kill -KILL "$standins"; exit 2' INT TERM
+end_all() {
+  for process in $(ps -o pid= --ppid "$standins") "$standins"; do
+    kill -KILL "$process"
+  done
+  exit 2
+}
+trap end_all INT TERM
 wait "$standins"
