Log how limits of targets end and how long fetched documents take

The hypotheses on CONFIG and LIMIT could not be told apart from logs: a limit that was forgotten with a registration left no line, and a fetch that got no response left none either. E317 tells the cause and the age of the node, E202 how long the fetch took, and E207 (new) which holder of a document did not provide it, and after how long.

--- a/src/documents/follower.rs
+++ b/src/documents/follower.rs
@@ -291,6 +291,7 @@
         if !shared.is_in_zone(&next.node_id) {
             tokio::time::sleep(OTHER_ZONE_DELAY).await;
         }
+        let started_ms = shared.timer.now_ms();
         let mut backoff = Backoff::new(50, 500);
         for _ in 0..FETCH_ATTEMPTS {
             let held_version = shared.store.versions().of(kind);
@@ -299,8 +300,19 @@
             }
             let fetch = peers.fetch(&next.node_id, kind, held_version);
             if let Ok(Some(document)) = timeout(FETCH_TIMEOUT, fetch).await {
-                store_fetched(&shared, &next.node_id, kind, document);
-            } else if available.has_changed().unwrap_or(true) {
+                let took_ms = shared.timer.now_ms().saturating_sub(started_ms);
+                store_fetched(&shared, &next.node_id, kind, document, took_ms);
+                continue;
+            }
+            let took_ms = shared.timer.now_ms().saturating_sub(started_ms);
+            event!(
+                Event::DocumentFetchFailed,
+                "kind={} node={} version={} held={held_version} took_ms={took_ms}",
+                kind.name(),
+                next.node_id,
+                next.version
+            );
+            if available.has_changed().unwrap_or(true) {
                 break;
             } else {
                 backoff.wait().await;
@@ -314,13 +326,14 @@
     node_id: &str,
     kind: DocumentKind,
     document: Document,
+    took_ms: u64,
 ) {
     let version = document.version;
     let is_newer = document.kind == kind && shared.store.offer(document);
     if is_newer && kind == DocumentKind::Configuration {
         event!(
             Event::ConfigurationFromNeighbour,
-            "node={node_id} revision={version}"
+            "node={node_id} revision={version} took_ms={took_ms}"
         );
     }
 }
--- a/src/egress/announce.rs
+++ b/src/egress/announce.rs
@@ -121,7 +121,10 @@
     };
     let was_end_planned = is_end_planned(node);
     let was_draining = is_target_draining(node);
-    let was_cold = node.target.gate().is_cold(now_us);
+    let (was_cold, previous_limit_per_s) = {
+        let gate = node.target.gate();
+        (gate.is_cold(now_us), gate.named_limit_per_s())
+    };
     let has_restarted = node.target.announce(target, cold_left_ms, now_us);
     let process_id = node.target.process_id();
     let size = TargetSize {
@@ -153,6 +156,12 @@
             "service={service} instance={instance_id} slots={slot_count} cold_left_ms={cold_left_ms} draining={is_draining} sequence={sequence:?} node_age_ms={age_ms}"
         );
     }
+    if has_restarted && let Some(limit_per_s) = previous_limit_per_s {
+        event!(
+            Event::TargetLimited,
+            "limit_per_s=None previous={limit_per_s} cause=registration node_age_ms={age_ms}"
+        );
+    }
     if is_draining && (has_restarted || !was_draining) {
         event!(
             Event::TargetLeaving,
--- a/src/events.rs
+++ b/src/events.rs
@@ -52,6 +52,7 @@
     RouteKindUnknown = 204, Warn, "A route has an unknown kind; its requests are not retried.";
     EvacuationsInForce = 205, Info, "The set of evacuated availability zones has changed.";
     EvacuationsRejected = 206, Error, "The list of evacuated availability zones is invalid and is ignored.";
+    DocumentFetchFailed = 207, Warn, "A document could not be fetched from a node that holds it.";
     PlatformReached = 210, Info, "The platform's object API responds again.";
     PlatformLost = 211, Warn, "The platform's object API does not respond.";
     HistoryLost = 212, Info, "The platform no longer has the history that a watch requested; the object is read again.";
--- a/src/target/gate.rs
+++ b/src/target/gate.rs
@@ -116,6 +116,12 @@
         is_changed.then(|| self.named_limit.rate_per_s())
     }
 
+    /// Limit that the target names, in requests per second; `None` without one.
+    #[must_use]
+    pub fn named_limit_per_s(&self) -> Option<f64> {
+        self.named_limit.rate_per_s()
+    }
+
     /// Records how much longer the target stays cold, as its heartbeat reports.
     ///
     /// Unless the process is new, a heartbeat cannot shorten a cold time reported
--- a/src/target/serve.rs
+++ b/src/target/serve.rs
@@ -352,7 +352,11 @@
         .gate()
         .record_limit(signal.limit, sent_us, now_us);
     if let Some(limit_per_s) = changed {
-        event!(Event::TargetLimited, "limit_per_s={limit_per_s:?}");
+        let age_ms = now_us / 1000;
+        event!(
+            Event::TargetLimited,
+            "limit_per_s={limit_per_s:?} cause=response node_age_ms={age_ms}"
+        );
     }
     if signal.is_leaving {
         record_leaving_response(node);
