Lift a limit in steps when responses no longer name it

A target that names its limit in some of its answers only, since it adds none to rejections or to some of its work, got all requests again at the first answer without it.

A limit now holds for 3 s after it was last named; after that, responses without it double it at most once a second, until 32 times the limit is no limit any more. Lifted at once, all slots would fill before the next answer could name it again, and the target has just been in need.

--- a/src/target/named_limit.rs
+++ b/src/target/named_limit.rs
@@ -10,17 +10,51 @@
 /// preferred, but new call chains are not throttled, since others may have room.
 const FULL_LOAD_PERCENT: f64 = 125.0;
 const US_PER_S: f64 = 1e6;
+/// Time since the limit was last named after which responses without it lift it: a target may
+/// name its limit in some of its responses only.
+const HOLD_US: u64 = 3_000_000;
+/// Shortest interval between the doublings by which a limit is lifted. Lifted at once, all slots
+/// of the target would fill before its next response can name the limit again.
+const LIFT_INTERVAL_US: u64 = 1_000_000;
+/// Multiple of the named limit above which it no longer holds.
+const MAX_LIFT: f64 = 32.0;
 
 #[derives::value]
 #[derive(Copy)]
 struct Bucket {
+    /// Limit that the target named.
+    named_per_s: f64,
+    /// Limit that holds: the named one, or a multiple while it is lifted.
     rate_per_s: f64,
     /// When a response last named the limit.
     named_us: u64,
+    /// When the limit was last named or doubled.
+    changed_us: u64,
     token_count: f64,
     refilled_us: u64,
 }
 
+impl Bucket {
+    const fn new(rate_per_s: f64, now_us: u64) -> Self {
+        Self {
+            named_per_s: rate_per_s,
+            rate_per_s,
+            named_us: now_us,
+            changed_us: now_us,
+            token_count: 0.0,
+            refilled_us: now_us,
+        }
+    }
+
+    fn name(&mut self, rate_per_s: f64, now_us: u64) {
+        self.named_per_s = rate_per_s;
+        self.rate_per_s = rate_per_s;
+        self.named_us = now_us;
+        self.changed_us = now_us;
+        self.token_count = self.token_count.min(capacity(rate_per_s));
+    }
+}
+
 /// The limit that the local target names, as a token bucket. Pure state: performs no I/O and
 /// reads no clock.
 #[derive(Debug, Default)]
@@ -45,7 +79,8 @@
     /// the limit changed.
     ///
     /// Responses may overtake each other. One to a request that was sent before the limit was
-    /// last named may be older than that: it cannot end or raise the limit.
+    /// last named may be older than that: it cannot raise the limit. Responses without a limit
+    /// lift it in steps.
     pub fn record_response(&mut self, signal: LimitSignal, sent_us: u64, now_us: u64) -> bool {
         let previous_per_s = self.rate_per_s();
         let is_newer = self.bucket.is_none_or(|bucket| sent_us > bucket.named_us);
@@ -53,24 +88,33 @@
             LimitSignal::PerS(rate_per_s) => {
                 self.refill(now_us);
                 let rate_per_s = rate_per_s.max(MIN_RATE_PER_S);
-                let bucket = self.bucket.get_or_insert(Bucket {
-                    rate_per_s,
-                    named_us: now_us,
-                    token_count: 0.0,
-                    refilled_us: now_us,
-                });
-                if is_newer || rate_per_s < bucket.rate_per_s {
-                    bucket.rate_per_s = rate_per_s;
-                    bucket.named_us = now_us;
-                    bucket.token_count = bucket.token_count.min(capacity(rate_per_s));
+                let bucket = self.bucket.get_or_insert(Bucket::new(rate_per_s, now_us));
+                if is_newer || rate_per_s <= bucket.named_per_s {
+                    bucket.name(rate_per_s, now_us);
                 }
             }
-            LimitSignal::NotNamed if is_newer => self.bucket = None,
-            LimitSignal::NotNamed | LimitSignal::Unreadable => {}
+            LimitSignal::NotNamed => self.lift(sent_us, now_us),
+            LimitSignal::Unreadable => {}
         }
         previous_per_s != self.rate_per_s()
     }
 
+    fn lift(&mut self, sent_us: u64, now_us: u64) {
+        self.refill(now_us);
+        let Some(bucket) = &mut self.bucket else {
+            return;
+        };
+        let is_held = sent_us < bucket.named_us + HOLD_US;
+        if is_held || now_us < bucket.changed_us + LIFT_INTERVAL_US {
+            return;
+        }
+        bucket.rate_per_s *= 2.0;
+        bucket.changed_us = now_us;
+        if bucket.rate_per_s > bucket.named_per_s * MAX_LIFT {
+            self.bucket = None;
+        }
+    }
+
     /// Forgets the limit: a new process has named none.
     pub const fn forget(&mut self) {
         self.bucket = None;
