Read the limit of a target only from answers to the own request

A late copy of an answer to another request counted as the target's word on its limit, whenever it was made: it could end a limit that holds, or limit a target that named none. Its limit is now ignored; that it says the target leaves still counts, since a leave is final.

--- a/src/target/serve.rs
+++ b/src/target/serve.rs
@@ -9,7 +9,7 @@
     crate::{
         admission::{Arrival, TargetResult},
         control::record_refusal,
-        dialect::TargetSignal,
+        dialect::{LimitSignal, TargetSignal},
         egress::{record_leaving_response, record_load},
         event,
         events::Event,
@@ -283,7 +283,6 @@
     if let Some(load) = signal.load {
         record_load(node, load);
     }
-    // A response that may belong to another request is still the target's.
     if connection.is_current() {
         record_signal(node, &signal, sent.sent_us);
     }
@@ -346,11 +345,21 @@
 
 /// Records what the target says about itself in a response.
 fn record_signal<P: Policies>(node: &Node<P>, signal: &TargetSignal, sent_us: u64) {
+    // A late response to another request may be from any time before; only a leave is final.
+    let is_own = signal
+        .refusal
+        .is_none_or(|refusal| refusal.outcome == Outcome::NotRun);
+    if is_own {
+        record_limit(node, signal.limit, sent_us);
+    }
+    if signal.is_leaving {
+        record_leaving_response(node);
+    }
+}
+
+fn record_limit<P: Policies>(node: &Node<P>, limit: LimitSignal, sent_us: u64) {
     let now_us = node.timer.now_us();
-    let changed = node
-        .target
-        .gate()
-        .record_limit(signal.limit, sent_us, now_us);
+    let changed = node.target.gate().record_limit(limit, sent_us, now_us);
     if let Some(limit_per_s) = changed {
         let age_ms = now_us / 1000;
         event!(
@@ -358,9 +367,6 @@
             "limit_per_s={limit_per_s:?} cause=response node_age_ms={age_ms}"
         );
     }
-    if signal.is_leaving {
-        record_leaving_response(node);
-    }
 }
 
 /// What a streamed response holds until it ends.
