Return the limit of a target to a node that restarts beside it

A node that was killed beside a limited target knew no limit until the first response of its next process, and until then sent all requests that the target's slots take.

A node now reports its target's limit in the metadata of its responses. Senders keep the last report for 10 s and repeat it, with its age and the target's process, in their attempts; a node takes it over if it is older than itself, is about the current process and no limit is known. Other ways were weighed: asking the target (its health check need not name the limit), a slow start until the first response (that response need not name it either), gossip (arrives later than the requests).

--- a/src/egress/attempt.rs
+++ b/src/egress/attempt.rs
@@ -109,6 +109,9 @@
                     buffered_bytes: node.settings.buffered_answer_bytes,
                     time_left: Duration::from_micros(remaining_us),
                     now_unix_ms: node.timer.steady_unix_ms(),
+                    remembered_limit: node
+                        .routes()
+                        .remembered_limit(self.target, self.started_us / 1000),
                 };
                 send(node, link, attempt).await
             }
@@ -139,6 +142,7 @@
             unspent,
             level: Some(self.node.level(self.call.class)),
             leaving_process_id: self.node.target.leaving_process_id(),
+            reported_limit: None,
         }
     }
 
@@ -157,6 +161,9 @@
             node.routes()
                 .record_leaving(self.target, hop.leaving_process_id, now_ms);
         }
+        if let Some(limit) = hop.reported_limit {
+            node.routes().record_limit(limit, node.timer.now_ms());
+        }
         self.record_end(attempt_result(&hop.result), hop.level, hop.unspent);
     }
 
--- a/src/node/guarded.rs
+++ b/src/node/guarded.rs
@@ -77,6 +77,7 @@
                 unspent,
                 level: None,
                 leaving_process_id: UNKNOWN_PROCESS_ID,
+                reported_limit: None,
             }
         }
         Home::Node(home) => send_to_home(node, &home, &context, outbound, remaining_us).await,
@@ -120,6 +121,7 @@
         buffered_bytes: node.settings.buffered_answer_bytes,
         time_left: Duration::from_micros(remaining_us),
         now_unix_ms: node.timer.steady_unix_ms(),
+        remembered_limit: None,
     };
     let hop = send(node, &link, attempt).await;
     // A not-run refusal without an admission level does not come from the home: it
--- a/src/node/route_table.rs
+++ b/src/node/route_table.rs
@@ -11,7 +11,7 @@
         peer::PeerLink,
         routing::{RoutePolicy, RouteRequest, TargetInfo, TargetKey},
         settings::{Settings, TargetChoice},
-        target::UNKNOWN_PROCESS_ID,
+        target::{RememberedLimit, ReportedLimit, ReportedLimits, UNKNOWN_PROCESS_ID},
     },
     std::{
         collections::{BTreeMap, HashMap},
@@ -74,6 +74,8 @@
     /// Processes of targets that leave, with the time at which that was last reported. The
     /// nodes beside them may forget it when they restart.
     leaving: BTreeMap<u64, u64>,
+    /// Limits that other nodes reported; they forget them when they restart.
+    limits: ReportedLimits,
 }
 
 impl<R: RoutePolicy> RouteTable<R> {
@@ -88,6 +90,7 @@
             links: HashMap::new(),
             node_names: HashMap::new(),
             leaving: BTreeMap::new(),
+            limits: ReportedLimits::default(),
         }
     }
 
@@ -107,6 +110,17 @@
         }
     }
 
+    /// Records the limit that the node beside a target reports.
+    pub fn record_limit(&mut self, limit: ReportedLimit, now_ms: u64) {
+        self.limits.record(limit, now_ms);
+    }
+
+    /// The limit last reported for the current process of a target.
+    pub fn remembered_limit(&self, target: TargetKey, now_ms: u64) -> Option<RememberedLimit> {
+        let row = self.rows.get(self.node_names.get(&target)?)?;
+        self.limits.remembered(row.process_id, now_ms)
+    }
+
     /// The policy, to record results of attempts.
     pub const fn policy(&mut self) -> &mut R {
         &mut self.policy
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -11,7 +11,7 @@
             IDEMPOTENCY_KEY, OutboundRequest, ResponseBody, collect, stream_body,
         },
         model::{AdmissionLevel, Names, Reason, Refusal, RequestContext},
-        target::UNKNOWN_PROCESS_ID,
+        target::{RememberedLimit, ReportedLimit, UNKNOWN_PROCESS_ID},
     },
     bytes::Bytes,
     http_body_util::Full,
@@ -30,6 +30,8 @@
     pub level: Option<AdmissionLevel>,
     /// Process of the peer's target that said in a response that it leaves; 0 if none did.
     pub leaving_process_id: u64,
+    /// Limit that the peer's target names.
+    pub reported_limit: Option<ReportedLimit>,
 }
 
 impl HopResult {
@@ -41,6 +43,7 @@
             unspent,
             level: None,
             leaving_process_id: UNKNOWN_PROCESS_ID,
+            reported_limit: None,
         }
     }
 }
@@ -61,6 +64,8 @@
     pub time_left: Duration,
     /// Current time on this node's clock.
     pub now_unix_ms: u64,
+    /// Limit that the peer reported for its target.
+    pub remembered_limit: Option<RememberedLimit>,
 }
 
 /// Sends an attempt; dropping the future cancels it on the peer.
@@ -108,6 +113,7 @@
         unspent: metadata.unspent.min(context.retry_allotment),
         level: Some(metadata.level),
         leaving_process_id: metadata.leaving_process_id,
+        reported_limit: metadata.reported_limit,
     }
 }
 
@@ -156,6 +162,7 @@
         attempt_id,
         is_guarded: attempt.is_guarded,
         content: ContentDigest::new(outbound.headers.get(IDEMPOTENCY_KEY), &outbound.body),
+        remembered_limit: attempt.remembered_limit,
     };
     let sent_unix_ms = link.peer_unix_ms(attempt.now_unix_ms);
     let context = encode_context(&attempt_context, names, sent_unix_ms);
--- a/src/peer/headers.rs
+++ b/src/peer/headers.rs
@@ -8,6 +8,7 @@
             AdmissionLevel, Class, Names, Outcome, Reason, Refusal, RequestContext, RequestId,
         },
         schema::peer_capnp,
+        target::{RememberedLimit, ReportedLimit, UNKNOWN_PROCESS_ID},
     },
     base64::{Engine, engine::general_purpose::STANDARD_NO_PAD},
     capnp::{message, serialize_packed},
@@ -65,6 +66,8 @@
     pub is_guarded: bool,
     /// Digest that the attempt's idempotency key and body must match.
     pub content: ContentDigest,
+    /// Limit that the receiver reported for its target.
+    pub remembered_limit: Option<RememberedLimit>,
 }
 
 /// SHA-256 of the Idempotency-Key and the body of an attempt.
@@ -108,6 +111,8 @@
     pub level: AdmissionLevel,
     /// Process of its target that said in a response that it leaves; 0 if none did.
     pub leaving_process_id: u64,
+    /// Limit that its target names.
+    pub reported_limit: Option<ReportedLimit>,
 }
 
 /// Signs and verifies headers and datagrams with the fleet secret.
@@ -202,9 +207,22 @@
     if attempt.content != ContentDigest::empty() {
         builder.set_content_digest(&attempt.content.0);
     }
+    if let Some(remembered) = attempt.remembered_limit {
+        builder.set_limit_process(remembered.limit.process_id);
+        builder.set_limit_milli_per_s(remembered.limit.milli_per_s);
+        builder.set_limit_age_ms(remembered.age_ms);
+    }
     to_header_value(&message)
 }
 
+/// A limit as decoded; `None` without a process.
+fn reported_limit(process_id: u64, milli_per_s: u64) -> Option<ReportedLimit> {
+    (process_id != UNKNOWN_PROCESS_ID).then_some(ReportedLimit {
+        process_id,
+        milli_per_s,
+    })
+}
+
 /// Decodes a context whose header value was authenticated; fails if its
 /// timestamp is out of range.
 pub fn decode_context(
@@ -243,6 +261,14 @@
             [] => ContentDigest::empty(),
             digest => ContentDigest(parse_digest(digest)?),
         },
+        remembered_limit: reported_limit(
+            reader.get_limit_process(),
+            reader.get_limit_milli_per_s(),
+        )
+        .map(|limit| RememberedLimit {
+            limit,
+            age_ms: reader.get_limit_age_ms(),
+        }),
     })
 }
 
@@ -277,6 +303,10 @@
     builder.set_supply_percent(metadata.level.supply_percent);
     builder.set_below_supply_percent(metadata.level.below_supply_percent);
     builder.set_leaving_process(metadata.leaving_process_id);
+    if let Some(limit) = metadata.reported_limit {
+        builder.set_limit_process(limit.process_id);
+        builder.set_limit_milli_per_s(limit.milli_per_s);
+    }
     to_header_value(&message)
 }
 
@@ -316,6 +346,7 @@
             below_supply_percent: reader.get_below_supply_percent(),
         },
         leaving_process_id: reader.get_leaving_process(),
+        reported_limit: reported_limit(reader.get_limit_process(), reader.get_limit_milli_per_s()),
     })
 }
 
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -15,7 +15,7 @@
         },
         model::{Reason, Refusal},
         node::{Node, Policies, serve_at_home},
-        target::serve_local,
+        target::{RememberedLimit, serve_local},
     },
     hyper::{
         Method, Request, Response, body::Incoming, header::HeaderValue, http::uri::PathAndQuery,
@@ -57,6 +57,9 @@
         }
         Err(_) => return refuse_forged(request.method()),
     };
+    if let Some(remembered) = attempt.remembered_limit {
+        restore_limit(&node, remembered);
+    }
     let _in_flight = node.begin_request();
     let method = request.method().clone();
     let (result, unspent) = match read_request(&node, request).await {
@@ -76,6 +79,7 @@
         unspent,
         level,
         leaving_process_id: node.target.leaving_process_id(),
+        reported_limit: node.target.reported_limit(),
     };
     let value = encode_response_metadata(&metadata);
     let proof = node.auth.sign(&[value.as_bytes()]);
@@ -85,6 +89,19 @@
     response
 }
 
+/// Takes over a limit of the local target that the sender remembers from an earlier process of
+/// this node.
+fn restore_limit<P: Policies>(node: &Node<P>, remembered: RememberedLimit) {
+    let now_us = node.timer.now_us();
+    if node.target.restore_limit(remembered, now_us) {
+        let (milli_per_s, age_ms) = (remembered.limit.milli_per_s, now_us / 1000);
+        event!(
+            Event::TargetLimited,
+            "limit_milli_per_s={milli_per_s} cause=earlier-process node_age_ms={age_ms}"
+        );
+    }
+}
+
 fn authentic_context<P: Policies>(
     node: &Node<P>,
     request: &Request<Incoming>,
--- a/src/schema/peer.capnp
+++ b/src/schema/peer.capnp
@@ -24,6 +24,11 @@
   contentDigest @12 :Data;
   # Time left to the latency objective; 0 where there is none, or it has passed.
   objectiveUs @13 :UInt64;
+  # Limit that the receiver reported for its target; the process is 0 if none.
+  limitProcess @14 :UInt64;
+  limitMilliPerS @15 :UInt64;
+  # Time since the receiver reported it.
+  limitAgeMs @16 :UInt32;
 }
 
 struct Answer {
@@ -56,4 +61,8 @@
   supplyPercent @14 :UInt16;
   # The same of the scarcest of the services that the target calls.
   belowSupplyPercent @15 :UInt16;
+  # Process of the target that names a limit; 0 if it names none.
+  limitProcess @16 :UInt64;
+  # Requests that it takes in 1,000 s.
+  limitMilliPerS @17 :UInt64;
 }
--- a/src/target/gate.rs
+++ b/src/target/gate.rs
@@ -116,6 +116,12 @@
         is_changed.then(|| self.named_limit.rate_per_s())
     }
 
+    /// Takes over a limit that was in force before this node started; returns whether none was
+    /// known.
+    pub const fn restore_limit(&mut self, rate_per_s: f64, now_us: u64) -> bool {
+        self.named_limit.restore(rate_per_s, now_us)
+    }
+
     /// Limit that the target names, in requests per second; `None` without one.
     #[must_use]
     pub fn named_limit_per_s(&self) -> Option<f64> {
--- a/src/target/mod.rs
+++ b/src/target/mod.rs
@@ -8,6 +8,7 @@
 mod named_limit;
 mod pool;
 mod registration;
+mod reported_limit;
 mod running;
 mod serve;
 
@@ -18,5 +19,6 @@
     named_limit::NamedLimit,
     pool::{PoolError, PoolTarget, PooledConnection, TargetPool, UNKNOWN_PROCESS_ID},
     registration::{LeaveStart, NoticeStatus, ProcessNotice, Registration},
+    reported_limit::{RememberedLimit, ReportedLimit, ReportedLimits},
     serve::serve_local,
 };
--- a/src/target/named_limit.rs
+++ b/src/target/named_limit.rs
@@ -115,6 +115,16 @@
         }
     }
 
+    /// Takes over a limit that was in force before this node started, unless the target has named
+    /// one since.
+    pub const fn restore(&mut self, rate_per_s: f64, now_us: u64) -> bool {
+        let is_unknown = self.bucket.is_none();
+        if is_unknown {
+            self.bucket = Some(Bucket::new(rate_per_s.max(MIN_RATE_PER_S), now_us));
+        }
+        is_unknown
+    }
+
     /// Forgets the limit: a new process has named none.
     pub const fn forget(&mut self) {
         self.bucket = None;
--- a/tests/peer_faults.rs
+++ b/tests/peer_faults.rs
@@ -13,6 +13,7 @@
             AttemptContext, ContentDigest, FleetAuth, PeerHeaderError, PeerLink, decode_context,
             encode_context,
         },
+        target::{RememberedLimit, ReportedLimit},
         timer::unix_ms,
     },
     hyper::header::HeaderValue,
@@ -245,6 +246,14 @@
     }
 }
 
+const REMEMBERED_LIMIT: RememberedLimit = RememberedLimit {
+    limit: ReportedLimit {
+        process_id: 7,
+        milli_per_s: 34_300,
+    },
+    age_ms: 1500,
+};
+
 #[test]
 fn a_context_survives_encoding_and_decoding() {
     let names = Names::new();
@@ -255,6 +264,7 @@
             attempt_id: 42,
             is_guarded: true,
             content: ContentDigest::new(None, body),
+            remembered_limit: Some(REMEMBERED_LIMIT),
         };
         let value = encode_context(&attempt, &names, unix_ms());
         assert_eq!(decode_context(&value, &names, unix_ms()), Ok(attempt));
@@ -317,6 +327,7 @@
             attempt_id: 43,
             is_guarded: false,
             content: ContentDigest::new(None, b"body"),
+            remembered_limit: None,
         };
         let timestamp = |local_unix_ms| link.peer_unix_ms(local_unix_ms);
         let value = encode_context(&attempt, &names, timestamp(LOCAL_UNIX_MS));
--- a/tests/peer_seams.rs
+++ b/tests/peer_seams.rs
@@ -51,6 +51,7 @@
         attempt_id,
         is_guarded: false,
         content: ContentDigest::new(Some(&HeaderValue::from_static(IDEMPOTENCY_KEY)), BODY),
+        remembered_limit: None,
     };
     let context = with_timestamp(&encode_context(&attempt, names, unix_ms()), sent_unix_ms);
     let proof = FleetAuth::new(secret).sign(&[context.as_bytes(), b"POST", PATH.as_bytes()]);
