Ask the next holder when one does not hand out a document in time

A member that was told of a newer document asked the member that told it last, and waited 1 s for it before it asked another. When that one had been killed, was cut off or stood still, a change was late although others held it; together with the 1.5 s that a relay's poll may take, longer than the 2 s in which it has to be in force.

The fetch now keeps all members that announced a newer version, asks one after the other, those of the own zone first, without waiting more than 200 ms for the one before, and takes the first response.

--- a/src/documents/follower.rs
+++ b/src/documents/follower.rs
@@ -7,6 +7,7 @@
 use {
     super::{
         Document, DocumentKind, DocumentOrigin, DocumentStore, KIND_COUNT, PollBounds, Versions,
+        fetch::{FetchTask, Holders},
         poll::{PollTask, WatchTask},
         reachability::OriginReachability,
     },
@@ -19,18 +20,10 @@
     },
     rand::Rng,
     std::{sync::Arc, time::Duration},
-    tokio::{
-        sync::{broadcast, mpsc, watch},
-        time::timeout,
-    },
+    tokio::sync::{broadcast, mpsc, watch},
     tokio_util::sync::CancellationToken,
 };
 
-const FETCH_TIMEOUT: Duration = Duration::from_millis(1_000);
-const FETCH_ATTEMPTS: usize = 4;
-/// Delay before fetching from another availability zone, so that a member of the
-/// local zone can provide it first: traffic between zones is slower and billed.
-const OTHER_ZONE_DELAY: Duration = Duration::from_millis(150);
 const NOT_READY_REPORT_INTERVAL_MS: u64 = 3_000;
 
 /// Client for calls to other members.
@@ -114,7 +107,7 @@
             .any(|relay| !self.reachability.is_member_failing(&relay.node_id))
     }
 
-    fn is_in_zone(&self, node_id: &str) -> bool {
+    pub(super) fn is_in_zone(&self, node_id: &str) -> bool {
         let view = self.view.borrow();
         let member = view.member(node_id);
         member.is_none_or(|member| member.zone == self.zone)
@@ -155,13 +148,6 @@
     }
 }
 
-/// A document version that another member holds.
-#[derives::value]
-struct AvailableVersion {
-    node_id: String,
-    version: u64,
-}
-
 /// State that the follower publishes.
 pub struct FollowerOutputs {
     /// Time of the last confirmed poll on the timer's clock, in milliseconds, made by
@@ -192,13 +178,13 @@
     };
     let shutdown = parts.shutdown;
     let start_delay_ms = shared.bounds.start_delay_ms;
-    let available = std::array::from_fn(|_| watch::channel(None).0);
+    let available = std::array::from_fn(|_| watch::channel(Holders::default()).0);
     for kind in O::KINDS.iter().copied() {
         let watching = WatchTask::new(shared.clone(), kind).run();
         spawn_until(&shutdown, after_start_delay(start_delay_ms, watching));
         let available = available[kind.index()].subscribe();
-        let fetching = fetch_available(shared.clone(), parts.peers.clone(), kind, available);
-        spawn_until(&shutdown, fetching);
+        let fetching = FetchTask::new(shared.clone(), parts.peers.clone(), kind, available);
+        spawn_until(&shutdown, fetching.run());
     }
     let polling = PollTask::new(shared.clone(), parts.probes).run();
     spawn_until(&shutdown, after_start_delay(start_delay_ms, polling));
@@ -233,7 +219,7 @@
     shared: Shared<O>,
     mut stamps: broadcast::Receiver<PeerStamp>,
     mut hints: mpsc::Receiver<Hint>,
-    available: [watch::Sender<Option<AvailableVersion>>; KIND_COUNT],
+    available: [watch::Sender<Holders>; KIND_COUNT],
 ) {
     let mut hints_open = true;
     loop {
@@ -263,7 +249,7 @@
     shared: &Shared<O>,
     node_id: &str,
     versions: Versions,
-    available: &[watch::Sender<Option<AvailableVersion>>; KIND_COUNT],
+    available: &[watch::Sender<Holders>; KIND_COUNT],
 ) {
     let held = shared.store.versions();
     for kind in DocumentKind::ALL {
@@ -271,70 +257,8 @@
         if version <= held.of(kind) || !O::KINDS.contains(&kind) {
             continue;
         }
-        available[kind.index()].send_replace(Some(AvailableVersion {
-            node_id: node_id.to_owned(),
-            version,
-        }));
-    }
-}
-
-async fn fetch_available<O: DocumentOrigin, N: Peers>(
-    shared: Shared<O>,
-    peers: N,
-    kind: DocumentKind,
-    mut available: watch::Receiver<Option<AvailableVersion>>,
-) {
-    while available.changed().await.is_ok() {
-        let Some(next) = available.borrow_and_update().clone() else {
-            continue;
-        };
-        if !shared.is_in_zone(&next.node_id) {
-            tokio::time::sleep(OTHER_ZONE_DELAY).await;
-        }
-        let started_ms = shared.timer.now_ms();
-        let mut backoff = Backoff::new(50, 500);
-        for _ in 0..FETCH_ATTEMPTS {
-            let held_version = shared.store.versions().of(kind);
-            if held_version >= next.version {
-                break;
-            }
-            let fetch = peers.fetch(&next.node_id, kind, held_version);
-            if let Ok(Some(document)) = timeout(FETCH_TIMEOUT, fetch).await {
-                let took_ms = shared.timer.now_ms().saturating_sub(started_ms);
-                store_fetched(&shared, &next.node_id, kind, document, took_ms);
-                continue;
-            }
-            let took_ms = shared.timer.now_ms().saturating_sub(started_ms);
-            event!(
-                Event::DocumentFetchFailed,
-                "kind={} node={} version={} held={held_version} took_ms={took_ms}",
-                kind.name(),
-                next.node_id,
-                next.version
-            );
-            if available.has_changed().unwrap_or(true) {
-                break;
-            } else {
-                backoff.wait().await;
-            }
-        }
-    }
-}
-
-fn store_fetched<O: DocumentOrigin>(
-    shared: &Shared<O>,
-    node_id: &str,
-    kind: DocumentKind,
-    document: Document,
-    took_ms: u64,
-) {
-    let version = document.version;
-    let is_newer = document.kind == kind && shared.store.offer(document);
-    if is_newer && kind == DocumentKind::Configuration {
-        event!(
-            Event::ConfigurationFromNeighbour,
-            "node={node_id} revision={version} took_ms={took_ms}"
-        );
+        available[kind.index()]
+            .send_modify(|holders| holders.record(node_id, version, held.of(kind)));
     }
 }
 
--- a/src/documents/mod.rs
+++ b/src/documents/mod.rs
@@ -1,5 +1,6 @@
 //! Versioned documents of the platform that this node holds.
 
+mod fetch;
 mod follower;
 mod origin;
 mod poll;
