Open a new connection for calls between nodes after 2 s without a response

A call over a connection that had gone silent without a reset waited 1 s for its time limit before a new connection was opened. Configurations are fetched rarely, so nearly each fetch after such a disturbance met it.

A connection whose last response is older than 2 s is replaced; a new one takes three round trips. Keep-alive messages were weighed: they cost bytes on every connection all the time.

--- a/src/rpc/connection.rs
+++ b/src/rpc/connection.rs
@@ -17,12 +17,12 @@
     },
     capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork},
     std::{
-        cell::RefCell,
+        cell::{Cell, RefCell},
         collections::HashMap,
         net::{IpAddr, SocketAddr},
         rc::Rc,
         sync::Arc,
-        time::Duration,
+        time::{Duration, Instant},
     },
     tokio::{
         net::{TcpSocket, TcpStream},
@@ -31,7 +31,24 @@
     tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt},
 };
 
-type NodeClientCell = Rc<OnceCell<node::Client>>;
+/// Time without a response after which a connection is not used again: it may have gone silent,
+/// which only a call would show.
+const MAX_IDLE_TIME: Duration = Duration::from_secs(2);
+
+/// A connection, once it is open.
+#[derive(Default)]
+struct Link {
+    client: OnceCell<node::Client>,
+    /// When the last response arrived.
+    responded_at: Cell<Option<Instant>>,
+}
+
+impl Link {
+    fn is_idle(&self) -> bool {
+        let responded_at = self.responded_at.get();
+        responded_at.is_some_and(|responded_at| responded_at.elapsed() > MAX_IDLE_TIME)
+    }
+}
 
 /// Connections to other nodes, one per address.
 pub struct Connections {
@@ -39,7 +56,7 @@
     auth: FleetAuth,
     names: Names,
     counters: Arc<RpcCounters>,
-    clients: RefCell<HashMap<SocketAddr, NodeClientCell>>,
+    links: RefCell<HashMap<SocketAddr, Rc<Link>>>,
 }
 
 impl Connections {
@@ -54,7 +71,7 @@
             auth,
             names,
             counters,
-            clients: RefCell::new(HashMap::new()),
+            links: RefCell::new(HashMap::new()),
         }
     }
 
@@ -95,43 +112,49 @@
         reply: Reply<T>,
         call: impl FnOnce(node::Client) -> F,
     ) {
-        let client_cell = self
-            .clients
-            .borrow_mut()
-            .entry(address)
-            .or_default()
-            .clone();
+        let link = self.link(address);
         let limit = Duration::from_millis(CALL_TIMEOUT_MS);
-        let result = tokio::time::timeout(limit, self.call(address, &client_cell, call)).await;
+        let result = tokio::time::timeout(limit, self.call(address, &link, call)).await;
         let limit_ms = CALL_TIMEOUT_MS;
         let result = result.unwrap_or(Err(RpcError::TimedOut { address, limit_ms }));
-        if result.is_err() {
-            self.discard(address, &client_cell);
+        match result {
+            Ok(_) => link.responded_at.set(Some(Instant::now())),
+            Err(_) => self.discard(address, &link),
         }
         // The caller may have stopped waiting.
         let _ = reply.send(result);
     }
 
+    /// The connection to this address. An idle one is replaced; its calls in progress go on.
+    fn link(&self, address: SocketAddr) -> Rc<Link> {
+        let mut links = self.links.borrow_mut();
+        let link = links.entry(address).or_default();
+        if link.is_idle() {
+            *link = Rc::default();
+        }
+        link.clone()
+    }
+
     async fn call<T, F: Future<Output = Result<T, capnp::Error>>>(
         &self,
         address: SocketAddr,
-        client_cell: &NodeClientCell,
+        link: &Link,
         call: impl FnOnce(node::Client) -> F,
     ) -> Result<T, RpcError> {
-        let node = client_cell.get_or_try_init(|| self.open(address)).await?;
+        let node = link.client.get_or_try_init(|| self.open(address)).await?;
         let result = call(node.clone()).await;
         result.map_err(|error| call_failed(address, &error))
     }
 
     // A connection over which a call failed may be half open, and the next call
     // would run into its timeout too. A new connection is opened instead.
-    fn discard(&self, address: SocketAddr, client_cell: &NodeClientCell) {
-        let mut clients = self.clients.borrow_mut();
-        if clients
+    fn discard(&self, address: SocketAddr, link: &Rc<Link>) {
+        let mut links = self.links.borrow_mut();
+        if links
             .get(&address)
-            .is_some_and(|current| Rc::ptr_eq(current, client_cell))
+            .is_some_and(|current| Rc::ptr_eq(current, link))
         {
-            clients.remove(&address);
+            links.remove(&address);
         }
     }
 
