Let members poll as soon as both relays of their zone are suspected

Relays poll the platform for their zone; the other members did so only 3 s after the last poll, or earlier if the relays reported that their calls fail. Relays that were killed or cut off report nothing: until they were declared dead, a zone without contact to others missed a change for up to 3.5 s, longer than the 2 s in which it has to be in force.

A suspected relay now counts as one that does not reach the platform, and the polls are divided among the members that respond.

--- a/src/documents/follower.rs
+++ b/src/documents/follower.rs
@@ -15,7 +15,9 @@
         backoff::Backoff,
         event,
         events::Event,
-        membership::{MemberProbes, PeerStamp, View, relay_rank, relays, usable_member_count},
+        membership::{
+            MemberProbes, MemberState, PeerStamp, View, relay_rank, relays, responsive_member_count,
+        },
         timer::Timer,
     },
     rand::Rng,
@@ -95,16 +97,17 @@
     }
 
     pub(super) fn zone_member_count(&self) -> usize {
-        usable_member_count(&self.view.borrow(), &self.zone)
+        responsive_member_count(&self.view.borrow(), &self.zone)
     }
 
-    /// Whether a relay of the zone reaches the origin, as far as known.
+    /// Whether a relay of the zone responds and reaches the origin, as far as known.
     pub(super) fn has_connected_relay(&self) -> bool {
         let view = self.view.borrow();
         let relays = relays(&view, &self.zone);
-        relays
-            .iter()
-            .any(|relay| !self.reachability.is_member_failing(&relay.node_id))
+        relays.iter().any(|relay| {
+            relay.state != MemberState::Suspect
+                && !self.reachability.is_member_failing(&relay.node_id)
+        })
     }
 
     pub(super) fn is_in_zone(&self, node_id: &str) -> bool {
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -33,7 +33,7 @@
     },
     packet::{Liveness, Packet, PacketKind, Record},
     probes::{MemberProbes, MemberQuery},
-    relays::{RELAY_COUNT, relay_rank, relays, usable_member_count},
+    relays::{RELAY_COUNT, relay_rank, relays, responsive_member_count},
     seeds::SeedsRecord,
     swim::{Outgoing, Swim, SwimEvent},
 };
--- a/src/membership/relays.rs
+++ b/src/membership/relays.rs
@@ -14,7 +14,7 @@
 struct ZoneSummary {
     /// Relays with their weights, the first one first.
     relays: Vec<(u64, Arc<Member>)>,
-    usable_member_count: usize,
+    responsive_member_count: usize,
 }
 
 /// Summaries of all zones, made in one pass over the members. Several tasks ask
@@ -39,7 +39,7 @@
 
 impl ZoneSummary {
     fn add(&mut self, member: &Arc<Member>) {
-        self.usable_member_count += usize::from(member.is_usable());
+        self.responsive_member_count += usize::from(member.state == MemberState::Alive);
         if !can_relay(member) {
             return;
         }
@@ -77,11 +77,11 @@
         .position(|relay| relay.node_id == node_id)
 }
 
-/// Number of members of an availability zone that may be used.
+/// Number of members of an availability zone that respond to probes and do not drain.
 #[must_use]
-pub fn usable_member_count(view: &View, zone: &str) -> usize {
+pub fn responsive_member_count(view: &View, zone: &str) -> usize {
     let zone = view.zones().0.get(zone);
-    zone.map_or(0, |zone| zone.usable_member_count)
+    zone.map_or(0, |zone| zone.responsive_member_count)
 }
 
 /// Weight of a member among the candidates; those with the greatest are relays.
