Bound what is read from a target that sends no answer

The HTTP library skips interim responses, and zeros before a chunk size, in a loop for as long as more bytes are there. A target that sent them without end occupied the thread of its node: time limits were not noticed, callers of both nodes got no outcome, and others waited.

A connection to a target now fails after 512 KiB without progress (a request sent, a head, a part of a body), and yields to other tasks after 64 KiB in a row.

--- a/src/exchange/body.rs
+++ b/src/exchange/body.rs
@@ -94,7 +94,10 @@
 }
 
 /// Reads a body until its end or until it exceeds the limit.
-pub async fn collect(body: &mut Incoming, limit_bytes: usize) -> Result<Collected, hyper::Error> {
+pub async fn collect<B>(body: &mut B, limit_bytes: usize) -> Result<Collected, hyper::Error>
+where
+    B: Body<Data = Bytes, Error = hyper::Error> + Unpin,
+{
     let mut first = Bytes::new();
     let mut buffer = BytesMut::new();
     while let Some(frame) = body.frame().await {
@@ -144,13 +147,17 @@
 
 /// Forwards `head` and `rest` until the end, the time limit or a closed receiver; then calls
 /// `done` with `guard` and whether the body is complete.
-pub fn stream_body<G: Send + 'static>(
+pub fn stream_body<B, G>(
     head: Bytes,
-    mut rest: Incoming,
+    mut rest: B,
     limit: Duration,
     guard: G,
     done: fn(G, bool),
-) -> ResponseBody {
+) -> ResponseBody
+where
+    B: Body<Data = Bytes, Error = hyper::Error> + Send + Unpin + 'static,
+    G: Send + 'static,
+{
     let (sender, receiver) = mpsc::channel(MAX_BUFFERED_CHUNKS);
     tokio::spawn(async move {
         let forwarding = tokio::time::timeout(limit, forward(head, &mut rest, &sender));
@@ -165,11 +172,14 @@
     ResponseBody::Streamed(receiver)
 }
 
-async fn forward(
+async fn forward<B>(
     head: Bytes,
-    rest: &mut Incoming,
+    rest: &mut B,
     sender: &mpsc::Sender<Result<Bytes, TruncatedBody>>,
-) -> bool {
+) -> bool
+where
+    B: Body<Data = Bytes, Error = hyper::Error> + Unpin,
+{
     if sender.send(Ok(head)).await.is_err() {
         return false;
     }
--- a/src/target/exchange.rs
+++ b/src/target/exchange.rs
@@ -1,7 +1,7 @@
 //! Sends one request to the local target.
 
 use {
-    super::{PoolError, PooledConnection, TargetPool},
+    super::{MeteredBody, PoolError, PooledConnection, TargetPool},
     crate::{
         dialect::{Dialect, TargetCall, TargetSignal},
         exchange::OutboundRequest,
@@ -9,7 +9,7 @@
     },
     bytes::Bytes,
     http_body_util::Full,
-    hyper::{Request, Response, Uri, body::Incoming},
+    hyper::{Request, Response, Uri},
     std::sync::Arc,
 };
 
@@ -20,7 +20,7 @@
 #[derive(Debug)]
 pub struct TargetResponse {
     /// Response whose body is not read yet.
-    pub response: Response<Incoming>,
+    pub response: Response<MeteredBody>,
     /// Connection on which the response arrives.
     pub connection: PooledConnection,
     /// What the dialect reads from the head.
@@ -43,7 +43,7 @@
     for _ in 0..MAX_CONNECTION_ATTEMPTS {
         let mut connection = pool.acquire().await.map_err(|error| to_refusal(&error))?;
         let instance_id = connection.instance_id().to_owned();
-        let Some(sender) = connection.sender() else {
+        let Some((sender, progress)) = connection.sender() else {
             continue;
         };
         if sender.ready().await.is_err() {
@@ -59,9 +59,12 @@
         let mut request = build_request(outbound);
         dialect.complete_request(&mut request, &call);
         try_pass()?;
+        progress.record();
         match sender.try_send_request(request).await {
             Ok(response) => {
                 let signal = dialect.classify_response(&outbound.method, &call, &response);
+                let progress = progress.clone();
+                let response = response.map(|body| MeteredBody::new(body, progress));
                 return Ok(TargetResponse {
                     response,
                     connection,
--- a/src/target/mod.rs
+++ b/src/target/mod.rs
@@ -5,6 +5,7 @@
 mod gate;
 mod gate_check;
 mod health;
+mod metered;
 mod named_limit;
 mod pool;
 mod registration;
@@ -16,6 +17,7 @@
     exchange::{TargetResponse, exchange},
     gate::{GateClosed, Priority, SendGate},
     health::{Health, check_health},
+    metered::MeteredBody,
     named_limit::NamedLimit,
     pool::{PoolError, PoolTarget, PooledConnection, TargetPool, UNKNOWN_PROCESS_ID},
     registration::{LeaveStart, NoticeStatus, ProcessNotice, Registration},
--- a/src/target/pool.rs
+++ b/src/target/pool.rs
@@ -1,7 +1,10 @@
 //! HTTP/1.1 connections to the local target.
 
 use {
-    super::SendGate,
+    super::{
+        SendGate,
+        metered::{MeteredStream, Progress},
+    },
     crate::peer::connect_from,
     bytes::Bytes,
     http_body_util::Full,
@@ -83,6 +86,7 @@
 #[derive(Debug)]
 pub(super) struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
+    progress: Progress,
     task: AbortHandle,
     usable_until: Option<Instant>,
 }
@@ -316,14 +320,15 @@
 
 pub(super) async fn connect(ip: IpAddr, address: SocketAddr) -> Result<Connection, PoolError> {
     let stream = connect_from(ip, address).await?;
-    let (sender, connection) = http1::Builder::new()
-        .handshake(TokioIo::new(stream))
-        .await?;
+    let progress = Progress::default();
+    let stream = MeteredStream::new(stream, progress.clone());
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
     let task = tokio::spawn(async move {
         let _ = connection.await;
     });
     Ok(Connection {
         sender,
+        progress,
         task: task.abort_handle(),
         usable_until: None,
     })
@@ -355,11 +360,10 @@
         self.pool.lock_state().generation == self.generation
     }
 
-    /// Sender for the request.
-    pub fn sender(&mut self) -> Option<&mut http1::SendRequest<Full<Bytes>>> {
-        self.connection
-            .as_mut()
-            .map(|connection| &mut connection.sender)
+    /// Sender for the request, and what counts the bytes until its answer.
+    pub fn sender(&mut self) -> Option<(&mut http1::SendRequest<Full<Bytes>>, &Progress)> {
+        let connection = self.connection.as_mut()?;
+        Some((&mut connection.sender, &connection.progress))
     }
 
     /// Returns the connection to the pool after a complete response. `idle_limit` is
