Count the time limit of a streamed answer from when it was sent

An answer that is larger than the buffer is streamed; its limit began anew when the buffer was full, at the node beside the target and at the caller's. A slow endless body was cut up to a whole limit late: 2.02 and 2.08 s at a deadline of 1.5 s.

--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -16,7 +16,7 @@
     bytes::Bytes,
     http_body_util::Full,
     hyper::{Request, Response, Uri, body::Incoming},
-    std::time::Duration,
+    std::time::{Duration, Instant},
 };
 
 /// Result of an attempt at the next hop.
@@ -76,6 +76,7 @@
     names: &Names,
 ) -> HopResult {
     let context = attempt.context;
+    let started = Instant::now();
     let not_sent = Refusal::not_run(Reason::ConnectionLost);
     let Ok(mut sender) = link.sender(context.class).await else {
         return HopResult::failed(not_sent, context.retry_allotment);
@@ -106,7 +107,7 @@
     };
     let result = match metadata.refusal {
         Some(refusal) => Err(refusal),
-        None => read_response(response, attempt).await,
+        None => read_response(response, attempt, started).await,
     };
     HopResult {
         result,
@@ -215,11 +216,15 @@
 async fn read_response(
     response: Response<Incoming>,
     attempt: Attempt<'_>,
+    started: Instant,
 ) -> Result<ForwardedResponse, Refusal> {
     let (parts, mut body) = response.into_parts();
     let body = match collect(&mut body, attempt.buffered_bytes).await {
         Ok(Collected::Complete(bytes)) => ResponseBody::buffered(bytes),
-        Ok(Collected::TooLarge(head)) => stream_body(head, body, attempt.time_left, (), |(), _| {}),
+        Ok(Collected::TooLarge(head)) => {
+            let time_left = attempt.time_left.saturating_sub(started.elapsed());
+            stream_body(head, body, time_left, (), |(), _| {})
+        }
         Err(_) => return Err(Refusal::unknown(Reason::ConnectionLost)),
     };
     Ok(ForwardedResponse::new(parts.status, parts.headers, body))
--- a/src/target/serve.rs
+++ b/src/target/serve.rs
@@ -325,7 +325,8 @@
             )
         }
         Ok(Collected::TooLarge(head)) => {
-            let limit = Duration::from_micros(sent.remaining_us);
+            let elapsed_us = node.timer.now_us().saturating_sub(sent.sent_us);
+            let limit = Duration::from_micros(sent.remaining_us.saturating_sub(elapsed_us));
             let stream = StreamedResponse {
                 node: Arc::clone(node),
                 digest: sent.request.digest(node),
