Tell reports of earlier node processes apart by id, not by age

A node that restarted took over a limit only if its report was older than the node itself. A sender under load read the last responses of the old process after the new one had started, counted its reports as new, and the limit was lost.

Reports now carry a random id of the node's process; a node takes over what it has not reported itself.

--- a/src/node/route_table.rs
+++ b/src/node/route_table.rs
@@ -11,7 +11,7 @@
         peer::PeerLink,
         routing::{RoutePolicy, RouteRequest, TargetInfo, TargetKey},
         settings::{Settings, TargetChoice},
-        target::{RememberedLimit, ReportedLimit, ReportedLimits, UNKNOWN_PROCESS_ID},
+        target::{ReportedLimit, ReportedLimits, UNKNOWN_PROCESS_ID},
     },
     std::{
         collections::{BTreeMap, HashMap},
@@ -116,7 +116,7 @@
     }
 
     /// The limit last reported for the current process of a target.
-    pub fn remembered_limit(&self, target: TargetKey, now_ms: u64) -> Option<RememberedLimit> {
+    pub fn remembered_limit(&self, target: TargetKey, now_ms: u64) -> Option<ReportedLimit> {
         let row = self.rows.get(self.node_names.get(&target)?)?;
         self.limits.remembered(row.process_id, now_ms)
     }
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -11,7 +11,7 @@
             IDEMPOTENCY_KEY, OutboundRequest, ResponseBody, collect, stream_body,
         },
         model::{AdmissionLevel, Names, Reason, Refusal, RequestContext},
-        target::{RememberedLimit, ReportedLimit, UNKNOWN_PROCESS_ID},
+        target::{ReportedLimit, UNKNOWN_PROCESS_ID},
     },
     bytes::Bytes,
     http_body_util::Full,
@@ -65,7 +65,7 @@
     /// Current time on this node's clock.
     pub now_unix_ms: u64,
     /// Limit that the peer reported for its target.
-    pub remembered_limit: Option<RememberedLimit>,
+    pub remembered_limit: Option<ReportedLimit>,
 }
 
 /// Sends an attempt; dropping the future cancels it on the peer.
--- a/src/peer/headers.rs
+++ b/src/peer/headers.rs
@@ -8,7 +8,7 @@
             AdmissionLevel, Class, Names, Outcome, Reason, Refusal, RequestContext, RequestId,
         },
         schema::peer_capnp,
-        target::{RememberedLimit, ReportedLimit, UNKNOWN_PROCESS_ID},
+        target::{ReportedLimit, UNKNOWN_PROCESS_ID},
     },
     base64::{Engine, engine::general_purpose::STANDARD_NO_PAD},
     capnp::{message, serialize_packed},
@@ -67,7 +67,7 @@
     /// Digest that the attempt's idempotency key and body must match.
     pub content: ContentDigest,
     /// Limit that the receiver reported for its target.
-    pub remembered_limit: Option<RememberedLimit>,
+    pub remembered_limit: Option<ReportedLimit>,
 }
 
 /// SHA-256 of the Idempotency-Key and the body of an attempt.
@@ -208,18 +208,19 @@
         builder.set_content_digest(&attempt.content.0);
     }
     if let Some(remembered) = attempt.remembered_limit {
-        builder.set_limit_process(remembered.limit.process_id);
-        builder.set_limit_milli_per_s(remembered.limit.milli_per_s);
-        builder.set_limit_age_ms(remembered.age_ms);
+        builder.set_limit_process(remembered.process_id);
+        builder.set_limit_milli_per_s(remembered.milli_per_s);
+        builder.set_limit_reporter(remembered.reporter_id);
     }
     to_header_value(&message)
 }
 
 /// A limit as decoded; `None` without a process.
-fn reported_limit(process_id: u64, milli_per_s: u64) -> Option<ReportedLimit> {
+fn reported_limit(process_id: u64, milli_per_s: u64, reporter_id: u64) -> Option<ReportedLimit> {
     (process_id != UNKNOWN_PROCESS_ID).then_some(ReportedLimit {
         process_id,
         milli_per_s,
+        reporter_id,
     })
 }
 
@@ -264,11 +265,8 @@
         remembered_limit: reported_limit(
             reader.get_limit_process(),
             reader.get_limit_milli_per_s(),
-        )
-        .map(|limit| RememberedLimit {
-            limit,
-            age_ms: reader.get_limit_age_ms(),
-        }),
+            reader.get_limit_reporter(),
+        ),
     })
 }
 
@@ -306,6 +304,7 @@
     if let Some(limit) = metadata.reported_limit {
         builder.set_limit_process(limit.process_id);
         builder.set_limit_milli_per_s(limit.milli_per_s);
+        builder.set_limit_reporter(limit.reporter_id);
     }
     to_header_value(&message)
 }
@@ -346,7 +345,11 @@
             below_supply_percent: reader.get_below_supply_percent(),
         },
         leaving_process_id: reader.get_leaving_process(),
-        reported_limit: reported_limit(reader.get_limit_process(), reader.get_limit_milli_per_s()),
+        reported_limit: reported_limit(
+            reader.get_limit_process(),
+            reader.get_limit_milli_per_s(),
+            reader.get_limit_reporter(),
+        ),
     })
 }
 
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -15,7 +15,7 @@
         },
         model::{Reason, Refusal},
         node::{Node, Policies, serve_at_home},
-        target::{RememberedLimit, serve_local},
+        target::{ReportedLimit, serve_local},
     },
     hyper::{
         Method, Request, Response, body::Incoming, header::HeaderValue, http::uri::PathAndQuery,
@@ -91,10 +91,10 @@
 
 /// Takes over a limit of the local target that the sender remembers from an earlier process of
 /// this node.
-fn restore_limit<P: Policies>(node: &Node<P>, remembered: RememberedLimit) {
+fn restore_limit<P: Policies>(node: &Node<P>, remembered: ReportedLimit) {
     let now_us = node.timer.now_us();
     if node.target.restore_limit(remembered, now_us) {
-        let (milli_per_s, age_ms) = (remembered.limit.milli_per_s, now_us / 1000);
+        let (milli_per_s, age_ms) = (remembered.milli_per_s, now_us / 1000);
         event!(
             Event::TargetLimited,
             "limit_milli_per_s={milli_per_s} cause=earlier-process node_age_ms={age_ms}"
--- a/src/schema/peer.capnp
+++ b/src/schema/peer.capnp
@@ -27,8 +27,8 @@
   # Limit that the receiver reported for its target; the process is 0 if none.
   limitProcess @14 :UInt64;
   limitMilliPerS @15 :UInt64;
-  # Time since the receiver reported it.
-  limitAgeMs @16 :UInt32;
+  # Process of the receiver's node that reported it.
+  limitReporter @16 :UInt64;
 }
 
 struct Answer {
@@ -65,4 +65,6 @@
   limitProcess @16 :UInt64;
   # Requests that it takes in 1,000 s.
   limitMilliPerS @17 :UInt64;
+  # Process of the answering node.
+  limitReporter @18 :UInt64;
 }
--- a/src/target/mod.rs
+++ b/src/target/mod.rs
@@ -21,6 +21,6 @@
     named_limit::NamedLimit,
     pool::{PoolError, PoolTarget, PooledConnection, TargetPool, UNKNOWN_PROCESS_ID},
     registration::{LeaveStart, NoticeStatus, ProcessNotice, Registration},
-    reported_limit::{RememberedLimit, ReportedLimit, ReportedLimits},
+    reported_limit::{ReportedLimit, ReportedLimits},
     serve::serve_local,
 };
--- a/src/target/pool.rs
+++ b/src/target/pool.rs
@@ -128,6 +128,8 @@
 #[derive(Debug)]
 pub struct TargetPool {
     ip: IpAddr,
+    /// Identifies this process of the node in reports to others.
+    reporter_id: u64,
     state: Mutex<State>,
     gate: Mutex<SendGate>,
 }
@@ -138,6 +140,7 @@
     pub fn new(ip: IpAddr) -> Arc<Self> {
         Arc::new(Self {
             ip,
+            reporter_id: rand::random(),
             state: Mutex::default(),
             gate: Mutex::default(),
         })
@@ -183,6 +186,11 @@
         true
     }
 
+    /// Identifies this process of the node.
+    pub(super) const fn reporter_id(&self) -> u64 {
+        self.reporter_id
+    }
+
     /// Process id of the registered target.
     #[must_use]
     pub fn process_id(&self) -> u64 {
--- a/src/target/reported_limit.rs
+++ b/src/target/reported_limit.rs
@@ -9,22 +9,15 @@
 /// Time for which a report is repeated to the node beside the target, in milliseconds.
 const RETENTION_MS: u64 = 10_000;
 
-/// Limit that a target process names.
+/// Limit that a target process names, as the node beside it reported it.
 #[derives::key]
 pub struct ReportedLimit {
-    /// The process.
+    /// The target's process.
     pub process_id: u64,
     /// Requests that it takes in 1,000 s.
     pub milli_per_s: u64,
-}
-
-/// A limit that the node beside the target reported earlier.
-#[derives::key]
-pub struct RememberedLimit {
-    /// The report.
-    pub limit: ReportedLimit,
-    /// Time since the report, in milliseconds.
-    pub age_ms: u32,
+    /// The node's process, drawn at random at its start.
+    pub reporter_id: u64,
 }
 
 /// The last reports of other nodes about their targets.
@@ -44,13 +37,9 @@
 
     /// The last report about a process, unless it is too old.
     #[must_use]
-    pub fn remembered(&self, process_id: u64, now_ms: u64) -> Option<RememberedLimit> {
+    pub fn remembered(&self, process_id: u64, now_ms: u64) -> Option<ReportedLimit> {
         let (limit, reported_ms) = *self.reports.get(&process_id)?;
-        let age_ms = now_ms.saturating_sub(reported_ms);
-        (age_ms < RETENTION_MS).then_some(RememberedLimit {
-            limit,
-            age_ms: u32::try_from(age_ms).unwrap_or(u32::MAX),
-        })
+        (now_ms.saturating_sub(reported_ms) < RETENTION_MS).then_some(limit)
     }
 }
 
@@ -63,16 +52,15 @@
         (process_id != UNKNOWN_PROCESS_ID).then_some(ReportedLimit {
             process_id,
             milli_per_s: (rate_per_s * 1000.0) as u64,
+            reporter_id: self.reporter_id(),
         })
     }
 
     /// Takes over a limit that an earlier process of this node reported to another node; returns
     /// whether it holds from now on.
-    pub fn restore_limit(&self, remembered: RememberedLimit, now_us: u64) -> bool {
-        let limit = remembered.limit;
-        // What this process has reported itself is no news to it.
-        let is_from_earlier_process = u64::from(remembered.age_ms) * 1000 >= now_us;
-        if !is_from_earlier_process || limit.process_id != self.process_id() {
+    pub fn restore_limit(&self, limit: ReportedLimit, now_us: u64) -> bool {
+        let is_own_report = limit.reporter_id == self.reporter_id();
+        if is_own_report || limit.process_id != self.process_id() {
             return false;
         }
         let rate_per_s = limit.milli_per_s as f64 / 1000.0;
--- a/tests/peer_faults.rs
+++ b/tests/peer_faults.rs
@@ -13,7 +13,7 @@
             AttemptContext, ContentDigest, FleetAuth, PeerHeaderError, PeerLink, decode_context,
             encode_context,
         },
-        target::{RememberedLimit, ReportedLimit},
+        target::ReportedLimit,
         timer::unix_ms,
     },
     hyper::header::HeaderValue,
@@ -246,12 +246,10 @@
     }
 }
 
-const REMEMBERED_LIMIT: RememberedLimit = RememberedLimit {
-    limit: ReportedLimit {
-        process_id: 7,
-        milli_per_s: 34_300,
-    },
-    age_ms: 1500,
+const REMEMBERED_LIMIT: ReportedLimit = ReportedLimit {
+    process_id: 7,
+    milli_per_s: 34_300,
+    reporter_id: 8,
 };
 
 #[test]
