--- a/src/target/mod.rs
+++ b/src/target/mod.rs
@@ -8,6 +8,7 @@
 mod metered;
 mod named_limit;
 mod pool;
+mod process;
 mod registration;
 mod reported_limit;
 mod running;
@@ -19,7 +20,8 @@
     health::{Health, check_health},
     metered::MeteredBody,
     named_limit::NamedLimit,
-    pool::{PoolError, PoolTarget, PooledConnection, TargetPool, UNKNOWN_PROCESS_ID},
+    pool::{PoolError, PooledConnection, TargetPool},
+    process::{PoolTarget, UNKNOWN_PROCESS_ID},
     registration::{LeaveStart, NoticeStatus, ProcessNotice, Registration},
     reported_limit::{ReportedLimit, ReportedLimits},
     serve::serve_local,
--- a/tests/named_limit.rs
+++ b/tests/named_limit.rs
@@ -4,7 +4,9 @@
     dogwoodbridge::{
         dialect::LimitSignal,
         model::Class,
-        target::{GateClosed, NamedLimit, Priority, SendGate},
+        target::{
+            GateClosed, NamedLimit, PoolTarget, Priority, ReportedLimit, SendGate, TargetPool,
+        },
     },
     hyper::header::HeaderValue,
     rand::{Rng, SeedableRng, rngs::StdRng},
@@ -208,3 +210,43 @@
     let passed = (0..100).filter(|_| gate.try_pass(BROWSE, 0, now_us).is_ok());
     assert_eq!(passed.count(), 100);
 }
+
+/// Guards against a limit that a restarted node does not take over, or takes over from its own
+/// report or for another process of the target.
+#[test]
+fn only_a_report_of_an_earlier_process_of_the_node_restores_a_limit() {
+    let start_node = || {
+        let pool = TargetPool::new(std::net::Ipv4Addr::LOCALHOST.into());
+        let target = PoolTarget {
+            instance_id: "i-1".to_owned(),
+            port: 8547,
+            started_unix_ms: 7,
+            connection_count: 8,
+        };
+        pool.announce(target, 0, 0);
+        pool
+    };
+    let earlier = start_node();
+    assert_eq!(earlier.reported_limit(), None);
+    earlier
+        .gate()
+        .record_limit(LimitSignal::PerS(20.0), 0, SECOND_US);
+    let report = earlier.reported_limit().expect("it names a limit");
+    let restarted = start_node();
+    let other_process = ReportedLimit {
+        process_id: report.process_id + 1,
+        ..report
+    };
+    assert!(!restarted.restore_limit(other_process, SECOND_US));
+    assert!(restarted.restore_limit(report, SECOND_US));
+    assert_eq!(restarted.gate().named_limit_per_s(), Some(20.0));
+    assert!(!restarted.restore_limit(report, SECOND_US), "it is known");
+    let own_report = restarted.reported_limit().expect("it names a limit");
+    restarted.gate().record_cold_time(0, true, SECOND_US);
+    assert!(
+        !restarted.restore_limit(own_report, SECOND_US),
+        "the node has dropped it itself"
+    );
+    // However late a sender reads the report of the earlier process.
+    assert!(restarted.restore_limit(report, 60 * SECOND_US));
+}
