--- a/src/dialect/mod.rs
+++ b/src/dialect/mod.rs
@@ -14,7 +14,8 @@
     load::{TargetLoad, WorkTime},
     native::Native,
     target::{
-        Heartbeat, LimitSignal, NoticeError, TargetCall, TargetNotice, TargetSignal, TargetState,
+        ClaimDoubt, Heartbeat, LimitSignal, NoticeError, TargetCall, TargetNotice, TargetSignal,
+        TargetState,
     },
 };
 
@@ -36,6 +37,9 @@
     /// Whether targets send their downstream calls to the caller port, like any
     /// caller, instead of to the egress port with a call handle.
     const CALLS_USE_CALLER_PORT: bool;
+    /// Whether a response names the attempt that it answers. Otherwise it names the request, and
+    /// late copies of the response to an earlier attempt look the same.
+    const RESPONSES_NAME_ATTEMPTS: bool;
     /// Whether a target processes exactly as many requests at a time as it
     /// announces slots.
     const SLOTS_ARE_EXACT: bool;
--- a/src/dialect/native.rs
+++ b/src/dialect/native.rs
@@ -71,6 +71,7 @@
 
 impl Dialect for Native {
     const CALLS_USE_CALLER_PORT: bool = false;
+    const RESPONSES_NAME_ATTEMPTS: bool = true;
     const SLOTS_ARE_EXACT: bool = false;
     const HEARTBEATS_MAY_BE_LATE: bool = false;
 
@@ -151,6 +152,7 @@
         };
         TargetSignal {
             refusal,
+            claim_doubt: None,
             is_shed: is_shed(response.status()),
             idle_limit: None,
             load: None,
--- a/src/dialect/target.rs
+++ b/src/dialect/target.rs
@@ -21,6 +21,8 @@
     pub host: Option<&'a str>,
     /// The other headers of the request.
     pub sent_headers: &'a HeaderMap,
+    /// Whether the request may be executed again.
+    pub repeatable: bool,
 }
 
 /// Meaning of the head of a target's response.
@@ -29,6 +31,8 @@
     /// Set if the target reports that it did not run the request, or if the
     /// response may belong to another request.
     pub refusal: Option<Refusal>,
+    /// Set if the response says that the target did not run the request, without proof.
+    pub claim_doubt: Option<ClaimDoubt>,
     /// Whether the target reports that it sheds load.
     pub is_shed: bool,
     /// Time for which the target keeps an idle connection open.
@@ -41,6 +45,30 @@
     pub is_leaving: bool,
 }
 
+/// Why a response that says that a request did not run does not prove it.
+#[derives::key]
+pub enum ClaimDoubt {
+    /// It does not name the request and may belong to another one.
+    Unnamed,
+    /// Only its status says so.
+    StatusOnly,
+    /// The request was rejected on the same connection before: it may be a late copy of that
+    /// rejection.
+    RejectedBefore,
+}
+
+impl ClaimDoubt {
+    /// Value in log lines.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Unnamed => "unnamed",
+            Self::StatusOnly => "status-only",
+            Self::RejectedBefore => "rejected-before",
+        }
+    }
+}
+
 /// What a response says about the requests that the target takes from all nodes together.
 #[derives::value]
 #[derive(Copy)]
--- a/src/events.rs
+++ b/src/events.rs
@@ -84,6 +84,7 @@
     RequestQuarantined = 413, Warn, "A request ran at several crashes of targets and is refused for a limited time.";
     RequestCleared = 414, Info, "A target completed a suspected request; its crashes no longer count.";
     RetryDenied = 415, Info, "A failed or unanswered attempt was not retried; tells what denied it.";
+    RejectionUnproven = 416, Info, "A target's response says that a request did not run, and does not prove it.";
     ContextForged = 420, Warn, "A context, handle or internal header was received from a sender that may not set it.";
     ClockDiffers = 421, Warn, "A node's clock differs by more than the maximum age of a context; it is sent this node's time.";
     LoadReportInvalid = 422, Warn, "A target reports a time that work takes which is out of range; the figure is ignored.";
--- a/src/target/exchange.rs
+++ b/src/target/exchange.rs
@@ -3,13 +3,15 @@
 use {
     super::{MeteredBody, PoolError, PooledConnection, TargetPool},
     crate::{
-        dialect::{Dialect, TargetCall, TargetSignal},
+        dialect::{ClaimDoubt, Dialect, TargetCall, TargetSignal},
+        event,
+        events::Event,
         exchange::OutboundRequest,
-        model::{Reason, Refusal},
+        model::{Outcome, Reason, Refusal, RequestId},
     },
     bytes::Bytes,
     http_body_util::Full,
-    hyper::{Request, Response, Uri},
+    hyper::{Request, Response, StatusCode, Uri},
     std::sync::Arc,
 };
 
@@ -27,7 +29,22 @@
     pub signal: TargetSignal,
 }
 
-/// Sends the request with this call handle and returns the head of the response.
+/// A request as it is sent to the target.
+#[derive(Debug, Clone, Copy)]
+pub struct SentRequest<'a> {
+    /// Handle of its call.
+    pub handle: u128,
+    /// Id that the caller gave it.
+    pub request_id: RequestId,
+    /// Whether it may be executed again.
+    pub repeatable: bool,
+    /// Time until the deadline, in milliseconds.
+    pub remaining_ms: u64,
+    /// Its content.
+    pub outbound: &'a OutboundRequest,
+}
+
+/// Sends the request and returns the head of the response.
 ///
 /// `try_pass` is called immediately before sending. If it were called earlier,
 /// requests that passed one by one could be sent in a burst after a connection
@@ -35,11 +52,10 @@
 pub async fn exchange<D: Dialect>(
     dialect: &D,
     pool: &Arc<TargetPool>,
-    handle: u128,
-    outbound: &OutboundRequest,
-    remaining_ms: u64,
+    sent: SentRequest<'_>,
     try_pass: impl Fn() -> Result<(), Refusal>,
 ) -> Result<TargetResponse, Refusal> {
+    let outbound = sent.outbound;
     for _ in 0..MAX_CONNECTION_ATTEMPTS {
         let mut connection = pool.acquire().await.map_err(|error| to_refusal(&error))?;
         let instance_id = connection.instance_id().to_owned();
@@ -50,11 +66,12 @@
             continue;
         }
         let call = TargetCall {
-            handle,
-            remaining_ms,
+            handle: sent.handle,
+            remaining_ms: sent.remaining_ms,
             instance_id: &instance_id,
             host: outbound.host.as_deref(),
             sent_headers: &outbound.headers,
+            repeatable: sent.repeatable,
         };
         let mut request = build_request(outbound);
         dialect.complete_request(&mut request, &call);
@@ -62,8 +79,12 @@
         progress.record();
         match sender.try_send_request(request).await {
             Ok(response) => {
-                let signal = dialect.classify_response(&outbound.method, &call, &response);
+                let mut signal = dialect.classify_response(&outbound.method, &call, &response);
                 let progress = progress.clone();
+                if !D::RESPONSES_NAME_ATTEMPTS {
+                    check_claim(&mut connection, &mut signal, &sent.request_id);
+                }
+                log_doubt(&signal, &sent.request_id, response.status());
                 let response = response.map(|body| MeteredBody::new(body, progress));
                 return Ok(TargetResponse {
                     response,
@@ -83,6 +104,35 @@
     Err(Refusal::not_run(Reason::ConnectionLost))
 }
 
+/// Doubts a claim that may belong to an earlier attempt, and remembers a rejection.
+fn check_claim(
+    connection: &mut PooledConnection,
+    signal: &mut TargetSignal,
+    request_id: &RequestId,
+) {
+    let is_rejection = signal
+        .refusal
+        .is_some_and(|refusal| refusal.outcome == Outcome::NotRun);
+    if !is_rejection {
+        return;
+    }
+    if connection.has_rejected(request_id) {
+        signal.claim_doubt = Some(ClaimDoubt::RejectedBefore);
+    } else {
+        connection.record_rejected(request_id);
+    }
+}
+
+fn log_doubt(signal: &TargetSignal, request_id: &RequestId, status: StatusCode) {
+    if let Some(doubt) = signal.claim_doubt {
+        let (cause, status) = (doubt.name(), status.as_u16());
+        event!(
+            Event::RejectionUnproven,
+            "request={request_id} status={status} cause={cause}"
+        );
+    }
+}
+
 fn build_request(outbound: &OutboundRequest) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(outbound.body.clone()));
     *request.method_mut() = outbound.method.clone();
--- a/src/target/mod.rs
+++ b/src/target/mod.rs
@@ -10,12 +10,13 @@
 mod pool;
 mod process;
 mod registration;
+mod rejected_requests;
 mod reported_limit;
 mod running;
 mod serve;
 
 pub use {
-    exchange::{TargetResponse, exchange},
+    exchange::{SentRequest, TargetResponse, exchange},
     gate::{GateClosed, Priority, SendGate},
     health::{Health, check_health},
     metered::MeteredBody,
--- a/src/target/pool.rs
+++ b/src/target/pool.rs
@@ -4,8 +4,9 @@
     super::{
         PoolTarget, SendGate, UNKNOWN_PROCESS_ID,
         metered::{MeteredStream, Progress},
+        rejected_requests::RejectedRequests,
     },
-    crate::peer::connect_from,
+    crate::{model::RequestId, peer::connect_from},
     bytes::Bytes,
     http_body_util::Full,
     hyper::{Request, Response, body::Incoming, client::conn::http1},
@@ -56,6 +57,7 @@
     progress: Progress,
     task: AbortHandle,
     usable_until: Option<Instant>,
+    rejected: RejectedRequests,
 }
 
 impl Connection {
@@ -306,6 +308,7 @@
         progress,
         task: task.abort_handle(),
         usable_until: None,
+        rejected: RejectedRequests::default(),
     })
 }
 
@@ -341,6 +344,20 @@
         Some((&mut connection.sender, &connection.progress))
     }
 
+    /// Whether the target rejected the request on this connection.
+    #[must_use]
+    pub fn has_rejected(&self, request_id: &RequestId) -> bool {
+        let connection = self.connection.as_ref();
+        connection.is_some_and(|connection| connection.rejected.contains(request_id))
+    }
+
+    /// Records that the target rejected the request on this connection.
+    pub fn record_rejected(&mut self, request_id: &RequestId) {
+        if let Some(connection) = &mut self.connection {
+            connection.rejected.record(request_id);
+        }
+    }
+
     /// Returns the connection to the pool after a complete response. `idle_limit` is
     /// the time after which the target closes it, if it sent one.
     pub fn return_to_pool(mut self, idle_limit: Option<Duration>) {
@@ -351,7 +368,11 @@
         }
         let pool = Arc::clone(&self.pool);
         let mut state = pool.lock_state();
-        if state.generation == self.generation {
+        let is_used_up = self
+            .connection
+            .as_ref()
+            .is_some_and(|connection| connection.rejected.is_full());
+        if state.generation == self.generation && !is_used_up {
             state.idle.extend(self.connection.take());
             // Marks the connection as returned, so that `drop` does not subtract it
             // from the open connections.
--- a/src/target/serve.rs
+++ b/src/target/serve.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        PooledConnection, TargetResponse, exchange,
+        PooledConnection, SentRequest, TargetResponse, exchange,
         gate_check::{check_gate, try_pass_gate},
         running::RunningRequest,
     },
@@ -228,21 +228,17 @@
     outbound: &OutboundRequest,
     remaining_us: u64,
 ) -> (Result<ForwardedResponse, Refusal>, u8) {
-    let handle = running.handle();
-    let remaining_ms = remaining_us / 1000;
     let request = identify(context, outbound);
     let sent_us = node.timer.now_us();
     let try_pass = || try_pass_gate(node, context, sent_us);
-    let sent = exchange(
-        &node.dialect,
-        &node.target,
-        handle,
+    let sent = SentRequest {
+        handle: running.handle(),
+        request_id: context.request_id,
+        repeatable: context.repeatable,
+        remaining_ms: remaining_us / 1000,
         outbound,
-        remaining_ms,
-        try_pass,
-    )
-    .await;
-    match sent {
+    };
+    match exchange(&node.dialect, &node.target, sent, try_pass).await {
         // The target has not failed.
         Err(refusal) if matches!(refusal.reason, Reason::TargetLimited | Reason::Draining) => {
             running.fail(TargetResult::Cancelled, refusal)
@@ -252,7 +248,7 @@
             running.fail(TargetResult::Failed, refusal)
         }
         Ok(target_response) => {
-            let sent = SentRequest {
+            let sent = AnsweredRequest {
                 request,
                 sent_us,
                 remaining_us,
@@ -263,7 +259,7 @@
 }
 
 /// A request that the target has begun to respond to.
-struct SentRequest<'a> {
+struct AnsweredRequest<'a> {
     request: IdentifiedRequest<'a>,
     sent_us: u64,
     remaining_us: u64,
@@ -273,7 +269,7 @@
     node: &Arc<Node<P>>,
     running: RunningRequest<P>,
     target_response: TargetResponse,
-    sent: SentRequest<'_>,
+    sent: AnsweredRequest<'_>,
 ) -> (Result<ForwardedResponse, Refusal>, u8) {
     let TargetResponse {
         response,
