Send no retry on a connection on which the request was rejected

Callers saw "not run" for requests that ran. A target that rejects a request may send a second copy of that answer later. The retry has the same id, and with one available target it went over the same kept connection: the late copy passed for its answer, and the caller got 503 for a request that ran, or the node sent it a third time and it ran twice.

A retry now takes a connection on which the request was not rejected, and a new one if there is none; at the limit of connections the one that was idle longest makes room. No time limit is needed: a copy can come as long as the connection is open. Ruled out: closing the connection after each rejection (a new connection for each, while the target has no room), and telling attempts apart by the id (callers' ids are passed on unchanged).

--- a/src/dialect/target.rs
+++ b/src/dialect/target.rs
@@ -2,7 +2,7 @@
 
 use {
     super::TargetLoad,
-    crate::model::Refusal,
+    crate::model::{Outcome, Refusal},
     hyper::{HeaderMap, header::HeaderValue},
     std::time::Duration,
 };
@@ -45,6 +45,15 @@
     pub is_leaving: bool,
 }
 
+impl TargetSignal {
+    /// Whether the target did not run the request.
+    #[must_use]
+    pub fn is_rejection(&self) -> bool {
+        self.refusal
+            .is_some_and(|refusal| refusal.outcome == Outcome::NotRun)
+    }
+}
+
 /// Why a response that says that a request did not run does not prove it.
 #[derives::key]
 pub enum ClaimDoubt {
@@ -52,9 +61,6 @@
     Unnamed,
     /// Only its status says so.
     StatusOnly,
-    /// The request was rejected on the same connection before: it may be a late copy of that
-    /// rejection.
-    RejectedBefore,
 }
 
 impl ClaimDoubt {
@@ -64,7 +70,6 @@
         match self {
             Self::Unnamed => "unnamed",
             Self::StatusOnly => "status-only",
-            Self::RejectedBefore => "rejected-before",
         }
     }
 }
--- a/src/target/exchange.rs
+++ b/src/target/exchange.rs
@@ -3,11 +3,11 @@
 use {
     super::{MeteredBody, PoolError, PooledConnection, TargetPool},
     crate::{
-        dialect::{ClaimDoubt, Dialect, TargetCall, TargetSignal},
+        dialect::{Dialect, TargetCall, TargetSignal},
         event,
         events::Event,
         exchange::OutboundRequest,
-        model::{Outcome, Reason, Refusal, RequestId},
+        model::{Reason, Refusal, RequestId},
     },
     bytes::Bytes,
     http_body_util::Full,
@@ -56,8 +56,13 @@
     try_pass: impl Fn() -> Result<(), Refusal>,
 ) -> Result<TargetResponse, Refusal> {
     let outbound = sent.outbound;
+    // A late copy of the rejection would pass for the response to this attempt.
+    let avoided = (!D::RESPONSES_NAME_ATTEMPTS).then_some(&sent.request_id);
     for _ in 0..MAX_CONNECTION_ATTEMPTS {
-        let mut connection = pool.acquire().await.map_err(|error| to_refusal(&error))?;
+        let mut connection = pool
+            .acquire(avoided)
+            .await
+            .map_err(|error| to_refusal(&error))?;
         let instance_id = connection.instance_id().to_owned();
         let Some((sender, progress)) = connection.sender() else {
             continue;
@@ -79,10 +84,10 @@
         progress.record();
         match sender.try_send_request(request).await {
             Ok(response) => {
-                let mut signal = dialect.classify_response(&outbound.method, &call, &response);
+                let signal = dialect.classify_response(&outbound.method, &call, &response);
                 let progress = progress.clone();
-                if !D::RESPONSES_NAME_ATTEMPTS {
-                    check_claim(&mut connection, &mut signal, &sent.request_id);
+                if !D::RESPONSES_NAME_ATTEMPTS && signal.is_rejection() {
+                    connection.record_rejected(&sent.request_id);
                 }
                 log_doubt(&signal, &sent.request_id, response.status());
                 let response = response.map(|body| MeteredBody::new(body, progress));
@@ -104,25 +109,6 @@
     Err(Refusal::not_run(Reason::ConnectionLost))
 }
 
-/// Doubts a claim that may belong to an earlier attempt, and remembers a rejection.
-fn check_claim(
-    connection: &mut PooledConnection,
-    signal: &mut TargetSignal,
-    request_id: &RequestId,
-) {
-    let is_rejection = signal
-        .refusal
-        .is_some_and(|refusal| refusal.outcome == Outcome::NotRun);
-    if !is_rejection {
-        return;
-    }
-    if connection.has_rejected(request_id) {
-        signal.claim_doubt = Some(ClaimDoubt::RejectedBefore);
-    } else {
-        connection.record_rejected(request_id);
-    }
-}
-
 fn log_doubt(signal: &TargetSignal, request_id: &RequestId, status: StatusCode) {
     if let Some(doubt) = signal.claim_doubt {
         let (cause, status) = (doubt.name(), status.as_u16());
--- a/src/target/health.rs
+++ b/src/target/health.rs
@@ -1,7 +1,7 @@
 //! Asks the local target whether it is healthy and stays.
 
 use {
-    super::pool::connect,
+    super::connection::connect,
     crate::{dialect::Dialect, timer::timeout_unless_suspended},
     bytes::Bytes,
     http_body_util::Full,
--- a/src/target/mod.rs
+++ b/src/target/mod.rs
@@ -1,5 +1,6 @@
 //! The local target: send limits, connections and requests.
 
+mod connection;
 mod departed;
 mod exchange;
 mod gate;
--- a/src/target/pool.rs
+++ b/src/target/pool.rs
@@ -3,21 +3,19 @@
 use {
     super::{
         PoolTarget, SendGate, UNKNOWN_PROCESS_ID,
-        metered::{MeteredStream, Progress},
-        rejected_requests::RejectedRequests,
+        connection::{Connection, connect},
+        metered::Progress,
     },
-    crate::{model::RequestId, peer::connect_from},
+    crate::model::RequestId,
     bytes::Bytes,
     http_body_util::Full,
-    hyper::{Request, Response, body::Incoming, client::conn::http1},
-    hyper_util::rt::TokioIo,
+    hyper::client::conn::http1,
     std::{
         io::ErrorKind,
         net::{IpAddr, SocketAddr},
         sync::{Arc, Mutex, MutexGuard},
         time::{Duration, Instant},
     },
-    tokio::task::AbortHandle,
 };
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -51,31 +49,6 @@
 /// connection is lost, and whether it ran is unknown.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
 
-#[derive(Debug)]
-pub(super) struct Connection {
-    sender: http1::SendRequest<Full<Bytes>>,
-    progress: Progress,
-    task: AbortHandle,
-    usable_until: Option<Instant>,
-    rejected: RejectedRequests,
-}
-
-impl Connection {
-    /// Sends one request; the connection is not used for others.
-    pub(super) async fn send(
-        &mut self,
-        request: Request<Full<Bytes>>,
-    ) -> hyper::Result<Response<Incoming>> {
-        self.sender.send_request(request).await
-    }
-}
-
-impl Drop for Connection {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
-}
-
 #[derive(Debug, Default)]
 struct State {
     target: Option<PoolTarget>,
@@ -183,14 +156,18 @@
         }
     }
 
-    /// Returns an idle connection or opens a new one.
-    pub async fn acquire(self: &Arc<Self>) -> Result<PooledConnection, PoolError> {
+    /// Returns an idle connection or opens a new one, but none on which `avoided` was rejected.
+    pub async fn acquire(
+        self: &Arc<Self>,
+        avoided: Option<&RequestId>,
+    ) -> Result<PooledConnection, PoolError> {
         let (address, mut pooled) = {
             let mut state = self.lock_state();
             let target = state.target.clone().ok_or(PoolError::NoTarget)?;
-            let idle = state.pop_idle();
+            let idle = state.take_idle(avoided);
             if idle.is_none() {
-                if state.open_connection_count >= target.connection_count {
+                let has_room = state.open_connection_count < target.connection_count;
+                if !has_room && !state.close_idle() {
                     return Err(PoolError::AllInUse);
                 }
                 state.open_connection_count += 1;
@@ -281,35 +258,29 @@
         self.open_connection_count = 0;
     }
 
-    fn pop_idle(&mut self) -> Option<Connection> {
-        while let Some(connection) = self.idle.pop() {
-            let is_within_idle_limit = connection
-                .usable_until
-                .is_none_or(|until| Instant::now() < until);
-            if is_within_idle_limit && !connection.sender.is_closed() {
-                return Some(connection);
+    /// Takes the idle connection that was used last and on which `avoided` was not rejected.
+    fn take_idle(&mut self, avoided: Option<&RequestId>) -> Option<Connection> {
+        for index in (0..self.idle.len()).rev() {
+            let connection = &self.idle[index];
+            if !connection.is_usable() {
+                self.idle.remove(index);
+                self.open_connection_count -= 1;
+            } else if avoided.is_none_or(|id| !connection.rejected.contains(id)) {
+                return Some(self.idle.remove(index));
             }
-            self.open_connection_count -= 1;
         }
         None
     }
-}
 
-pub(super) async fn connect(ip: IpAddr, address: SocketAddr) -> Result<Connection, PoolError> {
-    let stream = connect_from(ip, address).await?;
-    let progress = Progress::default();
-    let stream = MeteredStream::new(stream, progress.clone());
-    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-    let task = tokio::spawn(async move {
-        let _ = connection.await;
-    });
-    Ok(Connection {
-        sender,
-        progress,
-        task: task.abort_handle(),
-        usable_until: None,
-        rejected: RejectedRequests::default(),
-    })
+    /// Closes the idle connection that was used least recently; returns whether there was one.
+    fn close_idle(&mut self) -> bool {
+        if self.idle.is_empty() {
+            return false;
+        }
+        self.idle.remove(0);
+        self.open_connection_count -= 1;
+        true
+    }
 }
 
 /// A connection in use for one request.
@@ -344,13 +315,6 @@
         Some((&mut connection.sender, &connection.progress))
     }
 
-    /// Whether the target rejected the request on this connection.
-    #[must_use]
-    pub fn has_rejected(&self, request_id: &RequestId) -> bool {
-        let connection = self.connection.as_ref();
-        connection.is_some_and(|connection| connection.rejected.contains(request_id))
-    }
-
     /// Records that the target rejected the request on this connection.
     pub fn record_rejected(&mut self, request_id: &RequestId) {
         if let Some(connection) = &mut self.connection {
