Pass no status on that promises what the target did not say

Callers saw 408, 429 and 503 for requests that ran. These statuses promise that a request did not run and never will. A target's status was passed on unchanged, also without the header that says "not executed", for example if the target ran the request and failed with 503.

For a request that may run once such an answer now ends as unknown (502, unproven-rejection). It counts as completed at the target, which is neither ejected nor loses its connection. Requests that may run again get the status as before. A rejection whose body is larger than the buffer is no longer streamed as an answer.

--- a/src/dialect/target.rs
+++ b/src/dialect/target.rs
@@ -2,7 +2,7 @@
 
 use {
     super::TargetLoad,
-    crate::model::{Outcome, Refusal},
+    crate::model::{Outcome, Reason, Refusal},
     hyper::{HeaderMap, header::HeaderValue},
     std::time::Duration,
 };
@@ -28,8 +28,8 @@
 /// Meaning of the head of a target's response.
 #[derives::value]
 pub struct TargetSignal {
-    /// Set if the target reports that it did not run the request, or if the
-    /// response may belong to another request.
+    /// Set if the target reports that it did not run the request, if the response may belong to
+    /// another request, or if its status must not be passed on.
     pub refusal: Option<Refusal>,
     /// Set if the response says that the target did not run the request, without proof.
     pub claim_doubt: Option<ClaimDoubt>,
@@ -46,6 +46,13 @@
 }
 
 impl TargetSignal {
+    /// Whether the response may belong to another request.
+    #[must_use]
+    pub fn is_foreign(&self) -> bool {
+        self.refusal
+            .is_some_and(|refusal| refusal.reason == Reason::BadAnswer)
+    }
+
     /// Whether the target did not run the request.
     #[must_use]
     pub fn is_rejection(&self) -> bool {
--- a/src/egress/attempt.rs
+++ b/src/egress/attempt.rs
@@ -245,6 +245,7 @@
     match result {
         Ok(_) => AttemptResult::Completed,
         Err(refusal) => match refusal.reason {
+            Reason::UnprovenRejection => AttemptResult::Completed,
             Reason::ConnectionLost
             | Reason::TargetCrashed
             | Reason::BadAnswer
--- a/src/model/outcome.rs
+++ b/src/model/outcome.rs
@@ -129,6 +129,8 @@
     TargetCrashed = 33, "target-crashed", 502;
     /// The limit that the target names is reached.
     TargetLimited = 34, "target-limited", 503;
+    /// The target ran the request, or may have, and answered with a status that says otherwise.
+    UnprovenRejection = 35, "unproven-rejection", 502;
 }
 
 impl fmt::Display for Reason {
--- a/src/target/serve.rs
+++ b/src/target/serve.rs
@@ -17,7 +17,7 @@
             Collected, ForwardedResponse, OutboundRequest, ResponseBody, collect, stream_body,
         },
         model::{
-            Class, MAX_DEPTH, Outcome, Reason, Refusal, RequestContext, ServiceKey, WorkspaceKey,
+            Class, MAX_DEPTH, Reason, Refusal, RequestContext, ServiceKey, WorkspaceKey,
             begins_chain,
         },
         node::{InFlightCall, Node, Policies, admit},
@@ -282,10 +282,7 @@
     if connection.is_current() {
         record_signal(node, &signal, sent.sent_us);
     }
-    if let Some(refusal) = signal
-        .refusal
-        .filter(|refusal| refusal.outcome != Outcome::NotRun)
-    {
+    if let Some(refusal) = signal.refusal.filter(|_| signal.is_foreign()) {
         return running.fail(TargetResult::Failed, refusal);
     }
     let (parts, mut body) = response.into_parts();
@@ -294,7 +291,7 @@
     } else {
         TargetResult::Completed
     };
-    if let Some(class) = running.new_class().filter(|_| signal.refusal.is_none()) {
+    if let Some(class) = running.new_class().filter(|_| !signal.is_rejection()) {
         let has_failed = parts.status.is_server_error();
         node.downstream().record_request_end(class, has_failed);
     }
@@ -321,6 +318,9 @@
             )
         }
         Ok(Collected::TooLarge(head)) => {
+            if let Some(refusal) = signal.refusal {
+                return running.fail(result, refusal);
+            }
             let elapsed_us = node.timer.now_us().saturating_sub(sent.sent_us);
             let limit = Duration::from_micros(sent.remaining_us.saturating_sub(elapsed_us));
             let stream = StreamedResponse {
@@ -343,10 +343,7 @@
 /// Records what the target says about itself in a response.
 fn record_signal<P: Policies>(node: &Node<P>, signal: &TargetSignal, sent_us: u64) {
     // A late response to another request may be from any time before; only a leave is final.
-    let is_own = signal
-        .refusal
-        .is_none_or(|refusal| refusal.outcome == Outcome::NotRun);
-    if is_own {
+    if !signal.is_foreign() {
         record_limit(node, signal.limit, sent_us);
     }
     if signal.is_leaving {
