Decode the entries of shared lists one by one

Each entry is now kept as text and decoded alone; E214 names those that cannot be read. The sum of weights no longer overflows.

--- a/src/conf/hosts.rs
+++ b/src/conf/hosts.rs
@@ -132,10 +132,15 @@
 impl HostRoute {
     /// Picks a destination at random in proportion to the weights.
     pub fn pick_service<R: Rng>(&self, rng: &mut R) -> Option<ServiceKey> {
-        let total_weight: u32 = self.destinations.iter().map(|(_, weight)| weight).sum();
+        let weights = self
+            .destinations
+            .iter()
+            .map(|(_, weight)| u64::from(*weight));
+        let total_weight: u64 = weights.sum();
         let mut remaining_weight = rng.random_range(0..total_weight.max(1));
         for (service, weight) in &self.destinations {
-            if remaining_weight < *weight {
+            let weight = u64::from(*weight);
+            if remaining_weight < weight {
                 return Some(*service);
             }
             remaining_weight -= weight;
--- a/src/daemon/hosted/discovery.rs
+++ b/src/daemon/hosted/discovery.rs
@@ -179,7 +179,7 @@
 
 /// Addresses of an object; one that cannot be read holds none.
 fn read(object: &StoredObject) -> SeedsRecord {
-    serde_json::from_slice(&object.content).unwrap_or_else(|error| {
+    SeedsRecord::read(&object.content).unwrap_or_else(|error| {
         log::warn!(target: "dogwood", "seeds of {} cannot be read: {error}", object.name);
         SeedsRecord::default()
     })
--- a/src/daemon/seeds.rs
+++ b/src/daemon/seeds.rs
@@ -7,6 +7,7 @@
 
 use {
     crate::{
+        entries::{Entries, NamedEntries, to_text},
         membership::{Gossip, Member, SeedAddresses, View, relay_rank},
         platform::{Object, Platform, WriteOutcome},
         settings::Settings,
@@ -145,6 +146,15 @@
     }
 }
 
+/// Addresses of each zone; one that cannot be read or has no port is left out.
 fn parse(object: &Object) -> Seeds {
-    serde_json::from_slice(&object.content).unwrap_or_default()
+    let zones: NamedEntries = serde_json::from_str(&to_text(&object.content)).unwrap_or_default();
+    let zones = zones.readable::<Entries>(OBJECT);
+    zones
+        .map(|(zone, addresses)| {
+            let addresses = addresses.readable::<SocketAddr>(OBJECT).into_iter();
+            let usable = addresses.filter(|address| address.port() != 0);
+            (zone, usable.collect())
+        })
+        .collect()
 }
--- a/src/events.rs
+++ b/src/events.rs
@@ -57,6 +57,7 @@
     PlatformLost = 211, Warn, "The platform's object API does not respond.";
     HistoryLost = 212, Info, "The platform no longer has the history that a watch requested; the object is read again.";
     SeedsWritten = 213, Info, "The addresses of the zone's seed nodes were written to the platform.";
+    EntryUnreadable = 214, Warn, "An entry of a list cannot be read and is ignored; the others hold.";
     MemberJoined = 300, Info, "A member was discovered or has returned.";
     MemberSuspected = 301, Warn, "A member does not respond to probes.";
     MemberDead = 302, Warn, "A suspected member did not refute the suspicion and was declared dead.";
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod dialect;
 pub mod documents;
 pub mod egress;
+pub mod entries;
 pub mod events;
 pub mod exchange;
 pub mod freshness;
--- a/src/membership/seeds.rs
+++ b/src/membership/seeds.rs
@@ -1,6 +1,11 @@
 //! Seed addresses that each zone publishes in the object store.
 
-use std::{collections::BTreeSet, net::SocketAddr};
+use {
+    crate::entries::{Entries, to_text},
+    serde::Deserialize,
+    serde_json::value::RawValue,
+    std::{collections::BTreeSet, net::SocketAddr},
+};
 
 /// Maximum number of addresses stored per zone.
 const ADDRESSES_PER_ZONE: usize = 4;
@@ -19,7 +24,30 @@
     pub addresses: BTreeSet<SocketAddr>,
 }
 
+/// A record as another process may have written it.
+#[derive(Deserialize)]
+struct SeedsBody {
+    #[serde(default)]
+    member_count: Option<Box<RawValue>>,
+    #[serde(default)]
+    addresses: Entries,
+}
+
 impl SeedsRecord {
+    /// Decodes the content of an object. An address that cannot be read or has no port is left
+    /// out; a count that cannot be read is 0.
+    pub fn read(content: &[u8]) -> serde_json::Result<Self> {
+        let body: SeedsBody = serde_json::from_str(&to_text(content))?;
+        let member_count = body
+            .member_count
+            .and_then(|count| serde_json::from_str::<u16>(count.get()).ok());
+        let addresses = body.addresses.readable::<SocketAddr>("seeds").into_iter();
+        Ok(Self {
+            member_count: member_count.map_or(0, usize::from),
+            addresses: addresses.filter(|address| address.port() != 0).collect(),
+        })
+    }
+
     /// The record to write, or `None` if the stored one should stay.
     ///
     /// `present` are the zone's nodes as the writer knows them. A node that has
