Skip single records of a gossip packet that cannot be read

A record with an unknown liveness or a malformed address, as a node of another version may send, made the whole packet invalid, and a node that synchronizes its table learned of no member in it. Such a record, and a malformed digest of a revoked key, is now left out. The sender's own record has to be valid as before.

tests/membership_odd_records.rs: two cases, both decode the two other records; by reading, the code before returns an error for each.

--- a/src/membership/codec.rs
+++ b/src/membership/codec.rs
@@ -210,18 +210,15 @@
     }
     let updates = reader.get_updates()?;
     check_length(updates.len(), "updates")?;
-    let updates = updates
-        .iter()
-        .map(read_record)
-        .collect::<Result<Vec<_>, _>>()?;
+    // A record that cannot be read, for example of a newer version, spoils no other.
+    let updates = updates.iter().filter_map(|update| read_record(update).ok());
+    let updates = updates.collect();
     let digests = reader.get_revocations()?;
     check_length(digests.len(), "revocations")?;
     let mut revocations = Vec::new();
     for digest in digests {
-        let digest = digest?
-            .try_into()
-            .map_err(|_| invalid_field("revocations"))?;
-        revocations.push(KeyDigest(digest));
+        let digest = digest.ok().and_then(|digest| digest.try_into().ok());
+        revocations.extend(digest.map(KeyDigest));
     }
     Ok(Packet {
         sender: read_record(reader.get_sender()?)?,
