Let no foreign heartbeat take the place of the local target

One heartbeat of another writer put a node's target out of use for good: of a service that the configuration does not name, or with a start far in the future, after which the target's own heartbeats counted as outdated.

The heartbeats of a registered target are accepted also if its service leaves the configuration, so that its leave is acknowledged.

--- a/src/egress/announce.rs
+++ b/src/egress/announce.rs
@@ -20,6 +20,8 @@
 };
 
 const MAX_NOTICE_BYTES: usize = 16 << 10;
+/// How far a target's start may lie in the future of this node's clock, in milliseconds.
+const MAX_START_AHEAD_MS: u64 = 3_600_000;
 
 /// Handles a notice that the local target sends to its node.
 pub async fn handle<P: Policies>(
@@ -46,7 +48,7 @@
         });
     };
     match node.dialect.read_notice(&method, &path, &body)? {
-        TargetNotice::Alive(heartbeat) => record_heartbeat(node, heartbeat),
+        TargetNotice::Alive(heartbeat) => return record_heartbeat(node, heartbeat),
         TargetNotice::Leaving {
             instance_id,
             started_unix_ms,
@@ -74,13 +76,17 @@
     node.admission().record_load_report(report);
 }
 
-fn record_heartbeat<P: Policies>(node: &Arc<Node<P>>, heartbeat: Heartbeat) {
+fn record_heartbeat<P: Policies>(
+    node: &Arc<Node<P>>,
+    heartbeat: Heartbeat,
+) -> Result<(), NoticeError> {
     let notice = ProcessNotice {
         instance_id: &heartbeat.instance_id,
         started_unix_ms: heartbeat.started_unix_ms,
         sequence: heartbeat.sequence,
         is_leaving: heartbeat.state == TargetState::Draining,
     };
+    check_sender(node, &heartbeat.service, notice)?;
     let now_us = node.timer.now_us();
     let notice_status = node.registration().record_heartbeat(notice, now_us);
     match notice_status {
@@ -97,6 +103,32 @@
             heartbeat.sequence
         ),
     }
+    Ok(())
+}
+
+/// Refuses a heartbeat that can be of no target: a start in the future would make the heartbeats of
+/// the local target outdated, and a service that is not configured would take its place.
+fn check_sender<P: Policies>(
+    node: &Node<P>,
+    service: &str,
+    notice: ProcessNotice<'_>,
+) -> Result<(), NoticeError> {
+    let invalid = |field: &str, expected: &str| {
+        Err(NoticeError::Field {
+            field: field.to_owned(),
+            expected: expected.to_owned(),
+        })
+    };
+    let latest_start_unix_ms = node.timer.steady_unix_ms() + MAX_START_AHEAD_MS;
+    if notice.started_unix_ms > latest_start_unix_ms {
+        return invalid("start", "must not lie in the future");
+    }
+    let running = node.running();
+    let is_configured = running.revision == 0 || running.service_names.contains_key(service);
+    if !is_configured && node.registration().would_replace(notice) {
+        return invalid("service", "must be configured");
+    }
+    Ok(())
 }
 
 /// Makes the process that sent the heartbeat the local target.
--- a/src/target/registration.rs
+++ b/src/target/registration.rs
@@ -139,6 +139,16 @@
         self
     }
 
+    /// Whether the process of a heartbeat is another one than the current, which has not left.
+    #[must_use]
+    pub fn would_replace(&self, notice: ProcessNotice<'_>) -> bool {
+        self.current.as_ref().is_some_and(|process| {
+            let is_same = process.instance_id == notice.instance_id
+                && process.started_unix_ms == notice.started_unix_ms;
+            !is_same && !process.has_left
+        })
+    }
+
     /// Records a heartbeat of a process.
     pub fn record_heartbeat(&mut self, notice: ProcessNotice<'_>, now_us: u64) -> NoticeStatus {
         match (self.classify(notice, now_us), &mut self.current) {
