Accept any idle limit that a target names

A target that named an idle limit beyond the range of the clock (Keep-Alive: timeout=) made its node panic under each of its answers ("overflow when adding duration to instant"): callers saw their connections close without an answer, after the request had run. Such a limit now counts as none.

platform/tests/odd_entries.rs: an_idle_limit_out_of_range_is_no_limit fails on the code before (panic at the first answer), and passes now.

--- a/src/target/pool.rs
+++ b/src/target/pool.rs
@@ -327,8 +327,9 @@
     pub fn return_to_pool(mut self, idle_limit: Option<Duration>) {
         let idle_limit = idle_limit.unwrap_or(DEFAULT_IDLE_LIMIT);
         if let Some(connection) = &mut self.connection {
-            let until = Instant::now() + idle_limit.saturating_sub(IDLE_MARGIN);
-            connection.usable_until = Some(until);
+            // None for a limit beyond the clock's range.
+            let usable_for = idle_limit.saturating_sub(IDLE_MARGIN);
+            connection.usable_until = Instant::now().checked_add(usable_for);
         }
         let pool = Arc::clone(&self.pool);
         let mut state = pool.lock_state();
