Record no load of an answer to another request

The load in a late answer to another request was recorded, though it may be from any time before and of a process that has ended. It now counts only if the answer belongs to the request, like the named limit.

--- a/src/target/serve.rs
+++ b/src/target/serve.rs
@@ -276,7 +276,8 @@
         connection,
         signal,
     } = target_response;
-    if let Some(load) = signal.load {
+    // A late response to another request may be from any time before.
+    if let Some(load) = signal.load.filter(|_| !signal.is_foreign()) {
         record_load(node, load);
     }
     if connection.is_current() {
@@ -342,7 +343,7 @@
 
 /// Records what the target says about itself in a response.
 fn record_signal<P: Policies>(node: &Node<P>, signal: &TargetSignal, sent_us: u64) {
-    // A late response to another request may be from any time before; only a leave is final.
+    // Of a late response to another request only a leave counts, which is final.
     if !signal.is_foreign() {
         record_limit(node, signal.limit, sent_us);
     }
