Ask a target for its health until it answers

Requests reached a target after its leave was acknowledged. Its node was killed after the acknowledgement, and two heartbeats that the target had sent before arrived at the new process. The first one makes the node ask for the target's health; the target had no room for the check, which counted as no answer, and so the second late heartbeat made it ready.

Without an answer the node now asks again, for up to 30 s with pauses of 0.1 to 1 s, and does not use the target meanwhile: its slots become free, since all its requests come through this node. An answer that does not tell, or a service without a health check, leaves it to the next heartbeat as before. The case of tests/target_leave.rs that spoke of no answer keeps its check for an answer that does not tell.

--- a/src/egress/confirm.rs
+++ b/src/egress/confirm.rs
@@ -3,25 +3,37 @@
 use {
     super::announce::apply_heartbeat,
     crate::{
+        backoff::Backoff,
         dialect::Heartbeat,
         event,
         events::Event,
         node::{Node, Policies},
         target::{Health, check_health},
     },
-    std::{sync::Arc, time::Duration},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
 };
 
 /// Time between two looks for a configuration while there is none.
 const CONFIGURATION_POLL: Duration = Duration::from_millis(50);
 
+/// Time for which a target that does not answer is asked again. A heartbeat that arrives after it
+/// was sent after the node's start.
+const LONGEST_CHECK: Duration = Duration::from_secs(30);
+const FIRST_PAUSE_MS: u64 = 100;
+const LONGEST_PAUSE_MS: u64 = 1000;
+
 /// Asks the target whether it stays, and applies its heartbeat if it does.
 ///
-/// If it does not answer, its next heartbeat counts; if it denies, it is asked again then.
+/// If its answer does not tell, its next heartbeat counts; if it denies, it is asked again then.
+/// Without an answer it is asked again: further heartbeats may all have been sent before a leave
+/// that an earlier process of the node acknowledged.
 pub async fn confirm<P: Policies>(node: Arc<Node<P>>, heartbeat: Heartbeat) {
     let health = tokio::select! {
         () = node.stopped.cancelled() => return,
-        health = check_target(&node, &heartbeat) => health,
+        health = check_until_answered(&node, &heartbeat) => health,
     };
     let (instance_id, started_unix_ms) = (&heartbeat.instance_id, heartbeat.started_unix_ms);
     let is_confirmed = node
@@ -37,6 +49,22 @@
     }
 }
 
+async fn check_until_answered<P: Policies>(node: &Node<P>, heartbeat: &Heartbeat) -> Health {
+    let started = Instant::now();
+    let mut backoff = Backoff::new(FIRST_PAUSE_MS, LONGEST_PAUSE_MS);
+    loop {
+        let health = check_target(node, heartbeat).await;
+        let is_in_check = node
+            .registration()
+            .is_in_check(&heartbeat.instance_id, heartbeat.started_unix_ms);
+        let may_answer = health == Health::Unanswered && started.elapsed() < LONGEST_CHECK;
+        if !may_answer || !is_in_check {
+            return health;
+        }
+        backoff.wait().await;
+    }
+}
+
 async fn check_target<P: Policies>(node: &Node<P>, heartbeat: &Heartbeat) -> Health {
     // Until then the node serves no requests.
     while node.running().revision == 0 {
--- a/src/target/health.rs
+++ b/src/target/health.rs
@@ -25,7 +25,9 @@
     Staying,
     /// It leaves or fails.
     Unavailable,
-    /// It did not respond in time, or its response does not tell.
+    /// It did not respond in time, or had no room for the check.
+    Unanswered,
+    /// Its response does not tell, or it has no health check.
     Unknown,
 }
 
@@ -51,5 +53,5 @@
         Some(dialect.read_health(&response, instance_id))
     };
     let health = timeout_unless_suspended(HEALTH_TIMEOUT, exchange).await;
-    health.ok().flatten().unwrap_or(Health::Unknown)
+    health.ok().flatten().unwrap_or(Health::Unanswered)
 }
--- a/src/target/registration.rs
+++ b/src/target/registration.rs
@@ -199,6 +199,17 @@
                 .is_some_and(|sequence| sequence > FIRST_SEQUENCE)
     }
 
+    /// Whether this process is being asked whether it stays.
+    #[must_use]
+    pub fn is_in_check(&self, instance_id: &str, started_unix_ms: u64) -> bool {
+        self.current.as_ref().is_some_and(|process| {
+            process.instance_id == instance_id
+                && process.started_unix_ms == started_unix_ms
+                && process.confirmation == Confirmation::InCheck
+                && !process.has_left
+        })
+    }
+
     /// Records what a process said when it was asked whether it stays; returns whether it is the
     /// current one and confirmed by that.
     pub fn record_check(
@@ -207,19 +218,16 @@
         started_unix_ms: u64,
         health: Health,
     ) -> bool {
+        if !self.is_in_check(instance_id, started_unix_ms) {
+            return false;
+        }
         let Some(process) = &mut self.current else {
             return false;
         };
-        let is_current =
-            process.instance_id == instance_id && process.started_unix_ms == started_unix_ms;
-        let is_in_check = process.confirmation == Confirmation::InCheck && !process.has_left;
-        if !is_current || !is_in_check {
-            return false;
-        }
         process.confirmation = match health {
             Health::Staying => Confirmation::Confirmed,
             Health::Unavailable => Confirmation::Denied,
-            Health::Unknown => Confirmation::Unanswered,
+            Health::Unanswered | Health::Unknown => Confirmation::Unanswered,
         };
         health == Health::Staying
     }
--- a/tests/target_leave.rs
+++ b/tests/target_leave.rs
@@ -368,7 +368,7 @@
             expected: NoticeStatus::Current,
         },
         Case {
-            name: "it did not answer",
+            name: "its answer does not tell",
             health: Health::Unknown,
             now_us: SECOND_US,
             expected: NoticeStatus::Current,
