Bound request bodies by the configuration and by the room of a node

Uploads of 2 MiB were answered 413, for good, though the configuration allows 64 MiB: its limits were not read, and the node's own of 1 MiB applied. And nothing bounded the sum of the bodies that a node holds: a review saw 245 MB with 200 uploads of 1 MB at a time.

What is announced is not held before it arrives. Another node's request is bounded by the room only, since its sender may know a newer configuration. Ruled out: streaming the bodies, which could not be sent a second time.

--- a/src/conf/hosts.rs
+++ b/src/conf/hosts.rs
@@ -24,6 +24,8 @@
     pub services: Vec<HostedService>,
     /// Workspaces; when empty, no request needs a key.
     pub workspaces: Vec<HostedWorkspace>,
+    /// Maximum size of a request body, in bytes; `None` for that of the node's settings.
+    pub max_body_bytes: Option<usize>,
 }
 
 /// A route selected by host and path prefix.
@@ -156,6 +158,7 @@
 pub fn compile_hosted(configuration: &HostedConfiguration, names: &Names) -> CompiledConfiguration {
     let mut compiled = CompiledConfiguration {
         revision: configuration.version,
+        max_body_bytes: configuration.max_body_bytes,
         ..CompiledConfiguration::default()
     };
     for service in &configuration.services {
--- a/src/conf/mod.rs
+++ b/src/conf/mod.rs
@@ -108,6 +108,8 @@
     pub revoked: HashSet<KeyDigest>,
     /// Whether any route or workspace is restricted to certain regions.
     pub restricts_regions: bool,
+    /// Maximum size of a request body, in bytes, if the configuration names one.
+    pub max_body_bytes: Option<usize>,
 }
 
 impl CompiledConfiguration {
--- a/src/egress/child.rs
+++ b/src/egress/child.rs
@@ -106,7 +106,7 @@
         .route(service, head.method.as_str(), path.path())
         .ok_or_else(|| Rejection::new(Refusal::not_run(Reason::NoRoute), "no route matches"))?;
     let idempotency_key = check_idempotency_key(&head.headers)?;
-    let body = read_body(&node.settings, &head.headers, body).await?;
+    let (body, _held_body) = read_body(node, &head.headers, body).await?;
     let deadline_us = child_deadline_us(node, &head.headers, parent.deadline_us)?;
     strip_request_headers(&mut head.headers, Some(&CALL));
     let allotment = ChildRetryAllotment::new(node, parent.retry);
--- a/src/exchange/body.rs
+++ b/src/exchange/body.rs
@@ -95,6 +95,17 @@
 
 /// Reads a body until its end or until it exceeds the limit.
 pub async fn collect<B>(body: &mut B, limit_bytes: usize) -> Result<Collected, hyper::Error>
+where
+    B: Body<Data = Bytes, Error = hyper::Error> + Unpin,
+{
+    collect_while(body, |byte_count| byte_count <= limit_bytes).await
+}
+
+/// Reads a body until its end or until `may_hold` denies the number of bytes read so far.
+pub(super) async fn collect_while<B>(
+    body: &mut B,
+    mut may_hold: impl FnMut(usize) -> bool,
+) -> Result<Collected, hyper::Error>
 where
     B: Body<Data = Bytes, Error = hyper::Error> + Unpin,
 {
@@ -112,7 +123,7 @@
             }
             buffer.extend_from_slice(&data);
         }
-        if first.len().max(buffer.len()) > limit_bytes {
+        if !may_hold(first.len().max(buffer.len())) {
             return Ok(Collected::TooLarge(join_chunks(first, buffer)));
         }
     }
--- a/src/exchange/mod.rs
+++ b/src/exchange/mod.rs
@@ -1,6 +1,7 @@
 //! HTTP requests and responses that pass through a node.
 
 mod body;
+mod body_room;
 mod headers;
 mod listener;
 mod pipeline;
@@ -10,6 +11,7 @@
 
 pub use {
     body::{Collected, ResponseBody, TruncatedBody, collect, discard, stream_body},
+    body_room::{BodyRoom, HeldBody, HeldCollected, collect_held},
     headers::{
         ANSWER, ANSWER_AUTH, AUTH, CALL, CLOCK, CONTEXT, DEADLINE, IDEMPOTENCY_KEY, KEY, LEAVING,
         LIMIT_PER_S, OUTCOME, REASON, RETRY_AFTER_MS, SHED, is_internal, strip_hop_by_hop,
--- a/src/ingress/checks.rs
+++ b/src/ingress/checks.rs
@@ -6,11 +6,11 @@
         event,
         events::Event,
         exchange::{
-            Collected, IDEMPOTENCY_KEY, collect, discard, is_internal, strip_hop_by_hop,
-            strip_internal,
+            HeldBody, HeldCollected, IDEMPOTENCY_KEY, collect_held, discard, is_internal,
+            strip_hop_by_hop, strip_internal,
         },
         model::{Reason, Refusal, ServiceKey},
-        settings::Settings,
+        node::{Node, Policies},
     },
     bytes::Bytes,
     hyper::{
@@ -25,6 +25,10 @@
 const MAX_IDEMPOTENCY_KEY_BYTES: usize = 128;
 /// Longest deadline that a caller may set: one day.
 const MAX_DEADLINE_MS: u64 = 86_400_000;
+/// Retry delay while there is no room for a body, and the width of its random addition, which
+/// spreads the callers. Most requests end within it.
+const NO_ROOM_RETRY_AFTER_MS: u32 = 250;
+const NO_ROOM_RETRY_JITTER_MS: u32 = 500;
 /// Percent-encoded characters of a path that a target may decode although the
 /// route match does not.
 const AMBIGUOUS_ENCODINGS: [&str; 3] = ["%2e", "%2f", "%5c"];
@@ -178,13 +182,14 @@
     }
 }
 
-/// Reads the complete body, limited by `max_body_bytes` and `caller_read_timeout_ms`.
-pub async fn read_body(
-    settings: &Settings,
+/// Reads the complete body, limited by the configuration or `max_body_bytes`, and by
+/// `caller_read_timeout_ms`. Its room is taken until the second value is dropped.
+pub async fn read_body<P: Policies>(
+    node: &Node<P>,
     headers: &HeaderMap,
     body: &mut Incoming,
-) -> Result<Bytes, Rejection> {
-    let limit_bytes = settings.max_body_bytes;
+) -> Result<(Bytes, HeldBody), Rejection> {
+    let limit_bytes = node.max_body_bytes();
     let too_large =
         || Rejection::too_large(&format!("the body may have at most {limit_bytes} bytes"));
     let content_length = headers
@@ -193,8 +198,8 @@
     if content_length.is_some_and(|bytes| bytes > limit_bytes as u64) {
         return Err(too_large());
     }
-    let timeout_ms = settings.caller_read_timeout_ms;
-    let collecting = collect(body, limit_bytes);
+    let timeout_ms = node.settings.caller_read_timeout_ms;
+    let collecting = collect_held(body, limit_bytes, &node.body_room);
     let result = tokio::time::timeout(Duration::from_millis(timeout_ms), collecting).await;
     match result {
         Err(_) => Err(Rejection::bad_request(&format!(
@@ -203,7 +208,17 @@
         Ok(Err(error)) => Err(Rejection::bad_request(&format!(
             "the body is malformed: {error}"
         ))),
-        Ok(Ok(Collected::TooLarge(..))) => Err(too_large()),
-        Ok(Ok(Collected::Complete(bytes))) => Ok(bytes),
+        Ok(Ok(HeldCollected::TooLarge)) => Err(too_large()),
+        Ok(Ok(HeldCollected::NoRoom)) => {
+            let detail = "the node holds as many bytes of request bodies as it may";
+            Err(Rejection::new(no_room_for_body(), detail))
+        }
+        Ok(Ok(HeldCollected::Complete(bytes, held))) => Ok((bytes, held)),
     }
 }
+
+/// Refusal of a request while there is no room for its body.
+pub fn no_room_for_body() -> Refusal {
+    let jitter_ms = rand::random::<u32>() % NO_ROOM_RETRY_JITTER_MS;
+    Refusal::not_run(Reason::Overloaded).with_retry_after_ms(NO_ROOM_RETRY_AFTER_MS + jitter_ms)
+}
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -5,8 +5,8 @@
 
 pub use {
     checks::{
-        Rejection, check_head_size, check_idempotency_key, discard_body, parse_deadline_ms,
-        read_body, split_path, strip_request_headers,
+        Rejection, check_head_size, check_idempotency_key, discard_body, no_room_for_body,
+        parse_deadline_ms, read_body, split_path, strip_request_headers,
     },
     serve::serve_callers,
 };
--- a/src/ingress/serve.rs
+++ b/src/ingress/serve.rs
@@ -185,9 +185,9 @@
     if let Some(tenant) = &request.tenant {
         check_lease(node, tenant)?;
     }
-    let body = match body {
-        Some(body) => read_body(&node.settings, &head.headers, body).await?,
-        None => Bytes::new(),
+    let (body, _held_body) = match body {
+        Some(body) => read_body(node, &head.headers, body).await?,
+        None => (Bytes::new(), node.body_room.hold()),
     };
     let Admitted {
         workspace,
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -31,7 +31,7 @@
         dialect::{Dialect, Native},
         event,
         events::Event,
-        exchange::OutboundRequest,
+        exchange::{BodyRoom, OutboundRequest},
         freshness::{Freshness, Snapshot},
         membership::{MemberProbes, OwnState, View},
         model::{Names, RegionKey, RegionSet, WorkspaceKey},
@@ -159,6 +159,8 @@
     pub quarantine: Quarantine,
     /// Connections to the local target.
     pub target: Arc<TargetPool>,
+    /// Room for the bodies of requests.
+    pub body_room: BodyRoom,
     /// Number of open caller connections.
     pub caller_connection_count: Arc<AtomicUsize>,
     /// Number of open connections from other nodes.
@@ -207,6 +209,7 @@
             seen_attempts: SeenAttempts::new(),
             quarantine: Quarantine::new(),
             target: TargetPool::new(inputs.settings.ip),
+            body_room: BodyRoom::new(inputs.settings.max_held_body_bytes),
             region: inputs.names.region(&inputs.settings.region),
             admission: Mutex::new(
                 AdmissionTable::new().with_queue_order(inputs.settings.queue_order),
@@ -317,6 +320,13 @@
         self.in_flight_count() == 0
     }
 
+    /// Maximum size of a request body, in bytes.
+    #[must_use]
+    pub fn max_body_bytes(&self) -> usize {
+        let configured = self.running().max_body_bytes;
+        configured.unwrap_or(self.settings.max_body_bytes)
+    }
+
     /// Number of requests that this node processes in any role.
     #[must_use]
     pub fn in_flight_count(&self) -> usize {
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -9,10 +9,11 @@
         event,
         events::Event,
         exchange::{
-            ANSWER, ANSWER_AUTH, AUTH, CLOCK, CONTEXT, Collected, IDEMPOTENCY_KEY, ListenerLimits,
-            OutboundRequest, ResponseBody, collect, refusal_response, response_from_result, serve,
-            strip_hop_by_hop, strip_internal,
+            ANSWER, ANSWER_AUTH, AUTH, CLOCK, CONTEXT, HeldBody, HeldCollected, IDEMPOTENCY_KEY,
+            ListenerLimits, OutboundRequest, ResponseBody, collect_held, refusal_response,
+            response_from_result, serve, strip_hop_by_hop, strip_internal,
         },
+        ingress::no_room_for_body,
         model::{Reason, Refusal},
         node::{Node, Policies, serve_at_home},
         target::{ReportedLimit, serve_local},
@@ -63,13 +64,13 @@
     let _in_flight = node.begin_request();
     let method = request.method().clone();
     let (result, unspent) = match read_request(&node, request).await {
-        Ok(outbound) if !matches_digest(&outbound, attempt.content) => {
+        Ok((outbound, _)) if !matches_digest(&outbound, attempt.content) => {
             return refuse_forged(&method);
         }
-        Ok(outbound) if attempt.is_guarded => {
+        Ok((outbound, _held_body)) if attempt.is_guarded => {
             serve_at_home(&node, &attempt.context, outbound).await
         }
-        Ok(outbound) => serve_local(&node, &attempt.context, &outbound).await,
+        Ok((outbound, _held_body)) => serve_local(&node, &attempt.context, &outbound).await,
         Err(refusal) => (Err(refusal), attempt.context.retry_allotment),
     };
     let level = node.level(attempt.context.class);
@@ -158,11 +159,14 @@
 async fn read_request<P: Policies>(
     node: &Node<P>,
     request: Request<Incoming>,
-) -> Result<OutboundRequest, Refusal> {
+) -> Result<(OutboundRequest, HeldBody), Refusal> {
     let (mut parts, mut body) = request.into_parts();
-    let body = match collect(&mut body, node.settings.max_body_bytes).await {
-        Ok(Collected::Complete(bytes)) => bytes,
-        Ok(Collected::TooLarge(..)) => return Err(Refusal::not_run(Reason::TooLarge)),
+    // The sender has checked the size by its configuration, which may be newer.
+    let limit_bytes = node.settings.max_held_body_bytes;
+    let (body, held) = match collect_held(&mut body, limit_bytes, &node.body_room).await {
+        Ok(HeldCollected::Complete(bytes, held)) => (bytes, held),
+        Ok(HeldCollected::TooLarge) => return Err(Refusal::not_run(Reason::TooLarge)),
+        Ok(HeldCollected::NoRoom) => return Err(no_room_for_body()),
         Err(_) => return Err(Refusal::not_run(Reason::BadRequest)),
     };
     strip_internal(&mut parts.headers);
@@ -170,7 +174,7 @@
     let uri = parts.uri.into_parts();
     let path = uri.path_and_query;
     let own_address = SocketAddr::new(node.settings.reachable_ip(), node.settings.peer_port);
-    Ok(OutboundRequest {
+    let outbound = OutboundRequest {
         method: parts.method,
         // The sender fills in this node's address if the caller's host is not forwarded.
         host: uri
@@ -180,5 +184,6 @@
         path: path.unwrap_or_else(|| PathAndQuery::from_static("/")),
         headers: parts.headers,
         body,
-    })
+    };
+    Ok((outbound, held))
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -147,6 +147,9 @@
     /// Maximum size of a request body, in bytes
     #[arg(long, env = "DOGWOOD_MAX_BODY_BYTES", default_value_t = 1 << 20)]
     pub max_body_bytes: usize,
+    /// Maximum total size of the request bodies that the node holds at a time, in bytes
+    #[arg(long, env = "DOGWOOD_MAX_HELD_BODY_BYTES", default_value_t = 64 << 20)]
+    pub max_held_body_bytes: usize,
     /// Maximum total size of request headers, in bytes
     #[arg(long, env = "DOGWOOD_MAX_HEADER_BYTES", default_value_t = 16 << 10)]
     pub max_header_bytes: usize,
@@ -270,6 +273,7 @@
         check_secret("operator-secret", &self.operator_secret)?;
         check_positive("worker-threads", self.worker_threads)?;
         check_positive("max-body-bytes", self.max_body_bytes)?;
+        check_positive("max-held-body-bytes", self.max_held_body_bytes)?;
         check_positive("max-header-bytes", self.max_header_bytes)?;
         check_positive("max-connections", self.max_connections)?;
         check_positive("target-heartbeat-ms", self.target_heartbeat_ms)?;
--- a/tests/regions.rs
+++ b/tests/regions.rs
@@ -67,6 +67,7 @@
                 workspace("eastern", &["east"]),
                 workspace("western", &["west"]),
             ],
+            max_body_bytes: None,
         },
         &names,
     );
