Compare a target's start with the present clock too

The check for a start in the future used the clock as it was when the node started. On a machine whose clock is set later, each heartbeat of a target that starts after that would be refused. The later of the two clocks counts now. Names of unreadable entries are formatted only if they are logged. platform/tests/odd_entries.rs passes; no test sets the clock.

--- a/src/egress/announce.rs
+++ b/src/egress/announce.rs
@@ -14,6 +14,7 @@
         node::{Node, Policies},
         quarantine::is_end_planned,
         target::{NoticeStatus, PoolTarget, ProcessNotice},
+        timer::unix_ms,
     },
     hyper::{Request, Response, body::Incoming},
     std::sync::Arc,
@@ -119,7 +120,9 @@
             expected: expected.to_owned(),
         })
     };
-    let latest_start_unix_ms = node.timer.steady_unix_ms() + MAX_START_AHEAD_MS;
+    // The clock may have been set after this process started.
+    let now_unix_ms = node.timer.steady_unix_ms().max(unix_ms());
+    let latest_start_unix_ms = now_unix_ms + MAX_START_AHEAD_MS;
     if notice.started_unix_ms > latest_start_unix_ms {
         return invalid("start", "must not lie in the future");
     }
--- a/src/entries.rs
+++ b/src/entries.rs
@@ -7,7 +7,7 @@
     crate::{event, events::Event},
     serde::{Deserialize, de::DeserializeOwned},
     serde_json::value::RawValue,
-    std::{borrow::Cow, collections::BTreeMap},
+    std::{borrow::Cow, collections::BTreeMap, fmt::Display},
 };
 
 /// Entries of a list, not decoded yet.
@@ -27,7 +27,7 @@
     pub fn readable<T: DeserializeOwned>(&self, list: &str) -> Vec<T> {
         let decoded = self.0.iter().zip(0..);
         decoded
-            .filter_map(|(entry, index)| readable(entry, &format!("{list} entry={index}")))
+            .filter_map(|(entry, index): (_, usize)| readable(entry, list, &index))
             .collect()
     }
 }
@@ -43,7 +43,7 @@
         let entries = self.0.into_iter();
         entries
             .map(|(name, entry)| {
-                let decoded = readable(&entry, &format!("{table} entry={name}"));
+                let decoded = readable(&entry, table, &name);
                 (name, decoded)
             })
             .collect()
@@ -57,16 +57,20 @@
 }
 
 /// Decodes one entry; logs why it cannot be read.
-fn readable<T: DeserializeOwned>(entry: &RawValue, name: &str) -> Option<T> {
+fn readable<T: DeserializeOwned>(entry: &RawValue, list: &str, name: &impl Display) -> Option<T> {
     let decoded = serde_json::from_str(entry.get());
     decoded
-        .inspect_err(|error| event!(Event::EntryUnreadable, "list={name} error={error}"))
+        .inspect_err(|error| {
+            event!(
+                Event::EntryUnreadable,
+                "list={list} entry={name} error={error}"
+            );
+        })
         .ok()
 }
 
-/// The bytes as text in which bytes that are no text are replaced.
-///
-/// The entry that holds them becomes a text that nothing is called by; the others stay.
+/// Text in which bytes that are not UTF-8 are replaced, so that they affect only the entry that
+/// holds them.
 #[must_use]
 pub fn to_text(bytes: &[u8]) -> Cow<'_, str> {
     String::from_utf8_lossy(bytes)
