Refuse requests that may not end before their node stops

Callers saw connections that ended without an answer to requests that ran, also to ones that may run once, at the end of a planned stop in calm.

Cause: a node that is being stopped dispatched each request that it read, whatever was left of the stop, on new connections until the listener closes and on kept ones until they have been idle for a second. What had not ended at the end of the stop was dropped with its connection.

Change: a request is refused as not run, with the end of the stop as Retry-After, if its deadline is later than the end and similar requests have taken longer than what is left. What is left at the end is answered as unknown if it was dispatched.

--- a/src/ingress/serve.rs
+++ b/src/ingress/serve.rs
@@ -18,6 +18,7 @@
         node::{Node, Policies, dispatch},
         quota::{QuotaGate, TokenOrigin},
         retry::{CallKey, RetryPolicy},
+        shutdown::{RequestTiming, check_time_left},
     },
     bytes::Bytes,
     hyper::{
@@ -95,6 +96,19 @@
 struct RequestInfo {
     request_id: Option<RequestId>,
     class: Option<Class>,
+    /// Whether it may have reached a target.
+    is_dispatched: bool,
+}
+
+impl RequestInfo {
+    /// End of a request that the node gives up as it stops.
+    fn stopped(&self) -> Rejection {
+        let detail = "the node stops";
+        match self.is_dispatched {
+            true => Rejection::new(Refusal::unknown(Reason::ConnectionLost), detail),
+            false => Rejection::new(Refusal::not_run(Reason::Draining), detail),
+        }
+    }
 }
 
 async fn handle<P: Policies>(
@@ -106,7 +120,12 @@
     let is_http1 = head.version <= Version::HTTP_11;
     let started_us = node.timer.now_us();
     let mut request_info = RequestInfo::default();
-    let result = process(&node, &mut head, &mut body, &mut request_info).await;
+    let processed = tokio::select! {
+        biased;
+        result = process(&node, &mut head, &mut body, &mut request_info) => Some(result),
+        () = node.answering_rest.cancelled() => None,
+    };
+    let result = processed.unwrap_or_else(|| Err(request_info.stopped()));
     let refusal = match &result {
         Ok(_) => None,
         Err(rejection) => Some(rejection.refusal),
@@ -221,7 +240,14 @@
         body,
     };
     let is_target_call = request.tenant.is_none() && P::Dialect::CALLS_USE_CALLER_PORT;
-    let result = dispatch(node, &call, &outbound, request.idempotency_key.as_deref()).await;
+    let result = match check_time_left(node, &call) {
+        Ok(()) => {
+            request_info.is_dispatched = true;
+            let _timing = RequestTiming::new(node, &call);
+            dispatch(node, &call, &outbound, request.idempotency_key.as_deref()).await
+        }
+        Err(refusal) => Err(refusal),
+    };
     drop(allotment);
     if request.tenant.is_some()
         && matches!(&result, Err(refusal) if refusal.outcome == Outcome::NotRun)
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -2,11 +2,13 @@
 
 mod admission_table;
 mod calls;
+mod drain;
 mod evacuation;
 mod guarded;
 mod in_flight;
 mod level;
 mod loop_lag;
+mod response_times;
 mod route_table;
 mod row_builder;
 mod start;
@@ -18,6 +20,7 @@
     guarded::{Home, KeyGuard, dispatch, serve_at_home},
     in_flight::InFlightGuard,
     loop_lag::LoopLag,
+    response_times::{RequestKind, ResponseTimes, TimedRequestKey},
     route_table::{RouteTable, TargetLocation},
     start::{StartError, start},
     tasks::{follow_members, follow_probe_responses, run_ticks},
@@ -29,8 +32,6 @@
         conf::{CompiledConfiguration, Evacuations},
         control::{Metrics, RefusalRecord},
         dialect::{Dialect, Native},
-        event,
-        events::Event,
         exchange::{BodyRoom, OutboundRequest},
         freshness::{Freshness, Snapshot},
         membership::{MemberProbes, OwnState, View},
@@ -169,6 +170,8 @@
     pub callers_closing: CancellationToken,
     /// Closes the connections from other nodes.
     pub peers_closing: CancellationToken,
+    /// Answers the requests that have not ended when the node stops.
+    pub answering_rest: CancellationToken,
     /// Stops all tasks of the node.
     pub stopped: CancellationToken,
     running: watch::Receiver<Arc<CompiledConfiguration>>,
@@ -182,12 +185,14 @@
     registration: Mutex<Registration>,
     downstream: Mutex<DownstreamControl>,
     loop_lag: Mutex<LoopLag>,
+    response_times: Mutex<ResponseTimes>,
     refusals: Mutex<RefusalRecord>,
     in_flight_count: AtomicUsize,
     /// Notifies [`run_ticks`] when the first request arrives at an idle node.
     first_request_arrived: Notify,
     cut_off_since_ms: AtomicU64,
     drain: CancellationToken,
+    stop_us: AtomicU64,
 }
 
 impl<P: Policies> Node<P> {
@@ -227,6 +232,7 @@
             peer_connection_count: Arc::default(),
             callers_closing: CancellationToken::new(),
             peers_closing: CancellationToken::new(),
+            answering_rest: CancellationToken::new(),
             stopped: CancellationToken::new(),
             running: inputs.running,
             evacuations: inputs.evacuations,
@@ -238,11 +244,13 @@
             registration: Mutex::new(registration),
             downstream: Mutex::new(downstream),
             loop_lag: Mutex::new(LoopLag::new()),
+            response_times: Mutex::new(ResponseTimes::new()),
             refusals: Mutex::new(RefusalRecord::new()),
             in_flight_count: AtomicUsize::new(0),
             first_request_arrived: Notify::new(),
             cut_off_since_ms: AtomicU64::new(NOT_CUT_OFF),
             drain: CancellationToken::new(),
+            stop_us: AtomicU64::new(u64::MAX),
         })
     }
 
@@ -283,30 +291,6 @@
         Arc::clone(&self.view.borrow())
     }
 
-    /// Starts to drain: notifies the other nodes, then stops accepting new work while
-    /// running requests complete.
-    ///
-    /// Entry point for SIGTERM and operators; `shutdown::run` performs the drain.
-    pub fn drain(&self) {
-        if self.drain.is_cancelled() {
-            return;
-        }
-        event!(Event::DrainStarted, "node={}", self.settings.node_id);
-        self.own_state.send_modify(|own| own.draining = true);
-        self.drain.cancel();
-    }
-
-    /// Whether a drain has started.
-    #[must_use]
-    pub fn is_draining(&self) -> bool {
-        self.drain.is_cancelled()
-    }
-
-    /// Waits until a drain starts.
-    pub async fn wait_until_draining(&self) {
-        self.drain.cancelled().await;
-    }
-
     /// Whether no request runs, waits or is in flight and no caller is connected.
     #[must_use]
     pub fn is_idle(&self) -> bool {
@@ -374,6 +358,11 @@
         lock(&self.loop_lag)
     }
 
+    /// Response times of the requests of callers.
+    pub fn response_times(&self) -> MutexGuard<'_, ResponseTimes> {
+        lock(&self.response_times)
+    }
+
     /// Recent refusals at the local target for want of capacity.
     pub fn refusals(&self) -> MutexGuard<'_, RefusalRecord> {
         lock(&self.refusals)
--- a/src/shutdown/mod.rs
+++ b/src/shutdown/mod.rs
@@ -3,6 +3,10 @@
 //! Requests in flight get time to finish and peers are notified before their
 //! connections close, so that a planned shutdown avoids unknown outcomes.
 
+mod late_requests;
+
+pub use late_requests::{RequestTiming, check_time_left};
+
 use {
     crate::{
         admission::{DRAIN_ANNOUNCE_US, Drain},
@@ -26,6 +30,9 @@
 /// Maximum wait for peers to close their connections.
 const PEER_CLOSE_TIMEOUT: Duration = Duration::from_millis(1000);
 
+/// Maximum wait for the last answers to be sent.
+const LAST_ANSWERS_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Waits for a drain to start, completes it and stops the node.
 pub async fn run<P: Policies>(node: Arc<Node<P>>) {
     tokio::select! {
@@ -67,6 +74,8 @@
         |node| node.peer_connection_count.load(Ordering::Acquire) == 0,
     )
     .await;
+    node.answering_rest.cancel();
+    wait_until(&node, LAST_ANSWERS_TIMEOUT, Node::is_idle).await;
     let took_ms = node.timer.now_ms() - started_ms;
     event!(
         Event::DrainEnded,
