Hold request bodies in segments that are counted as they are allocated

Callers that sent many bodies short of their end made a node hold two to three times the room for bodies, and kept that room until their read timeout.

Cause: the room counted lengths. A body grew in a buffer that doubles, which stands beside its copy while it grows; the first chunk was a slice that keeps the whole read buffer. Room went to whoever came first.

Change: bodies are copied into segments of at most 16 KB, whose memory is taken from the room before they are allocated, and are sent on as they are.

--- a/benches/quarantine.rs
+++ b/benches/quarantine.rs
@@ -59,7 +59,7 @@
         host: Some("shop.example".to_owned()),
         path: PathAndQuery::from_static("/archive/batch/2f?since=2026-01-01"),
         headers: HeaderMap::new(),
-        body: vec![b'x'; body_bytes].into(),
+        body: bytes::Bytes::from(vec![b'x'; body_bytes]).into(),
     };
     let started = Instant::now();
     for _ in 0..ROUND_COUNT / 10 {
--- a/src/dialect/mod.rs
+++ b/src/dialect/mod.rs
@@ -22,13 +22,11 @@
 use {
     crate::{
         conf::CompiledConfiguration,
-        exchange::{ForwardedResponse, ResponseBody},
+        exchange::{ForwardedResponse, ResponseBody, Segments},
         ingress::Rejection,
         model::{Refusal, RequestId},
         target::Health,
     },
-    bytes::Bytes,
-    http_body_util::Full,
     hyper::{HeaderMap, Method, Request, Response, body::Incoming, http::request::Parts},
 };
 
@@ -76,7 +74,7 @@
     ) -> Response<ResponseBody>;
 
     /// Adds the headers that the target needs to a request.
-    fn complete_request(&self, request: &mut Request<Full<Bytes>>, call: &TargetCall<'_>);
+    fn complete_request(&self, request: &mut Request<Segments>, call: &TargetCall<'_>);
 
     /// Interprets the head of a target's response to a request.
     fn classify_response(
--- a/src/dialect/native.rs
+++ b/src/dialect/native.rs
@@ -10,7 +10,7 @@
         conf::{CompiledConfiguration, WorkspaceRules},
         exchange::{
             CALL, DEADLINE, ForwardedResponse, KEY, LEAVING, LIMIT_PER_S, ResponseBody, SHED,
-            refusal_response, response_from_result,
+            Segments, refusal_response, response_from_result,
         },
         ingress::{
             Rejection, check_idempotency_key, parse_deadline_ms, split_path, strip_request_headers,
@@ -20,7 +20,6 @@
         target::Health,
     },
     bytes::Bytes,
-    http_body_util::Full,
     hyper::{
         HeaderMap, Method, Request, Response, StatusCode, Version,
         body::{Body, Incoming},
@@ -131,7 +130,7 @@
         refusal_response(refusal, detail)
     }
 
-    fn complete_request(&self, request: &mut Request<Full<Bytes>>, call: &TargetCall<'_>) {
+    fn complete_request(&self, request: &mut Request<Segments>, call: &TargetCall<'_>) {
         let headers = request.headers_mut();
         headers.insert(HOST, HeaderValue::from_static("target"));
         headers.insert(CALL, handle_header_value(call));
--- a/src/egress/announce.rs
+++ b/src/egress/announce.rs
@@ -48,7 +48,7 @@
             limit_bytes: MAX_NOTICE_BYTES,
         });
     };
-    match node.dialect.read_notice(&method, &path, &body)? {
+    match node.dialect.read_notice(&method, &path, &body.to_bytes())? {
         TargetNotice::Alive(heartbeat) => return record_heartbeat(node, heartbeat),
         TargetNotice::Leaving {
             instance_id,
--- a/src/exchange/body.rs
+++ b/src/exchange/body.rs
@@ -1,7 +1,8 @@
 //! Bodies of responses, buffered or streamed, and reading of request bodies.
 
 use {
-    bytes::{Bytes, BytesMut},
+    super::segments::{SegmentWriter, Segments},
+    bytes::Bytes,
     http_body_util::BodyExt,
     hyper::body::{Body, Frame, Incoming, SizeHint},
     std::{
@@ -27,8 +28,8 @@
 /// Body of a response.
 #[derive(Debug)]
 pub enum ResponseBody {
-    /// Completely buffered in memory; `None` after it was sent.
-    Buffered(Option<Bytes>),
+    /// Completely buffered in memory.
+    Buffered(Segments),
     /// Forwarded while it arrives; an error resets the receiver's stream, so that a
     /// truncated response never looks complete.
     Streamed(mpsc::Receiver<Result<Bytes, TruncatedBody>>),
@@ -37,8 +38,8 @@
 impl ResponseBody {
     /// Creates a buffered body.
     #[must_use]
-    pub const fn buffered(bytes: Bytes) -> Self {
-        Self::Buffered(Some(bytes))
+    pub fn buffered(bytes: Bytes) -> Self {
+        Self::Buffered(bytes.into())
     }
 
     /// Whether the body is forwarded while it arrives.
@@ -57,9 +58,9 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, TruncatedBody>>> {
         match self.get_mut() {
-            Self::Buffered(bytes) => {
-                let bytes = bytes.take().filter(|bytes| !bytes.is_empty());
-                Poll::Ready(bytes.map(|bytes| Ok(Frame::data(bytes))))
+            Self::Buffered(body) => {
+                let segment = body.pop_front();
+                Poll::Ready(segment.map(|segment| Ok(Frame::data(segment))))
             }
             Self::Streamed(chunks) => chunks
                 .poll_recv(context)
@@ -69,16 +70,14 @@
 
     fn is_end_stream(&self) -> bool {
         match self {
-            Self::Buffered(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
+            Self::Buffered(body) => body.is_empty(),
             Self::Streamed(_) => false,
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Buffered(bytes) => {
-                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
-            }
+            Self::Buffered(body) => SizeHint::with_exact(body.len() as u64),
             Self::Streamed(_) => SizeHint::default(),
         }
     }
@@ -88,9 +87,9 @@
 #[derive(Debug)]
 pub enum Collected {
     /// The complete body, within the limit.
-    Complete(Bytes),
+    Complete(Segments),
     /// The body exceeds the limit; the bytes read so far.
-    TooLarge(Bytes),
+    TooLarge(Segments),
 }
 
 /// Reads a body until its end or until it exceeds the limit.
@@ -98,36 +97,21 @@
 where
     B: Body<Data = Bytes, Error = hyper::Error> + Unpin,
 {
-    collect_while(body, |byte_count| byte_count <= limit_bytes).await
-}
-
-/// Reads a body until its end or until `may_hold` denies the number of bytes read so far.
-pub(super) async fn collect_while<B>(
-    body: &mut B,
-    mut may_hold: impl FnMut(usize) -> bool,
-) -> Result<Collected, hyper::Error>
-where
-    B: Body<Data = Bytes, Error = hyper::Error> + Unpin,
-{
-    let mut first = Bytes::new();
-    let mut buffer = BytesMut::new();
+    let announced_bytes = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    let mut writer = SegmentWriter::new(announced_bytes);
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame?.into_data() else {
             continue;
         };
-        if first.is_empty() {
-            first = data;
-        } else {
-            if buffer.is_empty() {
-                buffer.extend_from_slice(&first);
-            }
-            buffer.extend_from_slice(&data);
+        let mut rest: &[u8] = &data;
+        while !rest.is_empty() {
+            rest = writer.write(rest);
         }
-        if !may_hold(first.len().max(buffer.len())) {
-            return Ok(Collected::TooLarge(join_chunks(first, buffer)));
+        if writer.len() > limit_bytes {
+            return Ok(Collected::TooLarge(writer.finish()));
         }
     }
-    Ok(Collected::Complete(join_chunks(first, buffer)))
+    Ok(Collected::Complete(writer.finish()))
 }
 
 /// Reads and drops the rest of a refused request's body.
@@ -148,18 +132,10 @@
     let _ = tokio::time::timeout(DISCARD_TIMEOUT, reading).await;
 }
 
-fn join_chunks(first: Bytes, buffer: BytesMut) -> Bytes {
-    if buffer.is_empty() {
-        first
-    } else {
-        buffer.freeze()
-    }
-}
-
 /// Forwards `head` and `rest` until the end, the time limit or a closed receiver; then calls
 /// `done` with `guard` and whether the body is complete.
 pub fn stream_body<B, G>(
-    head: Bytes,
+    head: Segments,
     mut rest: B,
     limit: Duration,
     guard: G,
@@ -184,15 +160,17 @@
 }
 
 async fn forward<B>(
-    head: Bytes,
+    mut head: Segments,
     rest: &mut B,
     sender: &mpsc::Sender<Result<Bytes, TruncatedBody>>,
 ) -> bool
 where
     B: Body<Data = Bytes, Error = hyper::Error> + Unpin,
 {
-    if sender.send(Ok(head)).await.is_err() {
-        return false;
+    while let Some(segment) = head.pop_front() {
+        if sender.send(Ok(segment)).await.is_err() {
+            return false;
+        }
     }
     loop {
         let frame = tokio::select! {
--- a/src/exchange/mod.rs
+++ b/src/exchange/mod.rs
@@ -8,10 +8,11 @@
 mod prefetch;
 mod read_timer;
 mod response;
+mod segments;
 
 pub use {
     body::{Collected, ResponseBody, TruncatedBody, collect, discard, stream_body},
-    body_room::{BodyRoom, HeldBody, HeldCollected, collect_held},
+    body_room::{BodyRoom, HeldBody, HeldCollected, NoRoom, collect_held},
     headers::{
         ANSWER, ANSWER_AUTH, AUTH, CALL, CLOCK, CONTEXT, DEADLINE, IDEMPOTENCY_KEY, KEY, LEAVING,
         LIMIT_PER_S, OUTCOME, REASON, RETRY_AFTER_MS, SHED, is_internal, strip_hop_by_hop,
@@ -20,12 +21,10 @@
     listener::{Handler, ListenerLimits, bind, serve},
     pipeline::{EarlyResponse, Pipeline},
     response::{ForwardedResponse, refusal_response, response_from_result},
+    segments::{SegmentWriter, Segments},
 };
 
-use {
-    bytes::Bytes,
-    hyper::{HeaderMap, Method, http::uri::PathAndQuery},
-};
+use hyper::{HeaderMap, Method, http::uri::PathAndQuery};
 
 /// A request that was read completely and validated, ready to be sent.
 ///
@@ -41,5 +40,5 @@
     /// Headers to send to the target.
     pub headers: HeaderMap,
     /// Complete body.
-    pub body: Bytes,
+    pub body: Segments,
 }
--- a/src/exchange/response.rs
+++ b/src/exchange/response.rs
@@ -30,8 +30,7 @@
     pub fn new(status: StatusCode, mut headers: HeaderMap, body: ResponseBody) -> Self {
         strip_hop_by_hop(&mut headers);
         strip_internal(&mut headers);
-        if !body.is_streamed()
-            && !matches!(&body, ResponseBody::Buffered(Some(bytes)) if bytes.is_empty())
+        if !body.is_streamed() && !matches!(&body, ResponseBody::Buffered(body) if body.is_empty())
         {
             // The server sets the length of a buffered body.
             headers.remove(CONTENT_LENGTH);
--- a/src/ingress/checks.rs
+++ b/src/ingress/checks.rs
@@ -6,13 +6,12 @@
         event,
         events::Event,
         exchange::{
-            HeldBody, HeldCollected, IDEMPOTENCY_KEY, collect_held, discard, is_internal,
+            HeldBody, HeldCollected, IDEMPOTENCY_KEY, Segments, collect_held, discard, is_internal,
             strip_hop_by_hop, strip_internal,
         },
         model::{Reason, Refusal, ServiceKey},
         node::{Node, Policies},
     },
-    bytes::Bytes,
     hyper::{
         HeaderMap, Uri,
         body::Incoming,
@@ -188,7 +187,7 @@
     node: &Node<P>,
     headers: &HeaderMap,
     body: &mut Incoming,
-) -> Result<(Bytes, HeldBody), Rejection> {
+) -> Result<(Segments, HeldBody), Rejection> {
     let limit_bytes = node.max_body_bytes();
     let too_large =
         || Rejection::too_large(&format!("the body may have at most {limit_bytes} bytes"));
--- a/src/ingress/serve.rs
+++ b/src/ingress/serve.rs
@@ -10,7 +10,7 @@
         events::Event,
         exchange::{
             EarlyResponse, ForwardedResponse, Handler, ListenerLimits, OutboundRequest,
-            ResponseBody, serve,
+            ResponseBody, Segments, serve,
         },
         freshness::Freshness,
         keys::{KeyDigest, KeyState},
@@ -20,7 +20,6 @@
         retry::{CallKey, RetryPolicy},
         shutdown::{RequestTiming, check_time_left},
     },
-    bytes::Bytes,
     hyper::{
         Request, Response, Version,
         body::Incoming,
@@ -206,7 +205,7 @@
     }
     let (body, _held_body) = match body {
         Some(body) => read_body(node, &head.headers, body).await?,
-        None => (Bytes::new(), node.body_room.hold()),
+        None => (Segments::new(), node.body_room.hold_empty()),
     };
     let Admitted {
         workspace,
--- a/src/node/guarded.rs
+++ b/src/node/guarded.rs
@@ -207,7 +207,7 @@
 
 /// Converts a response for replay to resends, if it is fully buffered.
 fn to_stored_answer(answer: &ForwardedResponse) -> Option<StoredResponse> {
-    let ResponseBody::Buffered(Some(body)) = &answer.body else {
+    let ResponseBody::Buffered(body) = &answer.body else {
         return None;
     };
     let headers = answer
@@ -217,7 +217,7 @@
     Some(StoredResponse {
         status: answer.status.as_u16(),
         headers: headers.collect(),
-        body: body.clone(),
+        body: body.to_bytes(),
     })
 }
 
@@ -253,9 +253,13 @@
     let mut hash = Xxh3::new();
     let method = outbound.method.as_str().as_bytes();
     let path = outbound.path.as_str().as_bytes();
-    for part in [method, path, outbound.body.as_ref()] {
+    for part in [method, path] {
         hash.update(&(part.len() as u64).to_le_bytes());
         hash.update(part);
     }
+    hash.update(&(outbound.body.len() as u64).to_le_bytes());
+    for segment in outbound.body.iter() {
+        hash.update(segment);
+    }
     hash.digest()
 }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -58,6 +58,9 @@
 
 /// Value of [`Node::cut_off_since_ms`] while the node is not cut off.
 pub const NOT_CUT_OFF: u64 = u64::MAX;
+/// Part of the room for bodies that small bodies have beside it.
+const SMALL_BODY_DIVISOR: usize = 8;
+
 /// Types of the replaceable policies, chosen once at start.
 pub trait Policies: Send + Sync + 'static {
     /// Admission at the local target.
@@ -214,7 +217,10 @@
             seen_attempts: SeenAttempts::new(),
             quarantine: Quarantine::new(),
             target: TargetPool::new(inputs.settings.ip),
-            body_room: BodyRoom::new(inputs.settings.max_held_body_bytes),
+            body_room: BodyRoom::with_small_bodies(
+                inputs.settings.max_held_body_bytes,
+                inputs.settings.max_held_body_bytes / SMALL_BODY_DIVISOR,
+            ),
             region: inputs.names.region(&inputs.settings.region),
             admission: Mutex::new(
                 AdmissionTable::new().with_queue_order(inputs.settings.queue_order),
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -8,13 +8,11 @@
     crate::{
         exchange::{
             ANSWER, ANSWER_AUTH, AUTH, CLOCK, CONTEXT, Collected, ForwardedResponse,
-            IDEMPOTENCY_KEY, OutboundRequest, ResponseBody, collect, stream_body,
+            IDEMPOTENCY_KEY, OutboundRequest, ResponseBody, Segments, collect, stream_body,
         },
         model::{AdmissionLevel, Names, Reason, Refusal, RequestContext},
         target::{ReportedLimit, UNKNOWN_PROCESS_ID},
     },
-    bytes::Bytes,
-    http_body_util::Full,
     hyper::{Request, Response, Uri, body::Incoming},
     std::time::{Duration, Instant},
 };
@@ -125,7 +123,7 @@
 
 async fn try_send(
     sender: &mut PeerSender,
-    request: Request<Full<Bytes>>,
+    request: Request<Segments>,
 ) -> Result<Response<Incoming>, SendError> {
     if sender.ready().await.is_err() {
         return Err(SendError::NotSent);
@@ -145,7 +143,7 @@
     attempt_id: u64,
     auth: &FleetAuth,
     names: &Names,
-) -> Option<Request<Full<Bytes>>> {
+) -> Option<Request<Segments>> {
     let outbound = attempt.outbound;
     let uri = Uri::builder()
         .scheme("http")
@@ -162,7 +160,7 @@
         context: *attempt.context,
         attempt_id,
         is_guarded: attempt.is_guarded,
-        content: ContentDigest::new(outbound.headers.get(IDEMPOTENCY_KEY), &outbound.body),
+        content: ContentDigest::of_segments(outbound.headers.get(IDEMPOTENCY_KEY), &outbound.body),
         remembered_limit: attempt.remembered_limit,
     };
     let sent_unix_ms = link.peer_unix_ms(attempt.now_unix_ms);
@@ -172,7 +170,7 @@
         outbound.method.as_str().as_bytes(),
         outbound.path.as_str().as_bytes(),
     ]);
-    let mut request = Request::new(Full::new(outbound.body.clone()));
+    let mut request = Request::new(outbound.body.clone());
     *request.method_mut() = outbound.method.clone();
     *request.uri_mut() = uri;
     *request.headers_mut() = outbound.headers.clone();
@@ -220,7 +218,7 @@
 ) -> Result<ForwardedResponse, Refusal> {
     let (parts, mut body) = response.into_parts();
     let body = match collect(&mut body, attempt.buffered_bytes).await {
-        Ok(Collected::Complete(bytes)) => ResponseBody::buffered(bytes),
+        Ok(Collected::Complete(bytes)) => ResponseBody::Buffered(bytes),
         Ok(Collected::TooLarge(head)) => {
             let time_left = attempt.time_left.saturating_sub(started.elapsed());
             stream_body(head, body, time_left, (), |(), _| {})
--- a/src/peer/headers.rs
+++ b/src/peer/headers.rs
@@ -3,6 +3,7 @@
 
 use {
     crate::{
+        exchange::Segments,
         keys::KeyDigest,
         model::{
             AdmissionLevel, Class, Names, Outcome, Reason, Refusal, RequestContext, RequestId,
@@ -81,11 +82,26 @@
     /// Computes the digest.
     #[must_use]
     pub fn new(idempotency_key: Option<&HeaderValue>, body: &[u8]) -> Self {
+        Self::of_parts(idempotency_key, std::iter::once(body))
+    }
+
+    /// The same of a body in segments.
+    #[must_use]
+    pub fn of_segments(idempotency_key: Option<&HeaderValue>, body: &Segments) -> Self {
+        Self::of_parts(idempotency_key, body.iter().map(AsRef::as_ref))
+    }
+
+    fn of_parts<'a>(
+        idempotency_key: Option<&HeaderValue>,
+        body: impl Iterator<Item = &'a [u8]>,
+    ) -> Self {
         let key = idempotency_key.map_or(&[][..], HeaderValue::as_bytes);
         let mut hash = Sha256::new();
         hash.update((key.len() as u64).to_le_bytes());
         hash.update(key);
-        hash.update(body);
+        for part in body {
+            hash.update(part);
+        }
         Self(hash.finalize().into())
     }
 
@@ -156,10 +172,15 @@
         self.verify(&[content], tag)
     }
 
-    /// Keyed digest of these parts in this order.
+    /// Keyed digest of these parts and the body, in this order.
     #[must_use]
-    pub fn keyed_digest(&self, parts: &[&[u8]]) -> u64 {
-        let tag = self.compute_tag(parts);
+    pub fn keyed_digest(&self, parts: &[&[u8]], body: &Segments) -> u64 {
+        let mut mac = self.compute_mac(parts);
+        mac.update(&(body.len() as u64).to_le_bytes());
+        for segment in body.iter() {
+            mac.update(segment);
+        }
+        let tag = mac.finalize().into_bytes();
         u64::from_le_bytes(std::array::from_fn(|index| tag[index]))
     }
 
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -1,9 +1,7 @@
 //! HTTP/2 connections to another node.
 
 use {
-    crate::model::Class,
-    bytes::Bytes,
-    http_body_util::Full,
+    crate::{exchange::Segments, model::Class},
     hyper::client::conn::http2,
     hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer},
     std::{
@@ -18,7 +16,7 @@
 };
 
 /// Sends requests over a connection.
-pub type PeerSender = http2::SendRequest<Full<Bytes>>;
+pub type PeerSender = http2::SendRequest<Segments>;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 const STREAM_WINDOW_BYTES: u32 = 1 << 20;
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -153,7 +153,7 @@
 
 fn matches_digest(outbound: &OutboundRequest, content: ContentDigest) -> bool {
     let idempotency_key = outbound.headers.get(IDEMPOTENCY_KEY);
-    ContentDigest::new(idempotency_key, &outbound.body) == content
+    ContentDigest::of_segments(idempotency_key, &outbound.body) == content
 }
 
 async fn read_request<P: Policies>(
--- a/src/quarantine/digest.rs
+++ b/src/quarantine/digest.rs
@@ -28,14 +28,14 @@
         outbound: &OutboundRequest,
     ) -> Self {
         let host = outbound.host.as_deref().map(normalize_host);
-        Self(auth.keyed_digest(&[
+        let parts = [
             DOMAIN,
             workspace.as_bytes(),
             host.as_deref().unwrap_or(service).as_bytes(),
             outbound.method.as_str().as_bytes(),
             outbound.path.as_str().as_bytes(),
-            &outbound.body,
-        ]))
+        ];
+        Self(auth.keyed_digest(&parts, &outbound.body))
     }
 }
 
--- a/src/target/connection.rs
+++ b/src/target/connection.rs
@@ -6,9 +6,7 @@
         metered::{MeteredStream, Progress},
         rejected_requests::RejectedRequests,
     },
-    crate::peer::connect_from,
-    bytes::Bytes,
-    http_body_util::Full,
+    crate::{exchange::Segments, peer::connect_from},
     hyper::{Request, Response, body::Incoming, client::conn::http1},
     hyper_util::rt::TokioIo,
     std::{
@@ -21,7 +19,7 @@
 /// An open connection.
 #[derive(Debug)]
 pub struct Connection {
-    pub(super) sender: http1::SendRequest<Full<Bytes>>,
+    pub(super) sender: http1::SendRequest<Segments>,
     pub(super) progress: Progress,
     task: AbortHandle,
     pub(super) usable_until: Option<Instant>,
@@ -32,7 +30,7 @@
     /// Sends one request; the connection is not used for others.
     pub(super) async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<Segments>,
     ) -> hyper::Result<Response<Incoming>> {
         self.sender.send_request(request).await
     }
--- a/src/target/exchange.rs
+++ b/src/target/exchange.rs
@@ -6,11 +6,9 @@
         dialect::{Dialect, TargetCall, TargetSignal},
         event,
         events::Event,
-        exchange::OutboundRequest,
+        exchange::{OutboundRequest, Segments},
         model::{Reason, Refusal, RequestId},
     },
-    bytes::Bytes,
-    http_body_util::Full,
     hyper::{Request, Response, StatusCode, Uri},
     std::sync::Arc,
 };
@@ -119,8 +117,8 @@
     }
 }
 
-fn build_request(outbound: &OutboundRequest) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(outbound.body.clone()));
+fn build_request(outbound: &OutboundRequest) -> Request<Segments> {
+    let mut request = Request::new(outbound.body.clone());
     *request.method_mut() = outbound.method.clone();
     *request.uri_mut() = Uri::from(outbound.path.clone());
     *request.headers_mut() = outbound.headers.clone();
--- a/src/target/health.rs
+++ b/src/target/health.rs
@@ -2,9 +2,7 @@
 
 use {
     super::connection::connect,
-    crate::{dialect::Dialect, timer::timeout_unless_suspended},
-    bytes::Bytes,
-    http_body_util::Full,
+    crate::{dialect::Dialect, exchange::Segments, timer::timeout_unless_suspended},
     hyper::{
         Request, Uri,
         header::{HOST, HeaderValue},
@@ -45,7 +43,7 @@
     };
     let exchange = async {
         let mut connection = connect(ip, address).await.ok()?;
-        let mut request = Request::new(Full::<Bytes>::default());
+        let mut request = Request::new(Segments::new());
         *request.uri_mut() = uri;
         let host = HeaderValue::try_from(address.to_string()).ok()?;
         request.headers_mut().insert(HOST, host);
--- a/src/target/pool.rs
+++ b/src/target/pool.rs
@@ -6,9 +6,7 @@
         connection::{Connection, connect},
         metered::Progress,
     },
-    crate::model::RequestId,
-    bytes::Bytes,
-    http_body_util::Full,
+    crate::{exchange::Segments, model::RequestId},
     hyper::client::conn::http1,
     std::{
         io::ErrorKind,
@@ -310,7 +308,7 @@
     }
 
     /// Sender for the request, and what counts the bytes until its answer.
-    pub fn sender(&mut self) -> Option<(&mut http1::SendRequest<Full<Bytes>>, &Progress)> {
+    pub fn sender(&mut self) -> Option<(&mut http1::SendRequest<Segments>, &Progress)> {
         let connection = self.connection.as_mut()?;
         Some((&mut connection.sender, &connection.progress))
     }
--- a/src/target/serve.rs
+++ b/src/target/serve.rs
@@ -312,7 +312,7 @@
                 return running.fail(result, refusal);
             }
             let unspent = running.end(result);
-            let body = ResponseBody::buffered(bytes);
+            let body = ResponseBody::Buffered(bytes);
             (
                 Ok(ForwardedResponse::new(parts.status, parts.headers, body)),
                 unspent,
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -1,6 +1,7 @@
 //! Verdicts on requests that ran when targets crashed.
 
 use {
+    bytes::Bytes,
     dogwoodbridge::{
         exchange::OutboundRequest,
         peer::FleetAuth,
@@ -356,7 +357,7 @@
         host: host.map(str::to_owned),
         path: PathAndQuery::try_from(path).unwrap(),
         headers: HeaderMap::new(),
-        body: body.to_owned().into(),
+        body: Bytes::from(body.to_owned()).into(),
     }
 }
 
