Bound connections, heads and responses by the memory of the machine

Callers that kept to no limit ended a process of the users: it ran out of memory. Short of that, they used up the connections of a node for all others.

Cause: each connection was bounded, not their sum: 2,000 connections with 64 KB of read-ahead, a read buffer of 32 KB, heads, 256 streams of HTTP/2 with windows of 1 MB, early responses, on a machine of any size. At the limit of connections, whoever came was refused, however long the others stayed idle.

At the limit of connections the one that has waited longest for its caller is closed, at the limit of heads the one with most requests, at the limit of responses the one that has not read its own for longest; a connection whose request is in service is not closed for another. Half of the sockets of a machine are for callers. /metrics counts what gave way.

--- a/src/control/admin.rs
+++ b/src/control/admin.rs
@@ -4,7 +4,7 @@
     super::{ClassLabel, KindLabel, target_capacity},
     crate::{
         dialect::Dialect,
-        exchange::{ListenerLimits, ResponseBody, serve},
+        exchange::{ListenerLimits, ListenerMemory, ResponseBody, serve},
         model::Class,
         node::{Node, Policies},
     },
@@ -26,6 +26,7 @@
     max_header_bytes: 8 << 10,
     header_timeout: Duration::from_secs(5),
     max_streams: 16,
+    memory: ListenerMemory::FOR_MACHINE,
 };
 const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
@@ -77,6 +78,13 @@
     let late_starts = node.metrics.late_starts.inner();
     late_starts.store(late_start_count, Ordering::Relaxed);
     node.metrics.caller_connections.set(gauge(connections));
+    node.metrics
+        .held_body_bytes
+        .set(gauge(node.body_room.held_bytes()));
+    let bodies = KindLabel { kind: "body" };
+    let given_up = node.metrics.given_up.get_or_create(&bodies);
+    let given_up_count = node.body_room.given_up_count();
+    given_up.inner().store(given_up_count, Ordering::Relaxed);
     node.metrics.target.set(target_capacity(node).as_ref());
     set_shares(node);
     set_reported_load(node);
--- a/src/control/metrics.rs
+++ b/src/control/metrics.rs
@@ -70,6 +70,10 @@
     pub supply: Family<KindLabel, Gauge>,
     /// Open connections of callers.
     pub caller_connections: Gauge,
+    /// Bytes of request bodies that the node holds.
+    pub held_body_bytes: Gauge,
+    /// Connections and incomplete bodies of callers that gave way to others.
+    pub given_up: Family<KindLabel, Counter>,
     /// Figures that the own target reported in the last second.
     pub reported: Family<KindLabel, Gauge>,
     /// Invalid figures that the own target reported.
@@ -105,6 +109,8 @@
             admitted_share: Family::default(),
             supply: Family::default(),
             caller_connections: Gauge::default(),
+            held_body_bytes: Gauge::default(),
+            given_up: Family::default(),
             reported: Family::default(),
             invalid_reports: Counter::default(),
             state: Family::default(),
@@ -187,6 +193,16 @@
             "Open connections of callers",
             self.caller_connections.clone(),
         );
+        registry.register(
+            "held_body_bytes",
+            "Bytes of request bodies that the node holds",
+            self.held_body_bytes.clone(),
+        );
+        registry.register(
+            "given_up",
+            "Connections and incomplete bodies of callers that gave way to others",
+            self.given_up.clone(),
+        );
         registry.register(
             "target_reported",
             "Figures that the own target reported in the last second",
--- a/src/egress/child.rs
+++ b/src/egress/child.rs
@@ -6,7 +6,8 @@
         event,
         events::Event,
         exchange::{
-            CALL, DEADLINE, OutboundRequest, ResponseBody, refusal_response, response_from_result,
+            CALL, DEADLINE, OutboundRequest, RequestProgress, ResponseBody, refusal_response,
+            response_from_result,
         },
         ingress::{
             Rejection, check_head_size, check_idempotency_key, discard_body, read_body, split_path,
@@ -107,6 +108,9 @@
         .ok_or_else(|| Rejection::new(Refusal::not_run(Reason::NoRoute), "no route matches"))?;
     let idempotency_key = check_idempotency_key(&head.headers)?;
     let (body, _held_body) = read_body(node, &head.headers, body).await?;
+    if let Some(progress) = head.extensions.get::<RequestProgress>() {
+        progress.receive();
+    }
     let deadline_us = child_deadline_us(node, &head.headers, parent.deadline_us)?;
     strip_request_headers(&mut head.headers, Some(&CALL));
     let allotment = ChildRetryAllotment::new(node, parent.retry);
--- a/src/egress/mod.rs
+++ b/src/egress/mod.rs
@@ -19,7 +19,7 @@
 use {
     crate::{
         dialect::Dialect,
-        exchange::{ListenerLimits, ResponseBody, serve},
+        exchange::{ListenerLimits, ListenerMemory, ResponseBody, serve},
         node::{Node, Policies},
     },
     hyper::{Request, Response, body::Incoming},
@@ -27,7 +27,8 @@
     tokio::net::TcpListener,
 };
 
-const MAX_CONNECTIONS: usize = 8192;
+/// Connections of a target that makes its downstream calls elsewhere.
+const MAX_NOTICE_CONNECTIONS: usize = 64;
 /// Concurrent streams of an HTTP/2 connection.
 const MAX_STREAMS: u32 = 1024;
 const HEADER_TIMEOUT: Duration = Duration::from_secs(5);
@@ -36,11 +37,17 @@
 
 /// Serves the local target until the node stops.
 pub async fn serve_egress<P: Policies>(node: Arc<Node<P>>, listener: TcpListener) {
+    let budget = node.settings.memory_budget();
+    let (max_connections, memory) = match P::Dialect::CALLS_USE_CALLER_PORT {
+        true => (MAX_NOTICE_CONNECTIONS, ListenerMemory::FOR_MACHINE),
+        false => (budget.connection_count, budget.listener_memory()),
+    };
     let limits = ListenerLimits {
-        max_connections: MAX_CONNECTIONS,
+        max_connections,
         max_header_bytes: node.settings.max_header_bytes,
         header_timeout: HEADER_TIMEOUT,
         max_streams: MAX_STREAMS,
+        memory,
     };
     let stopped = node.stopped.clone();
     let handle = move |request| handle(Arc::clone(&node), request);
--- a/src/exchange/body_room.rs
+++ b/src/exchange/body_room.rs
@@ -7,7 +7,10 @@
     http_body_util::BodyExt,
     hyper::body::Body,
     std::{
-        sync::{Arc, Mutex, MutexGuard},
+        sync::{
+            Arc, Mutex, MutexGuard,
+            atomic::{AtomicU64, Ordering},
+        },
         time::Duration,
     },
     tokio::{sync::Notify, time::Instant},
@@ -40,6 +43,7 @@
     small_bytes: usize,
     state: Mutex<State>,
     released: Notify,
+    given_up_count: AtomicU64,
 }
 
 #[derive(Debug, Default)]
@@ -89,6 +93,7 @@
             small_bytes,
             state: Mutex::default(),
             released: Notify::new(),
+            given_up_count: AtomicU64::new(0),
         }))
     }
 
@@ -98,6 +103,12 @@
         self.locked().held_bytes
     }
 
+    /// Incomplete bodies that gave way so far.
+    #[must_use]
+    pub fn given_up_count(&self) -> u64 {
+        self.0.given_up_count.load(Ordering::Relaxed)
+    }
+
     /// Holds a body without bytes.
     #[must_use]
     pub fn hold_empty(&self) -> HeldBody {
@@ -194,6 +205,8 @@
         };
         if let Some(arrival) = state.arrivals.remove(key) {
             arrival.given_up.cancel();
+            let given_up_count = &self.room.0.given_up_count;
+            given_up_count.fetch_add(1, Ordering::Relaxed);
         }
         true
     }
--- a/src/exchange/listener.rs
+++ b/src/exchange/listener.rs
@@ -2,31 +2,20 @@
 
 use {
     super::{
-        EarlyResponse, Pipeline, ResponseBody,
-        prefetch::{Unread, prefetch},
-        read_timer::ReadTimer,
+        EarlyResponse, ResponseBody,
+        connection_table::{ConnectionLimits, ConnectionTable},
+        read_ahead::ReadAheadRoom,
         refusal_response,
+        served_connection::ServedConnection,
+        tracked::RequestProgress,
     },
     crate::model::{Reason, Refusal},
-    bytes::Bytes,
     http_body_util::BodyExt,
-    hyper::{
-        Request, Response, StatusCode, Version, body::Incoming, header::CONNECTION,
-        http::request::Parts, rt::Timer, service::service_fn,
-    },
-    hyper_util::{
-        rt::{TokioExecutor, TokioIo, TokioTimer},
-        server::conn::auto,
-    },
+    hyper::{Request, Response, body::Incoming, http::request::Parts},
     std::{
-        convert::Infallible,
         io::ErrorKind,
         net::SocketAddr,
-        pin::pin,
-        sync::{
-            Arc,
-            atomic::{AtomicBool, AtomicUsize, Ordering},
-        },
+        sync::{Arc, atomic::AtomicUsize},
         time::Duration,
     },
     tokio::{
@@ -40,20 +29,36 @@
 const BACKLOG: u32 = 1024;
 /// Delay after a failed accept, for example when file descriptors have run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-/// Time that a new connection has for its first request when the listener closes.
-///
-/// The library closes a connection without a request immediately. A request that was
-/// sent just before stays unread: its caller sees a reset and cannot tell whether it ran.
-const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(250);
-/// Time for which an HTTP/1 connection must be idle before it is closed when the listener
-/// closes.
-///
-/// A caller whose request is in transit when its connection closes sees a reset. Responses
-/// contain `Connection: close` by then: active connections end with their next response,
-/// and idle ones are unlikely to be used again.
-const IDLE_BEFORE_CLOSE: Duration = Duration::from_millis(1000);
-const STREAM_WINDOW_BYTES: u32 = 1 << 20;
-const CONNECTION_WINDOW_BYTES: u32 = 8 << 20;
+
+/// What the connections of a listener may hold together.
+#[derive(Debug, Clone, Copy)]
+pub struct ListenerMemory {
+    /// Heads and state of requests in progress, in bytes.
+    pub request_bytes: usize,
+    /// Responses that callers have not read, in bytes.
+    pub response_bytes: usize,
+    /// Bytes that are read ahead, beside the first ones of each connection.
+    pub read_ahead_bytes: usize,
+    /// Flow control windows of each stream and connection of HTTP/2, in bytes.
+    pub window_bytes: (u32, u32),
+}
+
+impl ListenerMemory {
+    /// Of a listener for other nodes, which keep to limits of their own.
+    pub const FOR_NODES: Self = Self {
+        request_bytes: usize::MAX / 2,
+        response_bytes: usize::MAX / 2,
+        read_ahead_bytes: 8 << 20,
+        window_bytes: (1 << 20, 8 << 20),
+    };
+    /// Of a listener for the machine's own target and for monitoring, with few requests at a time.
+    pub const FOR_MACHINE: Self = Self {
+        request_bytes: 1 << 20,
+        response_bytes: 2 << 20,
+        read_ahead_bytes: 256 << 10,
+        window_bytes: (16 << 10, 64 << 10),
+    };
+}
 
 /// Limits of a listener.
 #[derive(Debug, Clone, Copy)]
@@ -66,6 +71,8 @@
     pub header_timeout: Duration,
     /// Concurrent streams of an HTTP/2 connection.
     pub max_streams: u32,
+    /// Memory of all connections.
+    pub memory: ListenerMemory,
 }
 
 /// Handles the requests of a listener.
@@ -76,9 +83,12 @@
         request: Request<Incoming>,
     ) -> impl Future<Output = Response<ResponseBody>> + Send + 'static;
 
+    /// Records that a connection was closed to make room for others.
+    fn record_closed(&self) {}
+
     /// Starts a pipelined request without a body early; `None` for one that may be executed
     /// only once.
-    fn start_early(&self, _head: &Parts) -> Option<EarlyResponse> {
+    fn start_early(&self, _head: &Parts, _progress: RequestProgress) -> Option<EarlyResponse> {
         None
     }
 }
@@ -118,12 +128,18 @@
     open_count: Arc<AtomicUsize>,
     handler: H,
 ) {
+    let connection_limits = ConnectionLimits {
+        connection_count: limits.max_connections,
+        request_bytes: limits.memory.request_bytes,
+        response_bytes: limits.memory.response_bytes,
+    };
     let connections = Connections {
         tasks: TaskTracker::new(),
+        table: ConnectionTable::new(connection_limits, open_count),
+        read_ahead: ReadAheadRoom::new(limits.memory.read_ahead_bytes),
         limits,
         closing: closing.clone(),
         stopped: stopped.clone(),
-        open_count,
         handler,
     };
     loop {
@@ -147,27 +163,34 @@
 /// The connections of a listener.
 struct Connections<H> {
     tasks: TaskTracker,
+    table: ConnectionTable,
+    read_ahead: ReadAheadRoom,
     limits: ListenerLimits,
     closing: CancellationToken,
     stopped: CancellationToken,
-    open_count: Arc<AtomicUsize>,
     handler: H,
 }
 
 impl<H: Handler> Connections<H> {
     fn start(&self, stream: TcpStream) {
-        if self.open_count.load(Ordering::Relaxed) >= self.limits.max_connections {
+        let Some(open_connection) = self.table.open() else {
             self.tasks.spawn(refuse_connection(stream));
             return;
-        }
-        let open_connection = OpenConnection::new(Arc::clone(&self.open_count));
+        };
         let stopped = self.stopped.clone();
-        let closing = self.closing.clone();
-        let connection = serve_connection(stream, self.limits, closing, self.handler.clone());
+        let serving = ServedConnection {
+            limits: self.limits,
+            closing: self.closing.clone(),
+            requests: open_connection.requests(),
+            read_ahead: self.read_ahead.clone(),
+            handler: self.handler.clone(),
+        };
+        let handler = self.handler.clone();
         self.tasks.spawn(async move {
             tokio::select! {
                 () = stopped.cancelled() => {}
-                () = connection => {}
+                () = open_connection.must_close() => handler.record_closed(),
+                () = serving.run(stream) => {}
             }
             drop(open_connection);
         });
@@ -189,184 +212,6 @@
     }
 }
 
-async fn serve_connection<H: Handler>(
-    stream: TcpStream,
-    limits: ListenerLimits,
-    closing: CancellationToken,
-    handler: H,
-) {
-    let _ = stream.set_nodelay(true);
-    let usage = Arc::new(Usage::default());
-    let service_usage = Arc::clone(&usage);
-    let pipeline = Pipeline::new();
-    let (early_handler, early_pipeline) = (handler.clone(), pipeline.clone());
-    let service_pipeline = pipeline.clone();
-    let service = service_fn(move |request: Request<Incoming>| {
-        let active_request = ActiveRequest::new(&service_usage, request.version());
-        // Boxed: the library reserves space for it while the connection is open, and most
-        // connections are idle.
-        let handling = Box::pin(handle_in_order(
-            handler.clone(),
-            service_pipeline.clone(),
-            request,
-        ));
-        async move {
-            let response = handling.await;
-            drop(active_request);
-            Ok::<_, Infallible>(response)
-        }
-    });
-    let (stream, prefetch) = prefetch(stream);
-    let unread = prefetch.unread();
-    let read_timer = ReadTimer::new(unread.clone());
-    let mut first_request_timeout = read_timer.sleep(limits.header_timeout);
-    let builder = http_builder(limits, read_timer);
-    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
-    let mut reading_ahead = pin!(prefetch.run(move |bytes| {
-        early_pipeline.record_bytes(bytes, |head| early_handler.start_early(head));
-    }));
-    let mut is_caller_gone = false;
-    let mut closable = pin!(wait_until_closable(&closing, &usage, &pipeline, &unread));
-    let mut is_first_request_checked = false;
-    let mut is_shutting_down = false;
-    loop {
-        tokio::select! {
-            _ = connection.as_mut() => return,
-            () = reading_ahead.as_mut(), if !is_caller_gone => {
-                is_caller_gone = true;
-                // Nobody will read the response. Dropping the connection cancels the
-                // request and its downstream calls.
-                if usage.active_count() > 0 {
-                    return;
-                }
-            }
-            () = closable.as_mut(), if !is_shutting_down => {
-                is_shutting_down = true;
-                connection.as_mut().graceful_shutdown();
-            }
-            // The library waits without a limit for the bytes that distinguish the HTTP
-            // versions; idle connections would exhaust the connection limit.
-            () = first_request_timeout.as_mut(), if !is_first_request_checked => {
-                is_first_request_checked = true;
-                if usage.request_count() == 0 {
-                    return;
-                }
-            }
-        }
-    }
-}
-
-/// Handles a request in its turn, or returns the response if it was started early.
-async fn handle_in_order<H: Handler>(
-    handler: H,
-    pipeline: Pipeline,
-    request: Request<Incoming>,
-) -> Response<ResponseBody> {
-    let early_response = pipeline.take_response(&request);
-    let mut response = match early_response {
-        Some(early_response) => early_response.await.unwrap_or_else(|error| {
-            log::error!(target: "dogwood", "a request that was started early failed: {error}");
-            // It may have run, so the status must not imply that it did not.
-            let mut response = Response::new(ResponseBody::buffered(Bytes::new()));
-            *response.status_mut() = StatusCode::BAD_GATEWAY;
-            response
-        }),
-        None => handler.handle(request).await,
-    };
-    pipeline.record_response();
-    // With `Connection: close`, pipelined requests that targets already execute would be lost.
-    if pipeline.has_early_requests() {
-        response.headers_mut().remove(CONNECTION);
-    }
-    response
-}
-
-/// Waits until the listener closes and a connection can be closed without losing a request.
-async fn wait_until_closable(
-    closing: &CancellationToken,
-    usage: &Usage,
-    pipeline: &Pipeline,
-    unread: &Unread,
-) {
-    closing.cancelled().await;
-    pipeline.stop();
-    let mut idle_time = match usage.request_count() {
-        0 => FIRST_REQUEST_GRACE,
-        _ => IDLE_BEFORE_CLOSE,
-    };
-    // In HTTP/2, GOAWAY states which requests are still accepted.
-    while !usage.is_http2.load(Ordering::Relaxed) {
-        let previous_count = usage.request_count();
-        tokio::time::sleep(idle_time).await;
-        let is_idle = usage.request_count() == previous_count && !unread.has_bytes();
-        if is_idle && !pipeline.has_early_requests() {
-            return;
-        }
-        idle_time = IDLE_BEFORE_CLOSE;
-    }
-}
-
-/// Requests of a connection so far.
-#[derive(Debug, Default)]
-struct Usage {
-    request_count: AtomicUsize,
-    active_count: AtomicUsize,
-    is_http2: AtomicBool,
-}
-
-impl Usage {
-    fn record_request(&self, version: Version) {
-        self.request_count.fetch_add(1, Ordering::Relaxed);
-        self.is_http2
-            .store(version == Version::HTTP_2, Ordering::Relaxed);
-    }
-
-    fn request_count(&self) -> usize {
-        self.request_count.load(Ordering::Relaxed)
-    }
-
-    fn active_count(&self) -> usize {
-        self.active_count.load(Ordering::Relaxed)
-    }
-}
-
-/// Counts a request as active until it is dropped.
-struct ActiveRequest(Arc<Usage>);
-
-impl ActiveRequest {
-    fn new(usage: &Arc<Usage>, version: Version) -> Self {
-        usage.record_request(version);
-        usage.active_count.fetch_add(1, Ordering::Relaxed);
-        Self(Arc::clone(usage))
-    }
-}
-
-impl Drop for ActiveRequest {
-    fn drop(&mut self) {
-        self.0.active_count.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
-fn http_builder(limits: ListenerLimits, read_timer: ReadTimer) -> auto::Builder<TokioExecutor> {
-    let mut builder = auto::Builder::new(TokioExecutor::new());
-    builder
-        .http1()
-        .timer(read_timer)
-        .header_read_timeout(limits.header_timeout)
-        .max_buf_size(limits.max_header_bytes.saturating_mul(2).max(16 << 10));
-    builder
-        .http2()
-        .timer(TokioTimer::new())
-        .max_concurrent_streams(limits.max_streams)
-        // A node may cancel many requests at once; the default limit of 20 would close its
-        // connection with all other requests on it.
-        .max_pending_accept_reset_streams(limits.max_streams as usize)
-        .initial_stream_window_size(STREAM_WINDOW_BYTES)
-        .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
-        .max_header_list_size(u32::try_from(limits.max_header_bytes * 2).unwrap_or(u32::MAX));
-    builder
-}
-
 async fn refuse_connection(mut stream: TcpStream) {
     let refusal = Refusal::not_run(Reason::TooManyConnections);
     let (parts, body) =
@@ -385,19 +230,3 @@
     let _ = stream.write_all(&body).await;
     let _ = stream.shutdown().await;
 }
-
-/// Counts an open connection until it is dropped.
-struct OpenConnection(Arc<AtomicUsize>);
-
-impl OpenConnection {
-    fn new(count: Arc<AtomicUsize>) -> Self {
-        count.fetch_add(1, Ordering::Relaxed);
-        Self(count)
-    }
-}
-
-impl Drop for OpenConnection {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
--- a/src/exchange/pipeline.rs
+++ b/src/exchange/pipeline.rs
@@ -6,7 +6,10 @@
 //! still sends the responses in order.
 
 use {
-    super::ResponseBody,
+    super::{
+        ResponseBody,
+        read_ahead::{ReadAheadPart, ReadAheadRoom},
+    },
     bytes::{Buf, BytesMut},
     hyper::{
         HeaderMap, Method, Request, Response, Uri, Version,
@@ -50,6 +53,7 @@
 #[derive(Debug, Default)]
 struct State {
     unparsed: BytesMut,
+    room: ReadAheadPart,
     /// No further requests are started early, for example after one with a body.
     is_stopped: bool,
     read_count: u64,
@@ -71,6 +75,13 @@
         Self::default()
     }
 
+    /// Takes room for the bytes of heads that are not complete.
+    #[must_use]
+    pub fn with_room(self, room: &ReadAheadRoom) -> Self {
+        self.locked().room = room.part();
+        self
+    }
+
     /// Parses bytes from the caller. `start_early` starts a waiting request, or declines with
     /// `None`.
     pub fn record_bytes(
@@ -89,16 +100,16 @@
                     state.unparsed.advance(length);
                     state.add_request(&parts, &start_early);
                 }
-                Head::Partial if state.unparsed.len() <= MAX_HEAD_BYTES => return,
+                Head::Partial if state.may_hold_unparsed() => return,
                 Head::Partial | Head::Unsupported => {
                     state.is_stopped = true;
-                    state.unparsed = BytesMut::new();
-                    return;
+                    break;
                 }
             }
         }
         // Frees the memory: most connections are idle.
         state.unparsed = BytesMut::new();
+        state.room.try_resize(0);
     }
 
     /// Response of the request that the library starts next, if it was started early.
@@ -147,6 +158,11 @@
 }
 
 impl State {
+    fn may_hold_unparsed(&mut self) -> bool {
+        let byte_count = self.unparsed.len();
+        byte_count <= MAX_HEAD_BYTES && self.room.try_resize(byte_count)
+    }
+
     fn add_request(
         &mut self,
         parts: &Parts,
--- a/src/exchange/prefetch.rs
+++ b/src/exchange/prefetch.rs
@@ -5,6 +5,7 @@
 //! work. Callers also abandon a request that stays unread for a second.
 
 use {
+    super::read_ahead::{ReadAheadPart, ReadAheadRoom},
     bytes::{Buf, BytesMut},
     socket2::SockRef,
     std::{
@@ -29,20 +30,29 @@
 /// Buffer space for one read.
 const READ_CHUNK_BYTES: usize = 4 << 10;
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct State {
     ahead: BytesMut,
+    room: ReadAheadPart,
     is_closed: bool,
     error: Option<io::ErrorKind>,
     waker: Option<Waker>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Shared {
     state: Mutex<State>,
     has_room: Notify,
 }
 
+impl State {
+    /// Whether the connection may read on; takes room for it.
+    fn has_room(&mut self) -> bool {
+        let byte_count = self.ahead.len() + READ_CHUNK_BYTES;
+        byte_count <= MAX_AHEAD_BYTES && self.room.try_resize(byte_count)
+    }
+}
+
 impl Shared {
     fn locked(&self) -> MutexGuard<'_, State> {
         self.state.lock().expect("lock is not poisoned")
@@ -90,9 +100,18 @@
 
 /// Splits a connection into the stream for the library and its reader.
 #[must_use]
-pub fn prefetch(stream: TcpStream) -> (Prefetched, Prefetch) {
+pub fn prefetch(stream: TcpStream, room: &ReadAheadRoom) -> (Prefetched, Prefetch) {
     let (reader, writer) = stream.into_split();
-    let shared = Arc::new(Shared::default());
+    let shared = Arc::new(Shared {
+        state: Mutex::new(State {
+            ahead: BytesMut::new(),
+            room: room.part(),
+            is_closed: false,
+            error: None,
+            waker: None,
+        }),
+        has_room: Notify::new(),
+    });
     let prefetched = Prefetched {
         shared: Arc::clone(&shared),
         writer,
@@ -127,7 +146,7 @@
     }
 
     async fn wait_for_room(&self) {
-        while self.shared.locked().ahead.len() >= MAX_AHEAD_BYTES {
+        while !self.shared.locked().has_room() {
             self.shared.has_room.notified().await;
         }
     }
@@ -168,6 +187,7 @@
             if state.ahead.is_empty() {
                 // Frees the memory: most connections are idle.
                 state.ahead = BytesMut::new();
+                state.room.try_resize(0);
             }
             self.shared.has_room.notify_one();
             return Poll::Ready(Ok(()));
--- a/src/ingress/serve.rs
+++ b/src/ingress/serve.rs
@@ -3,14 +3,14 @@
 use {
     super::{Rejection, check_head_size, discard_body, read_body},
     crate::{
-        control::RequestLabels,
+        control::{KindLabel, RequestLabels},
         dialect::{CallerRequest, Dialect, Tenant},
         egress::Call,
         event,
         events::Event,
         exchange::{
             EarlyResponse, ForwardedResponse, Handler, ListenerLimits, OutboundRequest,
-            ResponseBody, Segments, serve,
+            RequestProgress, ResponseBody, Segments, serve,
         },
         freshness::Freshness,
         keys::{KeyDigest, KeyState},
@@ -48,8 +48,10 @@
 
 /// Serves callers until the node's drain has closed their connections.
 pub async fn serve_callers<P: Policies>(node: Arc<Node<P>>, listener: TcpListener) {
+    let budget = node.settings.memory_budget();
     let limits = ListenerLimits {
-        max_connections: node.settings.max_connections,
+        max_connections: budget.connection_count,
+        memory: budget.listener_memory(),
         max_header_bytes: node.settings.max_header_bytes,
         header_timeout: Duration::from_millis(node.settings.caller_read_timeout_ms),
         max_streams: MAX_STREAMS,
@@ -78,14 +80,20 @@
         handle(Arc::clone(&self.0), head, Some(body))
     }
 
-    fn start_early(&self, head: &Parts) -> Option<EarlyResponse> {
+    fn record_closed(&self) {
+        let connections = KindLabel { kind: "connection" };
+        self.0.metrics.given_up.get_or_create(&connections).inc();
+    }
+
+    fn start_early(&self, head: &Parts, progress: RequestProgress) -> Option<EarlyResponse> {
         let node = &self.0;
         let running = node.running();
         let request = node.dialect.read_request(&running, head).ok()?;
         if !request.repeatable || node.is_draining() {
             return None;
         }
-        let task = tokio::spawn(handle(Arc::clone(node), head.clone(), None));
+        let handling = handle(Arc::clone(node), head.clone(), None);
+        let task = tokio::spawn(async move { progress.hold_response(handling.await) });
         Some(EarlyResponse::new(task))
     }
 }
@@ -207,6 +215,9 @@
         Some(body) => read_body(node, &head.headers, body).await?,
         None => (Segments::new(), node.body_room.hold_empty()),
     };
+    if let Some(progress) = head.extensions.get::<RequestProgress>() {
+        progress.receive();
+    }
     let Admitted {
         workspace,
         key,
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -58,9 +58,6 @@
 
 /// Value of [`Node::cut_off_since_ms`] while the node is not cut off.
 pub const NOT_CUT_OFF: u64 = u64::MAX;
-/// Part of the room for bodies that small bodies have beside it.
-const SMALL_BODY_DIVISOR: usize = 8;
-
 /// Types of the replaceable policies, chosen once at start.
 pub trait Policies: Send + Sync + 'static {
     /// Admission at the local target.
@@ -209,6 +206,7 @@
             floor_count: inputs.settings.retry_floor,
         });
         let downstream = DownstreamControl::new(inputs.settings.downstream_admission);
+        let budget = inputs.settings.memory_budget();
         let registration = Registration::new()
             .with_node_start(inputs.timer.steady_unix_ms())
             .with_confirmation(P::Dialect::HEARTBEATS_MAY_BE_LATE);
@@ -217,10 +215,7 @@
             seen_attempts: SeenAttempts::new(),
             quarantine: Quarantine::new(),
             target: TargetPool::new(inputs.settings.ip),
-            body_room: BodyRoom::with_small_bodies(
-                inputs.settings.max_held_body_bytes,
-                inputs.settings.max_held_body_bytes / SMALL_BODY_DIVISOR,
-            ),
+            body_room: BodyRoom::with_small_bodies(budget.body_bytes, budget.small_body_bytes),
             region: inputs.names.region(&inputs.settings.region),
             admission: Mutex::new(
                 AdmissionTable::new().with_queue_order(inputs.settings.queue_order),
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -10,8 +10,9 @@
         events::Event,
         exchange::{
             ANSWER, ANSWER_AUTH, AUTH, CLOCK, CONTEXT, HeldBody, HeldCollected, IDEMPOTENCY_KEY,
-            ListenerLimits, OutboundRequest, ResponseBody, collect_held, refusal_response,
-            response_from_result, serve, strip_hop_by_hop, strip_internal,
+            ListenerLimits, ListenerMemory, OutboundRequest, RequestProgress, ResponseBody,
+            collect_held, refusal_response, response_from_result, serve, strip_hop_by_hop,
+            strip_internal,
         },
         ingress::no_room_for_body,
         model::{Reason, Refusal},
@@ -37,6 +38,7 @@
 pub async fn serve_peers<P: Policies>(node: Arc<Node<P>>, listener: TcpListener) {
     let limits = ListenerLimits {
         max_connections: MAX_CONNECTION_COUNT,
+        memory: ListenerMemory::FOR_NODES,
         max_header_bytes: node.settings.max_header_bytes + ADDED_HEADER_BYTES,
         header_timeout: HEADER_TIMEOUT,
         max_streams: MAX_STREAM_COUNT,
@@ -61,6 +63,10 @@
     if let Some(remembered) = attempt.remembered_limit {
         restore_limit(&node, remembered);
     }
+    if let Some(progress) = request.extensions().get::<RequestProgress>() {
+        // Its connection must not give way to others: a node retries nothing that it has sent.
+        progress.receive();
+    }
     let _in_flight = node.begin_request();
     let method = request.method().clone();
     let (result, unspent) = match read_request(&node, request).await {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,7 +1,10 @@
 //! Settings of `dogwoodd`, from flags and environment variables.
 
 use {
-    crate::retry::{RETRY_FLOOR_COUNT, RETRY_SHARE_PERCENT},
+    crate::{
+        exchange::MemoryBudget,
+        retry::{RETRY_FLOOR_COUNT, RETRY_SHARE_PERCENT},
+    },
     clap::{Parser, ValueEnum},
     std::net::{IpAddr, SocketAddr},
 };
@@ -144,10 +147,13 @@
     /// Worker threads of the process
     #[arg(long, env = "DOGWOOD_WORKER_THREADS", default_value_t = 2)]
     pub worker_threads: usize,
+    /// Memory of the machine that the process may use, in MB; bounds connections, requests and responses
+    #[arg(long, env = "DOGWOOD_MEMORY_LIMIT_MB", default_value_t = 260)]
+    pub memory_limit_mb: usize,
     /// Maximum size of a request body, in bytes
     #[arg(long, env = "DOGWOOD_MAX_BODY_BYTES", default_value_t = 1 << 20)]
     pub max_body_bytes: usize,
-    /// Maximum total size of the request bodies that the node holds at a time, in bytes
+    /// Maximum total size of the request bodies that the node holds at a time, in bytes; less if the memory limit is low
     #[arg(long, env = "DOGWOOD_MAX_HELD_BODY_BYTES", default_value_t = 64 << 20)]
     pub max_held_body_bytes: usize,
     /// Maximum total size of request headers, in bytes
@@ -156,7 +162,7 @@
     /// Responses up to this size, in bytes, are forwarded only when complete; larger ones are streamed
     #[arg(long, env = "DOGWOOD_BUFFERED_ANSWER_BYTES", default_value_t = 256 << 10)]
     pub buffered_answer_bytes: usize,
-    /// Maximum number of concurrent connections from callers
+    /// Maximum number of concurrent connections from callers; less if the memory limit is low
     #[arg(long, env = "DOGWOOD_MAX_CONNECTIONS", default_value_t = 2000)]
     pub max_connections: usize,
     /// Maximum time for a caller to send the headers, or the body, in milliseconds
@@ -272,6 +278,7 @@
         check_secret("fleet-secret", &self.fleet_secret)?;
         check_secret("operator-secret", &self.operator_secret)?;
         check_positive("worker-threads", self.worker_threads)?;
+        check_positive("memory-limit-mb", self.memory_limit_mb)?;
         check_positive("max-body-bytes", self.max_body_bytes)?;
         check_positive("max-held-body-bytes", self.max_held_body_bytes)?;
         check_positive("max-header-bytes", self.max_header_bytes)?;
@@ -290,6 +297,13 @@
             .saturating_add(MAX_HEARTBEAT_DELAY_MS)
     }
 
+    /// What clients can make the process hold.
+    #[must_use]
+    pub fn memory_budget(&self) -> MemoryBudget {
+        MemoryBudget::new(self.memory_limit_mb << 20, self.max_held_body_bytes)
+            .with_max_connections(self.max_connections)
+    }
+
     /// Returns the address at which other nodes reach this node.
     #[must_use]
     pub fn reachable_ip(&self) -> IpAddr {
--- a/tests/listener_close.rs
+++ b/tests/listener_close.rs
@@ -2,7 +2,7 @@
 
 use {
     bytes::Bytes,
-    dogwoodbridge::exchange::{ListenerLimits, ResponseBody, bind, serve},
+    dogwoodbridge::exchange::{ListenerLimits, ListenerMemory, ResponseBody, bind, serve},
     hyper::{Request, Response, body::Incoming},
     std::{
         io::Write,
@@ -33,6 +33,7 @@
     max_header_bytes: 8 << 10,
     header_timeout: Duration::from_secs(10),
     max_streams: 10,
+    memory: ListenerMemory::FOR_MACHINE,
 };
 
 async fn respond(_request: Request<Incoming>) -> Response<ResponseBody> {
