Bound what unread answers hold between nodes and targets

Callers that did not read large answers made all other requests through the same two nodes end as 504, and the target's node hold 166 MB.

Cause: eight responses of 1 MB that nobody takes used up the flow control window of the connection between the nodes. When a streamed response had ended, its task kept the unread rest until the caller's connection closed. The read buffer of a connection to a target was 400 KB, and eight such chunks were buffered for each response.

Change: windows of 256 KB for a response and 256 MB for a connection; the rest is dropped before the caller is told; read buffers of 32 KB and four chunks.

--- a/src/exchange/body.rs
+++ b/src/exchange/body.rs
@@ -14,7 +14,7 @@
 };
 
 /// Chunks of a streamed response that are buffered for a slow reader.
-const MAX_BUFFERED_CHUNKS: usize = 8;
+const MAX_BUFFERED_CHUNKS: usize = 4;
 /// Most bytes read of a discarded body.
 const MAX_DISCARD_BYTES: usize = 4 << 20;
 /// Longest time spent reading a discarded body.
@@ -149,6 +149,9 @@
     tokio::spawn(async move {
         let forwarding = tokio::time::timeout(limit, forward(head, &mut rest, &sender));
         let is_complete = forwarding.await.unwrap_or(false);
+        // The receiver may not read for long; unread bytes of the rest would hold up the others of
+        // its connection.
+        drop(rest);
         done(guard, is_complete);
         if !is_complete {
             // Without this error the closed channel would look like the regular end of
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -19,8 +19,11 @@
 pub type PeerSender = http2::SendRequest<Segments>;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-const STREAM_WINDOW_BYTES: u32 = 1 << 20;
-const CONNECTION_WINDOW_BYTES: u32 = 8 << 20;
+/// What a caller that does not read its response makes this node hold of it.
+const STREAM_WINDOW_BYTES: u32 = 256 << 10;
+/// Responses that are not read use up the window of their connection, and hold up all others on it;
+/// their number is bounded at the listener for callers.
+const CONNECTION_WINDOW_BYTES: u32 = 256 << 20;
 const SEND_STREAM_COUNT: usize = 1024;
 /// Reset streams that hyper remembers. A frame for a forgotten one closes the
 /// connection; a surge of cancelled requests must not do that to the others.
--- a/src/target/connection.rs
+++ b/src/target/connection.rs
@@ -16,6 +16,9 @@
     tokio::task::AbortHandle,
 };
 
+/// Size of a connection's read buffer, and of the largest head of a response, in bytes.
+const READ_BUFFER_BYTES: usize = 32 << 10;
+
 /// An open connection.
 #[derive(Debug)]
 pub struct Connection {
@@ -55,7 +58,10 @@
     let stream = connect_from(ip, address).await?;
     let progress = Progress::default();
     let stream = MeteredStream::new(stream, progress.clone());
-    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(READ_BUFFER_BYTES)
+        .handshake(TokioIo::new(stream))
+        .await?;
     let task = tokio::spawn(async move {
         let _ = connection.await;
     });
