Keep connections whose response waits for an earlier one

A pipelined response that is made before its turn counted as not read, so that its connection could be closed for others while its first request was in service. Found by reading. Such connections now give way last; the test of the table fails without the change.

--- a/src/exchange/connection_table.rs
+++ b/src/exchange/connection_table.rs
@@ -228,7 +228,10 @@
                 .connections
                 .iter()
                 .filter(|(key, connection)| *key != own_key && connection.response_bytes > 0);
-            let unread = others.min_by_key(|(_, connection)| connection.response_since);
+            // A response that waits for an earlier one of its connection may be read yet.
+            let unread = others.min_by_key(|(_, connection)| {
+                (connection.in_service_count > 0, connection.response_since)
+            });
             let Some(key) = unread.map(|(key, _)| key) else {
                 break;
             };
--- a/tests/connection_table.rs
+++ b/tests/connection_table.rs
@@ -180,6 +180,22 @@
     assert_eq!(closing(&connections), [0, 1, 2]);
 }
 
+/// Guards against a pipelined response that is taken for unread while it waits for the one before.
+#[test]
+fn a_response_behind_a_request_in_service_gives_way_last() {
+    let (table, _) = table();
+    let connections = open_all(&table);
+    let begin = |number: usize| connections[number].requests().begin(1).unwrap();
+    let (mut slow, mut behind) = (begin(0), begin(0));
+    slow.receive();
+    behind.receive();
+    behind.respond(400);
+    let (mut unread, mut further) = (begin(1), begin(2));
+    unread.respond(400);
+    further.respond(400);
+    assert_eq!(closing(&connections), [1]);
+}
+
 /// Guards against parts of the memory that together exceed it, and against machines of the usual
 /// sizes that have no room for the largest body or the usual connections.
 #[test]
