Close no connection that has just been used for another

Cause: the connection that has waited longest for its caller gave way however short that was. Now one on which a request was received gives way after a second without a change; others, on which none ever was, at once.

--- a/src/exchange/connection_table.rs
+++ b/src/exchange/connection_table.rs
@@ -5,13 +5,21 @@
 
 use {
     crate::{arena::Arena, arena_key},
-    std::sync::{
-        Arc, Mutex, MutexGuard,
-        atomic::{AtomicUsize, Ordering},
+    std::{
+        cmp::Reverse,
+        sync::{
+            Arc, Mutex, MutexGuard,
+            atomic::{AtomicUsize, Ordering},
+        },
+        time::Duration,
     },
+    tokio::time::Instant,
     tokio_util::sync::CancellationToken,
 };
 
+/// Time after its last change for which a connection that has had a request is not closed for
+/// another: its caller may be about to send the next one, or be reading its response.
+const PROTECTED_TIME: Duration = Duration::from_secs(1);
 /// Requests of a connection from which it may give way although targets work on some of them.
 const MANY_REQUESTS: usize = 8;
 
@@ -35,6 +43,9 @@
 struct Connection {
     /// Order of the last change of its requests.
     changed: u64,
+    changed_at: Instant,
+    /// Whether a request was received completely.
+    has_received: bool,
     /// Requests that have begun and whose responses have not been sent.
     request_count: usize,
     /// Those of them that were received and have no response yet.
@@ -61,6 +72,19 @@
     open_count: Arc<AtomicUsize>,
 }
 
+impl Connection {
+    /// Whether it waits for its caller, and for long enough to give way to others.
+    fn may_close(&self, now: Instant) -> bool {
+        let waited = now.saturating_duration_since(self.changed_at);
+        self.in_service_count == 0 && (!self.has_received || waited >= PROTECTED_TIME)
+    }
+
+    fn record_change(&mut self, change: u64) {
+        self.changed = change;
+        self.changed_at = Instant::now();
+    }
+}
+
 impl ConnectionTable {
     /// A table without connections; `open_count` follows their number.
     #[must_use]
@@ -73,13 +97,15 @@
     }
 
     /// Adds a connection. At the limit, the one that has waited longest for its caller is closed;
-    /// `None` if there is none.
+    /// `None` if none has waited for long.
     #[must_use]
     pub fn open(&self) -> Option<OpenConnection> {
         let mut state = self.locked();
         if state.connections.len() >= self.limits.connection_count {
+            let now = Instant::now();
             let waiting = state.find(|connection| {
-                (connection.in_service_count == 0).then_some(std::cmp::Reverse(connection.changed))
+                let changed = Reverse(connection.changed);
+                connection.may_close(now).then_some(changed)
             });
             state.close(waiting?);
         }
@@ -87,6 +113,8 @@
         let changed = state.next_change();
         let key = state.connections.insert(Connection {
             changed,
+            changed_at: Instant::now(),
+            has_received: false,
             request_count: 0,
             in_service_count: 0,
             response_bytes: 0,
@@ -183,7 +211,7 @@
         state.request_bytes += byte_count;
         let changed = state.next_change();
         if let Some(connection) = state.connections.get_mut(self.key) {
-            connection.changed = changed;
+            connection.record_change(changed);
             connection.request_count += 1;
         }
         drop(state);
@@ -214,6 +242,7 @@
         let mut state = self.requests.table.locked();
         if let Some(connection) = state.connections.get_mut(self.requests.key) {
             connection.in_service_count += 1;
+            connection.has_received = true;
         }
     }
 
@@ -250,7 +279,7 @@
             connection.in_service_count -= 1;
         }
         if let Some(connection) = state.connections.get_mut(own_key) {
-            connection.changed = change;
+            connection.record_change(change);
             if connection.response_bytes == 0 {
                 connection.response_since = change;
             }
@@ -268,7 +297,7 @@
         let change = state.next_change();
         // Of a connection that was closed the response bytes are subtracted already.
         if let Some(connection) = state.connections.get_mut(self.requests.key) {
-            connection.changed = change;
+            connection.record_change(change);
             connection.request_count -= 1;
             connection.in_service_count -= usize::from(self.is_in_service);
             connection.response_bytes -= self.response_bytes;
--- a/tests/connection_table.rs
+++ b/tests/connection_table.rs
@@ -5,9 +5,12 @@
         ConnectionLimits, ConnectionTable, MemoryBudget, OpenConnection, TrackedRequest,
     },
     futures::FutureExt,
-    std::sync::{
-        Arc,
-        atomic::{AtomicUsize, Ordering},
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicUsize, Ordering},
+        },
+        time::Duration,
     },
 };
 
@@ -56,14 +59,33 @@
 struct Case {
     name: &'static str,
     steps: &'static [Step],
+    /// Time from the last step until a further connection is opened.
+    wait: Duration,
     /// The connection that is closed for a further one; `None` if that is refused.
     closed: Option<usize>,
 }
 
-const CASES: [Case; 5] = [
+/// All connections have had an answer.
+const ANSWERED: &[Step] = &[
+    Step::Begin(3),
+    Step::Receive(3),
+    Step::Respond(3),
+    Step::Begin(0),
+    Step::Receive(0),
+    Step::Respond(0),
+    Step::Begin(1),
+    Step::Receive(1),
+    Step::Respond(1),
+    Step::Begin(2),
+    Step::Receive(2),
+    Step::Respond(2),
+];
+
+const CASES: [Case; 7] = [
     Case {
         name: "the one that was opened first",
         steps: &[],
+        wait: Duration::ZERO,
         closed: Some(0),
     },
     Case {
@@ -74,6 +96,7 @@
             Step::Begin(1),
             Step::Begin(3),
         ],
+        wait: Duration::ZERO,
         closed: Some(2),
     },
     Case {
@@ -84,6 +107,7 @@
             Step::Begin(1),
             Step::Receive(1),
         ],
+        wait: Duration::ZERO,
         closed: Some(2),
     },
     Case {
@@ -96,8 +120,21 @@
             Step::Begin(2),
             Step::Begin(3),
         ],
+        wait: Duration::from_secs(2),
         closed: Some(0),
     },
+    Case {
+        name: "none whose caller has just been answered",
+        steps: ANSWERED,
+        wait: Duration::from_millis(900),
+        closed: None,
+    },
+    Case {
+        name: "the one whose caller has been silent for longest",
+        steps: ANSWERED,
+        wait: Duration::from_millis(1100),
+        closed: Some(3),
+    },
     Case {
         name: "all are in service",
         steps: &[
@@ -110,14 +147,15 @@
             Step::Begin(3),
             Step::Receive(3),
         ],
+        wait: Duration::from_secs(2),
         closed: None,
     },
 ];
 
 /// Guards against connections that wait for their callers and keep others out, and against
 /// requests in service that lose their connection.
-#[test]
-fn connections_that_wait_for_their_callers_give_way() {
+#[tokio::test(start_paused = true)]
+async fn connections_that_wait_for_their_callers_give_way() {
     for case in CASES {
         let (table, open_count) = table();
         let connections = open_all(&table);
@@ -129,6 +167,7 @@
                 Step::Respond(number) => requests[number].as_mut().unwrap().respond(1),
             }
         }
+        tokio::time::advance(case.wait).await;
         let further = table.open();
         assert_eq!(further.is_some(), case.closed.is_some(), "{}", case.name);
         let expected: Vec<usize> = case.closed.into_iter().collect();
