Add review case 5: held responses close their connections

Cause: responses to pipelined requests that were started early are held in their turn; beyond the room for responses each further one closes a connection.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -6,6 +6,7 @@
 
 mod crowd;
 mod endpoint;
+mod held_responses;
 mod http;
 mod json;
 mod lost_machines;
@@ -33,6 +34,7 @@
     };
     let played = match case.as_str() {
         "lost-machines" => lost_machines::run(&record, has_trouble),
+        "held-responses" => held_responses::run(&record, has_trouble),
         "slow-work" => slow_work::run(&record, has_trouble),
         "crowd" => crowd::run(&record, has_trouble),
         _ => Err(format!("no case is called {case}")),
