--- a/review/standins-2/held_responses.rs
+++ b/review/standins-2/held_responses.rs
@@ -30,9 +30,10 @@
 const DEADLINE_MS: u64 = 5000;
 
 pub fn run(record: &Record, has_trouble: bool) -> Result<bool, String> {
-    let routes = [("/list/", "svc-a", "safe", 5.0), ("/file/", "svc-a", "download", 5.0)];
-    let plan = [("z-a", "svc-a", MEMORY_MB), ("z-b", "svc-a", MEMORY_MB)];
-    let mesh = Mesh::start(&plan, &config(7, &routes, &["svc-a"]), record)?;
+    // Only endpoints of the first service are slow.
+    let routes = [("/list/", "svc-a", "safe", 5.0), ("/file/", "svc-b", "download", 5.0)];
+    let plan = [("z-a", "svc-a", MEMORY_MB), ("z-b", "svc-b", MEMORY_MB)];
+    let mesh = Mesh::start(&plan, &config(7, &routes, &["svc-a", "svc-b"]), record)?;
     let work_ms = if has_trouble { WORK_MS * SLOW_FACTOR } else { WORK_MS };
     let lost_count = std::thread::scope(|scope| {
         let clients: Vec<_> = (0..CLIENT_COUNT)
--- a/review/standins-2/mesh.rs
+++ b/review/standins-2/mesh.rs
@@ -42,7 +42,7 @@
         let net = 10 + std::process::id() % 200;
         let store = Store::start(&format!("127.{net}.9.7"), record).map_err(failed)?;
         store.put("config", "main", config);
-        let ports = Ports::free().map_err(failed)?;
+        let ports = Ports::free(&format!("127.{net}.1.11")).map_err(failed)?;
         let runs = Runs::default();
         let (mut nodes, mut endpoints) = (Vec::new(), Vec::new());
         for (index, (zone, service, memory_mb)) in plan.iter().enumerate() {
--- a/review/standins-2/node.rs
+++ b/review/standins-2/node.rs
@@ -35,9 +35,9 @@
 }
 
 impl Ports {
-    /// Ports that are free on the loopback addresses now.
-    pub fn free() -> std::io::Result<Self> {
-        let first = first_free(24)?;
+    /// Ports that are free now on this loopback address.
+    pub fn free(ip: &str) -> std::io::Result<Self> {
+        let first = first_free(ip, 24)?;
         Ok(Self {
             outbound: first,
             inbound: first + 1,
@@ -49,11 +49,11 @@
     }
 }
 
-fn first_free(count: u16) -> std::io::Result<u16> {
+fn first_free(ip: &str, count: u16) -> std::io::Result<u16> {
     for first in (21_000..31_000).step_by(50) {
         let first = first + (std::process::id() % 40) as u16;
         let mut ports = first..first + count;
-        if ports.all(|port| TcpListener::bind(("0.0.0.0", port)).is_ok()) {
+        if ports.all(|port| TcpListener::bind((ip, port)).is_ok()) {
             return Ok(first);
         }
     }
