--- a/review/standins-2/cold_again.rs
+++ b/review/standins-2/cold_again.rs
@@ -33,8 +33,15 @@
 
 pub fn run(record: &Record, has_trouble: bool) -> Result<bool, String> {
     let config = open_config(7, &[("/list/", "svc-a", "safe", 5.0)], &["svc-a", "svc-b"]);
-    let config = config.replace("\"HealthPath\"", &format!("\"ColdPerS\":{COLD_PER_S},\"HealthPath\""));
-    let mut mesh = Mesh::start(&[("z-a", "svc-b", 260), ("z-b", "svc-a", 260)], &config, record)?;
+    let config = config.replace(
+        "\"HealthPath\"",
+        &format!("\"ColdPerS\":{COLD_PER_S},\"HealthPath\""),
+    );
+    let mut mesh = Mesh::start(
+        &[("z-a", "svc-b", 260), ("z-b", "svc-a", 260)],
+        &config,
+        record,
+    )?;
     let mut back = mesh.nodes.pop().ok_or("no node")?;
     let endpoint = mesh.endpoints[1].clone();
     let sent = Mutex::new(Vec::new());
@@ -48,7 +55,10 @@
                     sent.lock().unwrap().push((id.clone(), Instant::now()));
                     let request = mesh.get("/list/a", &id, 5000);
                     let answer = call(mesh.nodes[0].outbound(), &request, Duration::from_secs(5));
-                    record.line(&format!("request {id}: {}", answer.map_or(0, |answer| answer.status())));
+                    record.line(&format!(
+                        "request {id}: {}",
+                        answer.map_or(0, |answer| answer.status())
+                    ));
                     std::thread::sleep(PAUSE);
                 }
             });
@@ -60,7 +70,10 @@
         std::thread::sleep(LATE_TO_COLD);
         endpoint.become_cold(COLD_TIME);
         cold_from = Instant::now();
-        record.line(&format!("the endpoint is cold for {COLD_TIME:?}; its ping is acknowledged: {}", endpoint.ping()));
+        record.line(&format!(
+            "the endpoint is cold for {COLD_TIME:?}; its ping is acknowledged: {}",
+            endpoint.ping()
+        ));
         std::thread::sleep(COLD_TO_KILL);
         if has_trouble {
             back.start_again()?;
@@ -68,7 +81,9 @@
         }
         std::thread::sleep(KILL_TO_LATE);
         let acknowledged = endpoint.send_ping(late_sequence, Duration::ZERO);
-        record.line(&format!("the ping from before arrives late; acknowledged: {acknowledged}"));
+        record.line(&format!(
+            "the ping from before arrives late; acknowledged: {acknowledged}"
+        ));
         std::thread::sleep(BEAT - COLD_TO_KILL - KILL_TO_LATE);
         for _ in 0..2 {
             endpoint.ping();
@@ -79,12 +94,25 @@
     })
     .map_err(|error| error.to_string())?;
     let sent = sent.into_inner().unwrap();
-    let runs = sent.iter().filter_map(|(id, sent_at)| Some((*sent_at, mesh.runs.of(id).first()?.at)));
+    let runs = sent
+        .iter()
+        .filter_map(|(id, sent_at)| Some((*sent_at, mesh.runs.of(id).first()?.at)));
     let cold = runs.filter(|(_, run_at)| (cold_from..cold_from + COLD_TIME).contains(run_at));
     let cold: Vec<(Instant, Instant)> = cold.collect();
-    let in_window = |from: Instant| cold.iter().filter(|(sent_at, run_at)| *sent_at >= from && *run_at < from + WINDOW).count();
-    let most = cold.iter().map(|(sent_at, _)| in_window(*sent_at)).max().unwrap_or(0);
+    let in_window = |from: Instant| {
+        cold.iter()
+            .filter(|(sent_at, run_at)| *sent_at >= from && *run_at < from + WINDOW)
+            .count()
+    };
+    let most = cold
+        .iter()
+        .map(|(sent_at, _)| in_window(*sent_at))
+        .max()
+        .unwrap_or(0);
     let allowed = f64::from(COLD_PER_S) * COLD_OVER + COLD_SLACK;
-    println!("{} requests run at the cold endpoint; most in a second: {most}, allowed {allowed}", cold.len());
+    println!(
+        "{} requests run at the cold endpoint; most in a second: {most}, allowed {allowed}",
+        cold.len()
+    );
     Ok(most as f64 <= allowed)
 }
--- a/review/standins-2/crowd.rs
+++ b/review/standins-2/crowd.rs
@@ -42,7 +42,10 @@
 pub const ALLOWED_COUNT: usize = 3;
 
 pub fn run(record: &Record, has_trouble: bool) -> Result<bool, String> {
-    let routes = [("/list/", "svc-a", "safe", 5.0), ("/file/", "svc-a", "download", 10.0)];
+    let routes = [
+        ("/list/", "svc-a", "safe", 5.0),
+        ("/file/", "svc-a", "download", 10.0),
+    ];
     let plan = [("z-a", "svc-a", MEMORY_MB), ("z-b", "svc-a", MEMORY_MB)];
     let mesh = Mesh::start(&plan, &config(7, &routes, &["svc-a"]), record)?;
     let before = check(&mesh, "before")?;
@@ -52,8 +55,12 @@
     record.line("calm begins");
     std::thread::sleep(CALM);
     let after = check(&mesh, "in calm")?;
-    record.line(&format!("connections closed without an answer: {before} before, {after} in calm"));
-    println!("closed without an answer: {before} before, {after} in calm; more than {ALLOWED_COUNT} break LOST");
+    record.line(&format!(
+        "connections closed without an answer: {before} before, {after} in calm"
+    ));
+    println!(
+        "closed without an answer: {before} before, {after} in calm; more than {ALLOWED_COUNT} break LOST"
+    );
     Ok(before + after <= ALLOWED_COUNT)
 }
 
@@ -66,16 +73,22 @@
         let id = mesh.request_id();
         let mut stream = TcpStream::connect(address).map_err(|error| error.to_string())?;
         let request = mesh.get(&format!("/file/large-{SLOW_BYTES}/"), &id, SLOW_MS);
-        stream.write_all(&request).map_err(|error| error.to_string())?;
+        stream
+            .write_all(&request)
+            .map_err(|error| error.to_string())?;
         slow.push(stream);
     }
-    record.line(&format!("{SLOW_COUNT} clients asked for {SLOW_BYTES} bytes each and read slowly"));
+    record.line(&format!(
+        "{SLOW_COUNT} clients asked for {SLOW_BYTES} bytes each and read slowly"
+    ));
     std::thread::sleep(Duration::from_millis(1200));
     let begun = Instant::now();
     let crowds = gather(mesh);
     let answered: usize = crowds.iter().map(Vec::len).sum();
     let took_ms = begun.elapsed().as_millis();
-    record.line(&format!("{CROWD_COUNT} further clients in {took_ms} ms: {answered} answered with success"));
+    record.line(&format!(
+        "{CROWD_COUNT} further clients in {took_ms} ms: {answered} answered with success"
+    ));
     drop(slow);
     record.line("the slow clients have given up");
     drop(crowds);
@@ -86,8 +99,13 @@
 /// The further clients; returns their open connections.
 pub fn gather(mesh: &Mesh) -> Vec<Vec<Reader>> {
     std::thread::scope(|scope| {
-        let threads: Vec<_> = (0..CROWD_THREADS).map(|_| scope.spawn(|| come(mesh))).collect();
-        threads.into_iter().map(|thread| thread.join().unwrap_or_default()).collect()
+        let threads: Vec<_> = (0..CROWD_THREADS)
+            .map(|_| scope.spawn(|| come(mesh)))
+            .collect();
+        threads
+            .into_iter()
+            .map(|thread| thread.join().unwrap_or_default())
+            .collect()
     })
 }
 
@@ -119,12 +137,18 @@
     std::thread::scope(|scope| {
         let beside_stop = Arc::clone(&stop);
         scope.spawn(move || {
-            let Ok(mut stream) = TcpStream::connect(address) else { return };
-            let Ok(reading) = stream.try_clone() else { return };
+            let Ok(mut stream) = TcpStream::connect(address) else {
+                return;
+            };
+            let Ok(reading) = stream.try_clone() else {
+                return;
+            };
             let mut reader = Reader::new(reading);
             while !beside_stop.load(Ordering::Relaxed) {
                 let id = mesh.request_id();
-                if stream.write_all(&mesh.get("/list/b", &id, 5000)).is_err() || !matches!(reader.next(), Ok(Some(_))) {
+                if stream.write_all(&mesh.get("/list/b", &id, 5000)).is_err()
+                    || !matches!(reader.next(), Ok(Some(_)))
+                {
                     return;
                 }
                 std::thread::sleep(BESIDE_GAP);
@@ -136,7 +160,9 @@
                 scope.spawn(|| pipelined(mesh, when))
             })
             .collect();
-        let lost = checks.into_iter().map(|check| check.join().unwrap_or(Ok(false)));
+        let lost = checks
+            .into_iter()
+            .map(|check| check.join().unwrap_or(Ok(false)));
         let lost: Result<Vec<bool>, String> = lost.collect();
         stop.store(true, Ordering::Relaxed);
         Ok(lost?.into_iter().filter(|lost| *lost).count())
@@ -148,14 +174,20 @@
 fn pipelined(mesh: &Mesh, when: &str) -> Result<bool, String> {
     let failed = |error: std::io::Error| error.to_string();
     let mut stream = TcpStream::connect(mesh.nodes[0].outbound()).map_err(failed)?;
-    stream.set_read_timeout(Some(Duration::from_secs(6))).map_err(failed)?;
+    stream
+        .set_read_timeout(Some(Duration::from_secs(6)))
+        .map_err(failed)?;
     let mut reader = Reader::new(stream.try_clone().map_err(failed)?);
     // The connection is a kept one: it has had an answer.
     let first = mesh.request_id();
-    stream.write_all(&mesh.get("/list/c", &first, 5000)).map_err(failed)?;
+    stream
+        .write_all(&mesh.get("/list/c", &first, 5000))
+        .map_err(failed)?;
     let answer = reader.next().map_err(failed)?;
     if !answer.is_some_and(|answer| Mesh::is_whole(&answer, &first)) {
-        return Err(format!("{when}: the first request of a connection was not answered"));
+        return Err(format!(
+            "{when}: the first request of a connection was not answered"
+        ));
     }
     let ids: Vec<String> = (0..3).map(|_| mesh.request_id()).collect();
     let mut requests = mesh.get("/list/work-300/", &ids[0], 5000);
@@ -167,7 +199,10 @@
         match reader.next() {
             Ok(Some(answer)) => {
                 let status = answer.status();
-                mesh.record.line(&format!("{when}: request {id}: {status} after {} ms", sent.elapsed().as_millis()));
+                mesh.record.line(&format!(
+                    "{when}: request {id}: {status} after {} ms",
+                    sent.elapsed().as_millis()
+                ));
             }
             Ok(None) | Err(_) => {
                 let runs = mesh.runs.of(id).len();
--- a/review/standins-2/endpoint.rs
+++ b/review/standins-2/endpoint.rs
@@ -39,7 +39,10 @@
 impl Runs {
     pub fn of(&self, request_id: &str) -> Vec<Run> {
         let runs = self.0.lock().unwrap();
-        runs.iter().filter(|run| run.request_id == request_id).cloned().collect()
+        runs.iter()
+            .filter(|run| run.request_id == request_id)
+            .cloned()
+            .collect()
     }
 
     fn add(&self, run: Run) {
@@ -75,7 +78,12 @@
     pub fn start(description: Description, runs: &Runs, record: &Record) -> std::io::Result<Self> {
         let listener = TcpListener::bind(description.address)?;
         let endpoint = Self {
-            instance_id: format!("i-{:08x}", unix_ms() as u32 ^ u32::from(description.address.port()) << 8 ^ last_octet(&description)),
+            instance_id: format!(
+                "i-{:08x}",
+                unix_ms() as u32
+                    ^ u32::from(description.address.port()) << 8
+                    ^ last_octet(&description)
+            ),
             description,
             born_unix_ms: unix_ms(),
             sequence: Arc::default(),
@@ -126,13 +134,25 @@
 
     pub fn cold_left(&self) -> Duration {
         let until = *self.cold_until.lock().unwrap();
-        until.map_or(Duration::ZERO, |until| until.saturating_duration_since(Instant::now()))
+        until.map_or(Duration::ZERO, |until| {
+            until.saturating_duration_since(Instant::now())
+        })
     }
 
     /// Sends a ping with this sequence and cold time; returns whether it was acknowledged.
     pub fn send_ping(&self, sequence: u64, cold_left: Duration) -> bool {
-        let Description { service, zone, slots, address, control } = &self.description;
-        let state = if self.is_draining.load(Ordering::Relaxed) { "draining" } else { "ready" };
+        let Description {
+            service,
+            zone,
+            slots,
+            address,
+            control,
+        } = &self.description;
+        let state = if self.is_draining.load(Ordering::Relaxed) {
+            "draining"
+        } else {
+            "ready"
+        };
         let cold_left_s = cold_left.as_secs_f64();
         let body = format!(
             "{{\"Address\":\"{address}\",\"Info\":{{\"Service\":\"{service}\",\"Version\":\"v1\",\"Zone\":\"{zone}\",\"Slots\":{slots}}},\"Status\":{{\"State\":\"{state}\",\"Sequence\":{sequence},\"ColdLeftS\":{cold_left_s:.3}}},\"born\":{}}}",
@@ -150,7 +170,9 @@
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let _ = stream.set_write_timeout(Some(UNREAD_LIMIT));
-        let Ok(mut writer) = stream.try_clone() else { return };
+        let Ok(mut writer) = stream.try_clone() else {
+            return;
+        };
         let mut reader = Reader::new(stream);
         while let Ok(Some(request)) = reader.next() {
             let answer = self.answer(&request);
@@ -169,10 +191,14 @@
             };
             return format!("HTTP/1.1 {status}\r\nX-Dogwoodbridge-Instance-Id: {instance_id}\r\nX-Dogwoodbridge-Cold-Remaining: {:.3}\r\nContent-Length: 0\r\n\r\n", self.cold_left().as_secs_f64()).into_bytes();
         }
-        let id = request.header("X-Dogwoodbridge-Request-Id").unwrap_or("").to_owned();
+        let id = request
+            .header("X-Dogwoodbridge-Request-Id")
+            .unwrap_or("")
+            .to_owned();
         let expected = request.header("X-Dogwoodbridge-Expect-Instance");
         if expected.is_some_and(|expected| expected != instance_id) {
-            self.record.line(&format!("endpoint {instance_id}: 421 for request {id}"));
+            self.record
+                .line(&format!("endpoint {instance_id}: 421 for request {id}"));
             return format!("HTTP/1.1 421 Misdirected Request\r\nX-Dogwoodbridge-Request-Id: {id}\r\nX-Dogwoodbridge-Instance-Id: {instance_id}\r\nContent-Length: 0\r\n\r\n").into_bytes();
         }
         let service = &self.description.service;
@@ -182,8 +208,14 @@
             instance_id: instance_id.clone(),
             at: Instant::now(),
         });
-        self.record.line(&format!("endpoint {instance_id} of {service}: runs {} {} as request {id}", request.method(), request.path()));
-        std::thread::sleep(Duration::from_millis(figure(request.path(), "work-").unwrap_or(USUAL_WORK_MS)));
+        self.record.line(&format!(
+            "endpoint {instance_id} of {service}: runs {} {} as request {id}",
+            request.method(),
+            request.path()
+        ));
+        std::thread::sleep(Duration::from_millis(
+            figure(request.path(), "work-").unwrap_or(USUAL_WORK_MS),
+        ));
         let body = match figure(request.path(), "large-") {
             Some(length) => vec![b'l'; length as usize],
             None => format!("{service} ran {id}").into_bytes(),
@@ -212,6 +244,8 @@
 }
 
 fn unix_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
     u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
 }
--- a/review/standins-2/http.rs
+++ b/review/standins-2/http.rs
@@ -17,7 +17,10 @@
 
 impl Message {
     pub fn header(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|(key, _)| key.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|(key, _)| key.eq_ignore_ascii_case(name));
         found.map(|(_, value)| value.as_str())
     }
 
@@ -47,7 +50,10 @@
 
 impl Reader {
     pub fn new(stream: TcpStream) -> Self {
-        Self { stream, ahead: Vec::new() }
+        Self {
+            stream,
+            ahead: Vec::new(),
+        }
     }
 
     pub fn stream(&self) -> &TcpStream {
@@ -75,7 +81,11 @@
             .filter_map(|line| line.split_once(':'))
             .map(|(name, value)| (name.trim().to_owned(), value.trim().to_owned()))
             .collect();
-        let mut message = Message { start, headers, body: Vec::new() };
+        let mut message = Message {
+            start,
+            headers,
+            body: Vec::new(),
+        };
         message.body = self.body(&message)?;
         Ok(Some(message))
     }
@@ -87,7 +97,9 @@
         if is_chunked {
             return self.chunks();
         }
-        let length = message.header("content-length").and_then(|value| value.parse().ok());
+        let length = message
+            .header("content-length")
+            .and_then(|value| value.parse().ok());
         self.take(length.unwrap_or(0))
     }
 
@@ -152,7 +164,11 @@
 }
 
 /// Waits until the condition holds; fails after the limit.
-pub fn wait_until(what: &str, limit: Duration, mut holds: impl FnMut() -> bool) -> Result<(), String> {
+pub fn wait_until(
+    what: &str,
+    limit: Duration,
+    mut holds: impl FnMut() -> bool,
+) -> Result<(), String> {
     let begun = Instant::now();
     while !holds() {
         if begun.elapsed() > limit {
--- a/review/standins-2/lost_machines.rs
+++ b/review/standins-2/lost_machines.rs
@@ -72,14 +72,20 @@
 fn configuration(round: u32) -> String {
     let prefixes: Vec<String> = (1..=round).map(|round| format!("/new-{round}/")).collect();
     let mut routes = vec![("/list/", "svc-a", "safe", 5.0)];
-    routes.extend(prefixes.iter().map(|prefix| (prefix.as_str(), "svc-a", "safe", 5.0)));
+    routes.extend(
+        prefixes
+            .iter()
+            .map(|prefix| (prefix.as_str(), "svc-a", "safe", 5.0)),
+    );
     open_config(7 + 2 * round, &routes, &["svc-a", "svc-b"])
 }
 
 /// Nodes of the machines that lose power.
 fn lost(mesh: &mut Mesh) -> impl Iterator<Item = &mut Node> {
     let nodes = mesh.nodes.iter_mut().enumerate();
-    nodes.filter(|(index, _)| !LEFT.contains(index)).map(|(_, node)| node)
+    nodes
+        .filter(|(index, _)| !LEFT.contains(index))
+        .map(|(_, node)| node)
 }
 
 /// Writes a configuration with a further route, and sends requests on it at the machines that are
@@ -110,8 +116,11 @@
     let (id, sent) = (mesh.request_id(), Instant::now());
     let request = mesh.get(path, &id, DEADLINE_MS);
     let limit = Duration::from_millis(DEADLINE_MS);
-    let status = call(mesh.nodes[index].outbound(), &request, limit).map_or(0, |answer| answer.status());
+    let status =
+        call(mesh.nodes[index].outbound(), &request, limit).map_or(0, |answer| answer.status());
     let (name, after_ms) = (&mesh.nodes[index].machine.name, sent.elapsed().as_millis());
-    mesh.record.line(&format!("request {id}, {path}, at {name}: {status} after {after_ms} ms"));
+    mesh.record.line(&format!(
+        "request {id}, {path}, at {name}: {status} after {after_ms} ms"
+    ));
     status
 }
--- a/review/standins-2/mesh.rs
+++ b/review/standins-2/mesh.rs
@@ -83,7 +83,10 @@
 
     /// An id that no other request of the run has.
     pub fn request_id(&self) -> String {
-        format!("{:016x}", 0x9c41_0000_0000_0000 + self.next_id.fetch_add(1, Ordering::Relaxed))
+        format!(
+            "{:016x}",
+            0x9c41_0000_0000_0000 + self.next_id.fetch_add(1, Ordering::Relaxed)
+        )
     }
 
     /// Text of a GET with this id.
--- a/review/standins-2/node.rs
+++ b/review/standins-2/node.rs
@@ -1,10 +1,7 @@
 //! The project's program as a process, with the command and the environment of the deploy file.
 
 use {
-    crate::{
-        http::call,
-        store::Store,
-    },
+    crate::{http::call, store::Store},
     std::{
         fs::{self, File},
         net::{SocketAddr, TcpListener},
@@ -81,12 +78,23 @@
 }
 
 impl Node {
-    pub fn start(machine: Machine, ports: Ports, store: &Store, folder: &Path) -> std::io::Result<Self> {
+    pub fn start(
+        machine: Machine,
+        ports: Ports,
+        store: &Store,
+        folder: &Path,
+    ) -> std::io::Result<Self> {
         let settings = folder.join(format!("{}.conf", machine.name));
         fs::write(&settings, text(&machine, ports, store))?;
         let log = folder.join(format!("{}.log", machine.name));
         let child = spawn(&settings, &log)?;
-        Ok(Self { machine, ports, settings, log, child })
+        Ok(Self {
+            machine,
+            ports,
+            settings,
+            log,
+            child,
+        })
     }
 
     pub fn address(&self, port: u16) -> SocketAddr {
@@ -99,7 +107,11 @@
 
     pub fn is_ready(&self) -> bool {
         let request = b"GET /v1/ready HTTP/1.1\r\nHost: node\r\n\r\n";
-        let answer = call(self.address(self.ports.ready), request, Duration::from_millis(500));
+        let answer = call(
+            self.address(self.ports.ready),
+            request,
+            Duration::from_millis(500),
+        );
         answer.is_ok_and(|answer| answer.status() == 200)
     }
 
@@ -148,7 +160,10 @@
         .env("PATH", std::env::var("PATH").unwrap_or_default())
         .env("DOGWOOD_DOWNSTREAM_ADMISSION", "auto")
         .env("DOGWOOD_FLEET_SECRET", "the-fleet-of-this-deployment")
-        .env("DOGWOOD_OPERATOR_SECRET", "the-operators-of-this-deployment")
+        .env(
+            "DOGWOOD_OPERATOR_SECRET",
+            "the-operators-of-this-deployment",
+        )
         .env("DOGWOODBRIDGE_NODE_FILE", settings)
         .stdin(Stdio::null())
         .stdout(output.try_clone()?)
@@ -157,8 +172,21 @@
 }
 
 fn text(machine: &Machine, ports: Ports, store: &Store) -> String {
-    let Machine { name, ip, zone, service, memory_mb } = machine;
-    let Ports { outbound, inbound, ready, control, app, first_internal } = ports;
+    let Machine {
+        name,
+        ip,
+        zone,
+        service,
+        memory_mb,
+    } = machine;
+    let Ports {
+        outbound,
+        inbound,
+        ready,
+        control,
+        app,
+        first_internal,
+    } = ports;
     let last_internal = first_internal + 15;
     format!(
         "NodeName={name}\nRole=dogwood\nMachineClass=sidecar\nServes=sidecar\nIp={ip}\nZone={zone}\nRegion=r\n\
--- a/review/standins-2/record.rs
+++ b/review/standins-2/record.rs
@@ -17,7 +17,10 @@
 impl Record {
     pub fn new(path: &str) -> std::io::Result<Self> {
         let file = Arc::new(Mutex::new(File::create(path)?));
-        Ok(Self { file, begun: Instant::now() })
+        Ok(Self {
+            file,
+            begun: Instant::now(),
+        })
     }
 
     pub fn line(&self, text: &str) {
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -58,13 +58,19 @@
 impl Store {
     pub fn start(ip: &str, record: &Record) -> std::io::Result<Self> {
         let listener = TcpListener::bind((ip, 0))?;
-        let state = State { revision: 100, ..State::default() };
+        let state = State {
+            revision: 100,
+            ..State::default()
+        };
         let shared = Arc::new(Shared {
             state: Mutex::new(state),
             changed: Condvar::new(),
             record: record.clone(),
         });
-        let store = Self { shared, address: listener.local_addr()? };
+        let store = Self {
+            shared,
+            address: listener.local_addr()?,
+        };
         let serving = store.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -81,7 +87,9 @@
         Self::replace(&mut state, kind, name, spec);
         drop(state);
         self.shared.changed.notify_all();
-        self.shared.record.line(&format!("store: {kind}/{name} written and acknowledged"));
+        self.shared
+            .record
+            .line(&format!("store: {kind}/{name} written and acknowledged"));
         Instant::now()
     }
 
@@ -92,7 +100,10 @@
         }
         state.revision += 1;
         let revision = state.revision;
-        let created = state.objects.get(&key).map_or(revision, |held| held.created);
+        let created = state
+            .objects
+            .get(&key)
+            .map_or(revision, |held| held.created);
         let object = Object {
             name: name.to_owned(),
             revision,
@@ -108,7 +119,9 @@
 
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        let Ok(mut writer) = stream.try_clone() else { return };
+        let Ok(mut writer) = stream.try_clone() else {
+            return;
+        };
         let mut reader = Reader::new(stream);
         while let Ok(Some(request)) = reader.next() {
             let (status, body) = self.answer(&request);
@@ -123,7 +136,10 @@
     }
 
     fn answer(&self, request: &Message) -> (&'static str, String) {
-        let (path, query) = request.path().split_once('?').unwrap_or((request.path(), ""));
+        let (path, query) = request
+            .path()
+            .split_once('?')
+            .unwrap_or((request.path(), ""));
         let Some(rest) = path.strip_prefix("/v1/objects/") else {
             return ("404 Not Found", "{}".to_owned());
         };
@@ -139,7 +155,9 @@
             ("GET", Some(name)) => {
                 let state = self.shared.state.lock().unwrap();
                 let object = state.objects.get(&(kind.to_owned(), name.to_owned()));
-                object.map_or(("404 Not Found", "{}".to_owned()), |object| ("200 OK", object.text()))
+                object.map_or(("404 Not Found", "{}".to_owned()), |object| {
+                    ("200 OK", object.text())
+                })
             }
             ("POST" | "PUT", _) => self.write(kind, name, &request.text(), request.method()),
             _ => ("405 Method Not Allowed", "{}".to_owned()),
@@ -167,21 +185,40 @@
             let texts: Vec<&str> = newer.map(|(_, _, text)| text.as_str()).collect();
             let now = Instant::now();
             if !texts.is_empty() || now >= until {
-                let body = format!("{{\"events\":[{}],\"AsOf\":{}}}", texts.join(","), state.revision);
+                let body = format!(
+                    "{{\"events\":[{}],\"AsOf\":{}}}",
+                    texts.join(","),
+                    state.revision
+                );
                 return ("200 OK", body);
             }
-            state = self.shared.changed.wait_timeout(state, until - now).unwrap().0;
+            state = self
+                .shared
+                .changed
+                .wait_timeout(state, until - now)
+                .unwrap()
+                .0;
         }
     }
 
-    fn write(&self, kind: &str, name: Option<&str>, body: &str, method: &str) -> (&'static str, String) {
+    fn write(
+        &self,
+        kind: &str,
+        name: Option<&str>,
+        body: &str,
+        method: &str,
+    ) -> (&'static str, String) {
         let told = json::string(body, "Metadata.Name");
         let Some(name) = name.or(told) else {
             return ("400 Bad Request", "{}".to_owned());
         };
-        let condition = json::field(body, "Metadata.Revision").and_then(|text| text.parse::<u64>().ok());
+        let condition =
+            json::field(body, "Metadata.Revision").and_then(|text| text.parse::<u64>().ok());
         let mut state = self.shared.state.lock().unwrap();
-        let held = state.objects.get(&(kind.to_owned(), name.to_owned())).cloned();
+        let held = state
+            .objects
+            .get(&(kind.to_owned(), name.to_owned()))
+            .cloned();
         match (&held, condition) {
             (Some(held), _) if method == "POST" => return ("409 Conflict", held.text()),
             (Some(held), Some(revision)) if held.revision != revision => {
@@ -190,7 +227,12 @@
             (None, _) if method == "PUT" => return ("404 Not Found", "{}".to_owned()),
             _ => {}
         }
-        let object = Self::replace(&mut state, kind, name, json::field(body, "Spec").unwrap_or("null"));
+        let object = Self::replace(
+            &mut state,
+            kind,
+            name,
+            json::field(body, "Spec").unwrap_or("null"),
+        );
         drop(state);
         self.shared.changed.notify_all();
         ("200 OK", object.text())
@@ -199,6 +241,8 @@
 
 fn parameter(query: &str, name: &str) -> Option<u64> {
     let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    let mut values = pairs.filter(|(key, _)| *key == name).map(|(_, value)| value);
+    let mut values = pairs
+        .filter(|(key, _)| *key == name)
+        .map(|(_, value)| value);
     values.next()?.parse().ok()
 }
