Read a target's cold time from its health check

Cause: the cold time was kept only in the process that acknowledged it. The next process took the first heartbeat as that of a new target. The log shows E319 health=Staying and E310 cold_left_ms=0 for sequence 9, which was sent before the acknowledged sequence 10 and arrived late. The health check of E319 told the cold time, but it was not read. Ruled out: a gate that forgets within one process (E315 was logged and the limit held until the kill).

Change: the response to the health check also tells the remaining cold time; the longer of it and the heartbeat's holds. Where the response does not tell, two heartbeats have to say warm. E319 logs the time.

--- a/src/dialect/mod.rs
+++ b/src/dialect/mod.rs
@@ -25,7 +25,7 @@
         exchange::{ForwardedResponse, ResponseBody, Segments},
         ingress::Rejection,
         model::{Refusal, RequestId},
-        target::Health,
+        target::HealthReport,
     },
     hyper::{HeaderMap, Method, Request, Response, body::Incoming, http::request::Parts},
 };
@@ -85,7 +85,7 @@
     ) -> TargetSignal;
 
     /// What a target's response to a health check says about this process.
-    fn read_health(&self, response: &Response<Incoming>, instance_id: &str) -> Health;
+    fn read_health(&self, response: &Response<Incoming>, instance_id: &str) -> HealthReport;
 
     /// Decodes a notice of the local target.
     fn read_notice(
--- a/src/dialect/native.rs
+++ b/src/dialect/native.rs
@@ -17,7 +17,7 @@
         },
         keys::{KeyDigest, KeyState},
         model::{Outcome, Reason, Refusal, RequestId},
-        target::Health,
+        target::{Health, HealthReport},
     },
     bytes::Bytes,
     hyper::{
@@ -163,8 +163,8 @@
         }
     }
 
-    fn read_health(&self, _response: &Response<Incoming>, _instance_id: &str) -> Health {
-        Health::Unknown
+    fn read_health(&self, _response: &Response<Incoming>, _instance_id: &str) -> HealthReport {
+        HealthReport::new(Health::Unknown)
     }
 
     fn read_notice(
--- a/src/egress/announce.rs
+++ b/src/egress/announce.rs
@@ -13,7 +13,7 @@
         membership::Announcement,
         node::{Node, Policies},
         quarantine::is_end_planned,
-        target::{NoticeStatus, PoolTarget, ProcessNotice},
+        target::{ColdReport, NoticeStatus, PoolTarget, ProcessNotice},
         timer::unix_ms,
     },
     hyper::{Request, Response, body::Incoming},
@@ -91,7 +91,7 @@
     let now_us = node.timer.now_us();
     let notice_status = node.registration().record_heartbeat(notice, now_us);
     match notice_status {
-        NoticeStatus::NewProcess | NoticeStatus::Current => apply_heartbeat(node, heartbeat),
+        NoticeStatus::NewProcess | NoticeStatus::Current => apply_heartbeat(node, heartbeat, None),
         NoticeStatus::Unconfirmed => {
             tokio::spawn(confirm(Arc::clone(node), heartbeat));
         }
@@ -134,8 +134,13 @@
     Ok(())
 }
 
-/// Makes the process that sent the heartbeat the local target.
-pub fn apply_heartbeat<P: Policies>(node: &Node<P>, heartbeat: Heartbeat) {
+/// Makes the process that sent the heartbeat the local target. `checked_cold_left_ms` is the
+/// remaining cold time that its response to a health check reported, if there was one.
+pub fn apply_heartbeat<P: Policies>(
+    node: &Node<P>,
+    heartbeat: Heartbeat,
+    checked_cold_left_ms: Option<u64>,
+) {
     let Heartbeat {
         instance_id,
         service,
@@ -160,7 +165,10 @@
         let gate = node.target.gate();
         (gate.is_cold(now_us), gate.named_limit_per_s())
     };
-    let has_restarted = node.target.announce(target, cold_left_ms, now_us);
+    let cold = ColdReport::new(cold_left_ms)
+        .with_checked_left_ms(checked_cold_left_ms)
+        .with_may_be_outdated(node.registration().may_lack_newer_heartbeats());
+    let has_restarted = node.target.announce(target, cold, now_us);
     let process_id = node.target.process_id();
     let size = TargetSize {
         slot_count,
@@ -204,10 +212,11 @@
             "notice=heartbeat instance={instance_id} sequence={sequence:?} is_first_notice={has_restarted} node_age_ms={age_ms}"
         );
     }
-    if cold_left_ms > 0 && !was_cold {
+    let longest_left_ms = cold.longest_left_ms();
+    if longest_left_ms > 0 && !was_cold {
         event!(
             Event::TargetCold,
-            "instance={instance_id} cold_left_ms={cold_left_ms}"
+            "instance={instance_id} cold_left_ms={longest_left_ms}"
         );
     }
     publish_announcement(
--- a/src/egress/confirm.rs
+++ b/src/egress/confirm.rs
@@ -8,7 +8,7 @@
         event,
         events::Event,
         node::{Node, Policies},
-        target::{Health, check_health},
+        target::{Health, HealthReport, check_health},
     },
     std::{
         sync::Arc,
@@ -31,10 +31,14 @@
 /// Without an answer it is asked again: further heartbeats may all have been sent before a leave
 /// that an earlier process of the node acknowledged.
 pub async fn confirm<P: Policies>(node: Arc<Node<P>>, heartbeat: Heartbeat) {
-    let health = tokio::select! {
+    let report = tokio::select! {
         () = node.stopped.cancelled() => return,
-        health = check_until_answered(&node, &heartbeat) => health,
+        report = check_until_answered(&node, &heartbeat) => report,
     };
+    let HealthReport {
+        health,
+        cold_left_ms,
+    } = report;
     let (instance_id, started_unix_ms) = (&heartbeat.instance_id, heartbeat.started_unix_ms);
     let is_confirmed = node
         .registration()
@@ -42,30 +46,30 @@
     let (sequence, age_ms) = (heartbeat.sequence, node.timer.now_ms());
     event!(
         Event::TargetChecked,
-        "instance={instance_id} sequence={sequence:?} health={health:?} is_confirmed={is_confirmed} node_age_ms={age_ms}"
+        "instance={instance_id} sequence={sequence:?} health={health:?} is_confirmed={is_confirmed} cold_left_ms={cold_left_ms:?} node_age_ms={age_ms}"
     );
     if is_confirmed {
-        apply_heartbeat(&node, heartbeat);
+        apply_heartbeat(&node, heartbeat, cold_left_ms);
     }
 }
 
-async fn check_until_answered<P: Policies>(node: &Node<P>, heartbeat: &Heartbeat) -> Health {
+async fn check_until_answered<P: Policies>(node: &Node<P>, heartbeat: &Heartbeat) -> HealthReport {
     let started = Instant::now();
     let mut backoff = Backoff::new(FIRST_PAUSE_MS, LONGEST_PAUSE_MS);
     loop {
-        let health = check_target(node, heartbeat).await;
+        let report = check_target(node, heartbeat).await;
         let is_in_check = node
             .registration()
             .is_in_check(&heartbeat.instance_id, heartbeat.started_unix_ms);
-        let may_answer = health == Health::Unanswered && started.elapsed() < LONGEST_CHECK;
+        let may_answer = report.health == Health::Unanswered && started.elapsed() < LONGEST_CHECK;
         if !may_answer || !is_in_check {
-            return health;
+            return report;
         }
         backoff.wait().await;
     }
 }
 
-async fn check_target<P: Policies>(node: &Node<P>, heartbeat: &Heartbeat) -> Health {
+async fn check_target<P: Policies>(node: &Node<P>, heartbeat: &Heartbeat) -> HealthReport {
     // Until then the node serves no requests.
     while node.running().revision == 0 {
         tokio::time::sleep(CONFIGURATION_POLL).await;
@@ -73,7 +77,7 @@
     let service = node.names.service(&heartbeat.service);
     let running = node.running();
     let Some(path) = running.health_paths.get(&service) else {
-        return Health::Unknown;
+        return HealthReport::new(Health::Unknown);
     };
     check_health(
         &node.dialect,
--- a/src/target/gate.rs
+++ b/src/target/gate.rs
@@ -150,6 +150,22 @@
         };
     }
 
+    /// Forgets the previous process. This one is older than the node: an earlier process of the
+    /// node may have received a cold time that is newer than the next heartbeat.
+    pub const fn begin_older_process(&mut self) {
+        self.named_limit.forget();
+        self.cold_until_us = 0;
+        self.suspect_cold();
+    }
+
+    /// Records how much longer the target stays cold, as its response to a health check reports.
+    /// Unlike a heartbeat it cannot have been sent before it was asked for.
+    pub fn record_checked_cold_time(&mut self, cold_left_us: u64, now_us: u64) {
+        let cold_until_us = now_us + cold_left_us.min(MAX_COLD_US);
+        self.cold_until_us = self.cold_until_us.max(cold_until_us);
+        self.missing_warm_heartbeat_count = 0;
+    }
+
     /// Treats the target as possibly cold although it has not reported so: it was
     /// unreachable, or received nothing during an evacuation.
     pub const fn suspect_cold(&mut self) {
--- a/src/target/health.rs
+++ b/src/target/health.rs
@@ -29,6 +29,35 @@
     Unknown,
 }
 
+/// A target's response to a health check.
+#[derives::key]
+pub struct HealthReport {
+    /// Whether it stays.
+    pub health: Health,
+    /// How much longer it stays cold, in milliseconds; `None` if the response does not tell.
+    pub cold_left_ms: Option<u64>,
+}
+
+impl HealthReport {
+    /// A report that does not tell whether the target is cold.
+    #[must_use]
+    pub const fn new(health: Health) -> Self {
+        Self {
+            health,
+            cold_left_ms: None,
+        }
+    }
+
+    /// The report with a remaining cold time, in milliseconds.
+    #[must_use]
+    pub const fn with_cold_left_ms(self, cold_left_ms: Option<u64>) -> Self {
+        Self {
+            cold_left_ms,
+            ..self
+        }
+    }
+}
+
 /// Sends one health check to the target at this port, on a connection of its own.
 pub async fn check_health<D: Dialect>(
     dialect: &D,
@@ -36,10 +65,10 @@
     port: u16,
     path: &str,
     instance_id: &str,
-) -> Health {
+) -> HealthReport {
     let address = SocketAddr::new(ip, port);
     let Ok(uri) = path.parse::<Uri>() else {
-        return Health::Unknown;
+        return HealthReport::new(Health::Unknown);
     };
     let exchange = async {
         let mut connection = connect(ip, address).await.ok()?;
@@ -50,6 +79,7 @@
         let response = connection.send(request).await.ok()?;
         Some(dialect.read_health(&response, instance_id))
     };
-    let health = timeout_unless_suspended(HEALTH_TIMEOUT, exchange).await;
-    health.ok().flatten().unwrap_or(Health::Unanswered)
+    let report = timeout_unless_suspended(HEALTH_TIMEOUT, exchange).await;
+    let unanswered = HealthReport::new(Health::Unanswered);
+    report.ok().flatten().unwrap_or(unanswered)
 }
--- a/src/target/mod.rs
+++ b/src/target/mod.rs
@@ -1,5 +1,6 @@
 //! The local target: send limits, connections and requests.
 
+mod cold_report;
 mod connection;
 mod departed;
 mod exchange;
@@ -17,9 +18,10 @@
 mod serve;
 
 pub use {
+    cold_report::ColdReport,
     exchange::{SentRequest, TargetResponse, exchange},
     gate::{GateClosed, Priority, SendGate},
-    health::{Health, check_health},
+    health::{Health, HealthReport, check_health},
     metered::MeteredBody,
     named_limit::NamedLimit,
     pool::{PoolError, PooledConnection, TargetPool},
--- a/src/target/pool.rs
+++ b/src/target/pool.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        PoolTarget, SendGate, UNKNOWN_PROCESS_ID,
+        ColdReport, PoolTarget, SendGate, UNKNOWN_PROCESS_ID,
         connection::{Connection, connect},
         metered::Progress,
     },
@@ -89,7 +89,7 @@
     /// Records a heartbeat and how much longer the target stays cold; returns
     /// whether the process is new or returns after a silence. One that returns is
     /// as limited and as cold as it was.
-    pub fn announce(&self, target: PoolTarget, cold_left_ms: u64, now_us: u64) -> bool {
+    pub fn announce(&self, target: PoolTarget, cold: ColdReport, now_us: u64) -> bool {
         let mut state = self.lock_state();
         let is_same_process = state.target.as_ref().is_some_and(|current| {
             current.port == target.port
@@ -107,12 +107,23 @@
             let last_process_id = std::mem::replace(&mut state.last_process_id, process_id);
             is_known_process = process_id != UNKNOWN_PROCESS_ID && process_id == last_process_id;
         }
-        let cold_left_us = cold_left_ms.saturating_mul(1000);
-        self.gate()
-            .record_cold_time(cold_left_us, !is_known_process, now_us);
+        self.record_cold(cold, !is_known_process, now_us);
         !is_same_process
     }
 
+    fn record_cold(&self, cold: ColdReport, is_new_process: bool, now_us: u64) {
+        let mut gate = self.gate();
+        let is_older_process = is_new_process && cold.may_be_outdated;
+        if is_older_process {
+            gate.begin_older_process();
+        }
+        let left_us = cold.heartbeat_left_ms.saturating_mul(1000);
+        gate.record_cold_time(left_us, is_new_process && !is_older_process, now_us);
+        if let Some(left_ms) = cold.checked_left_ms {
+            gate.record_checked_cold_time(left_ms.saturating_mul(1000), now_us);
+        }
+    }
+
     /// Removes the target if its last heartbeat is older than `silence_ms`; returns
     /// whether it was removed now.
     pub fn remove_if_silent(&self, now_ms: u64, silence_ms: u64) -> bool {
--- a/src/target/registration.rs
+++ b/src/target/registration.rs
@@ -66,6 +66,8 @@
     started_unix_ms: u64,
     sequence: Option<u64>,
     has_left: bool,
+    /// Whether an earlier process of the node may have received notices of it.
+    may_predate_node: bool,
     confirmation: Confirmation,
     leave_start: Option<LeaveStart>,
 }
@@ -178,6 +180,7 @@
             started_unix_ms: notice.started_unix_ms,
             sequence: notice.sequence,
             has_left: false,
+            may_predate_node,
             confirmation: match needs_check {
                 true => Confirmation::InCheck,
                 false => Confirmation::Confirmed,
@@ -199,6 +202,14 @@
                 .is_some_and(|sequence| sequence > FIRST_SEQUENCE)
     }
 
+    /// Whether an earlier process of the node may have received heartbeats of the current process
+    /// that are newer than those received here.
+    #[must_use]
+    pub fn may_lack_newer_heartbeats(&self) -> bool {
+        let current = self.current.as_ref();
+        self.requires_confirmation && current.is_some_and(|process| process.may_predate_node)
+    }
+
     /// Whether this process is being asked whether it stays.
     #[must_use]
     pub fn is_in_check(&self, instance_id: &str, started_unix_ms: u64) -> bool {
--- a/tests/named_limit.rs
+++ b/tests/named_limit.rs
@@ -5,7 +5,8 @@
         dialect::LimitSignal,
         model::Class,
         target::{
-            GateClosed, NamedLimit, PoolTarget, Priority, ReportedLimit, SendGate, TargetPool,
+            ColdReport, GateClosed, NamedLimit, PoolTarget, Priority, ReportedLimit, SendGate,
+            TargetPool,
         },
     },
     hyper::header::HeaderValue,
@@ -223,7 +224,7 @@
             started_unix_ms: 7,
             connection_count: 8,
         };
-        pool.announce(target, 0, 0);
+        pool.announce(target, ColdReport::new(0), 0);
         pool
     };
     let earlier = start_node();
--- a/tests/target_gate.rs
+++ b/tests/target_gate.rs
@@ -98,6 +98,41 @@
             },
             is_limited: false,
         },
+        Case {
+            name: "older than the node, a heartbeat says warm",
+            prepare: |gate| {
+                gate.begin_older_process();
+                gate.record_cold_time(0, false, 0);
+            },
+            is_limited: true,
+        },
+        Case {
+            name: "older than the node, a health check says warm",
+            prepare: |gate| {
+                gate.begin_older_process();
+                gate.record_cold_time(0, false, 0);
+                gate.record_checked_cold_time(0, 0);
+            },
+            is_limited: false,
+        },
+        Case {
+            name: "older than the node, a heartbeat says warm and a health check cold",
+            prepare: |gate| {
+                gate.begin_older_process();
+                gate.record_cold_time(0, false, 0);
+                gate.record_checked_cold_time(3 * SECOND_US, 0);
+            },
+            is_limited: true,
+        },
+        Case {
+            name: "older than the node, a heartbeat says cold and a health check warm",
+            prepare: |gate| {
+                gate.begin_older_process();
+                gate.record_cold_time(3 * SECOND_US, false, 0);
+                gate.record_checked_cold_time(0, 0);
+            },
+            is_limited: true,
+        },
         Case {
             name: "evacuation was revoked",
             prepare: |gate| {
