Count sends before a node's restart against the cold limit

Cause: a node's process counts what it sends to a cold target in any second, and the next process began at zero. A node that is back within a second could send the target what it bears twice.

Evidence: the property of the send gate, with restarts of the node among its steps, failed on the code before: 21 requests in a second, 20 allowed. Three orders of events with real processes did not show it; a start took long enough there.

Change: nothing passes to a cold target that is older than its node until the node has run for a second. A target that starts with or after its node is not affected.

--- a/src/target/gate.rs
+++ b/src/target/gate.rs
@@ -79,6 +79,8 @@
     missing_warm_heartbeat_count: u32,
     /// Times of the last sent requests, oldest first; at most `cold_limit_per_s`.
     sent_at_us: VecDeque<u64>,
+    /// Time until which an earlier process of the node may have sent requests in the window.
+    sends_unknown_until_us: u64,
     /// Requests that a cold target may receive in any second; 0: unlimited.
     cold_limit_per_s: u32,
     named_limit: NamedLimit,
@@ -99,6 +101,7 @@
             cold_until_us: 0,
             missing_warm_heartbeat_count: WARM_HEARTBEAT_COUNT,
             sent_at_us: VecDeque::new(),
+            sends_unknown_until_us: 0,
             cold_limit_per_s: 0,
             named_limit: NamedLimit::new(),
         }
@@ -155,6 +158,8 @@
     pub const fn begin_older_process(&mut self) {
         self.named_limit.forget();
         self.cold_until_us = 0;
+        // The node's clock starts with its process.
+        self.sends_unknown_until_us = WINDOW_US;
         self.suspect_cold();
     }
 
@@ -251,7 +256,11 @@
         u16::try_from(percent).unwrap_or(u16::MAX)
     }
 
+    /// Requests sent in the window; as many as possible while that is unknown.
     fn recent_count(&self, now_us: u64) -> u32 {
+        if now_us < self.sends_unknown_until_us {
+            return u32::MAX;
+        }
         let recent_times = self.sent_at_us.iter().rev();
         let recent_times = recent_times.take_while(|sent_at_us| now_us < **sent_at_us + WINDOW_US);
         u32::try_from(recent_times.count()).unwrap_or(u32::MAX)
