Poll as soon as no relay responds to a member

Cause: three waits in a row, none derived from the time in which a change has to be in force. A member noticed the loss by a suspicion of both relays only (E301 at 1.15 and 2.15 s); without relays it polled by lot, with members among the candidates that were lost as well; and with one relay unsuspected it polled from 3 s on. Ruled out: a slow fetch (E202 took 0.15 s) and a slow origin (no E211).

Change: a member probes its relays after three tenths of the limit without any response and takes them for silent after half of it (E208); then it polls when the last confirmed poll is half of the limit old, plus a random addition of up to a fifth.

--- a/src/daemon/hosted/relaying.rs
+++ b/src/daemon/hosted/relaying.rs
@@ -71,7 +71,9 @@
         zone: settings.zone.clone(),
         store: documents.clone(),
         origin: ObjectOrigin::new(parts.store, parts.followed, documents.clone(), WATCH_MS),
-        bounds: PollBounds::METERED_API.with_start_delay_ms(parts.start_delay_ms),
+        bounds: PollBounds::METERED_API
+            .with_start_delay_ms(parts.start_delay_ms)
+            .with_apply_limit_ms(settings.configuration_apply_ms),
         peers: RpcNeighbours::new(client, gossip.view.clone()),
         view: gossip.view.clone(),
         probes: gossip.probes.clone(),
--- a/src/documents/follower.rs
+++ b/src/documents/follower.rs
@@ -6,22 +6,28 @@
 
 use {
     super::{
-        Document, DocumentKind, DocumentOrigin, DocumentStore, KIND_COUNT, PollBounds, Versions,
+        Document, DocumentKind, DocumentOrigin, DocumentStore, KIND_COUNT, PollBounds,
+        RelayContact, RelayResponses, Versions,
         fetch::{FetchTask, Holders},
         poll::{PollTask, WatchTask},
         reachability::OriginReachability,
+        relay_probes::RelayProbeTask,
     },
     crate::{
         backoff::Backoff,
         event,
         events::Event,
         membership::{
-            MemberProbes, MemberState, PeerStamp, View, relay_rank, relays, responsive_member_count,
+            Member, MemberProbes, MemberState, PeerStamp, View, relay_rank, relays,
+            responsive_member_count,
         },
         timer::Timer,
     },
     rand::Rng,
-    std::{sync::Arc, time::Duration},
+    std::{
+        sync::{Arc, Mutex, MutexGuard},
+        time::Duration,
+    },
     tokio::sync::{broadcast, mpsc, watch},
     tokio_util::sync::CancellationToken,
 };
@@ -89,6 +95,7 @@
     pub(super) timer: Timer,
     pub(super) last_confirmed_ms: Arc<watch::Sender<Option<u64>>>,
     pub(super) reachability: Arc<OriginReachability>,
+    pub(super) relay_responses: Arc<Mutex<RelayResponses>>,
 }
 
 impl<O> Shared<O> {
@@ -100,14 +107,42 @@
         responsive_member_count(&self.view.borrow(), &self.zone)
     }
 
-    /// Whether a relay of the zone responds and reaches the origin, as far as known.
-    pub(super) fn has_connected_relay(&self) -> bool {
+    /// What is known of the relays of the zone.
+    pub(super) fn relay_contact(&self) -> RelayContact {
         let view = self.view.borrow();
         let relays = relays(&view, &self.zone);
-        relays.iter().any(|relay| {
+        let is_connected = |relay: &&Member| {
             relay.state != MemberState::Suspect
                 && !self.reachability.is_member_failing(&relay.node_id)
-        })
+        };
+        let mut responding = relays.iter().filter(|relay| !self.is_silent(relay));
+        if responding.clone().any(is_connected) {
+            return RelayContact::Connected;
+        }
+        match relays.is_empty() || responding.next().is_some() {
+            true => RelayContact::Disconnected,
+            false => RelayContact::Silent,
+        }
+    }
+
+    fn is_silent(&self, relay: &Member) -> bool {
+        let Some(bounds) = self.bounds.relay_loss else {
+            return false;
+        };
+        let bounds = bounds.for_zone(self.zone_member_count());
+        let now_ms = self.timer.now_ms();
+        self.relay_responses()
+            .is_silent(&relay.node_id, bounds, now_ms)
+    }
+
+    pub(super) fn relay_responses(&self) -> MutexGuard<'_, RelayResponses> {
+        self.relay_responses.lock().expect("lock is not poisoned")
+    }
+
+    pub(super) fn relay_ids(&self) -> Vec<String> {
+        let view = self.view.borrow();
+        let relays = relays(&view, &self.zone);
+        relays.iter().map(|relay| relay.node_id.clone()).collect()
     }
 
     pub(super) fn is_in_zone(&self, node_id: &str) -> bool {
@@ -178,6 +213,7 @@
         timer: parts.timer,
         last_confirmed_ms: Arc::new(last_confirmed_ms),
         reachability,
+        relay_responses: Arc::default(),
     };
     let shutdown = parts.shutdown;
     let start_delay_ms = shared.bounds.start_delay_ms;
@@ -189,6 +225,10 @@
         let fetching = FetchTask::new(shared.clone(), parts.peers.clone(), kind, available);
         spawn_until(&shutdown, fetching.run());
     }
+    if let Some(bounds) = shared.bounds.relay_loss {
+        let probing = RelayProbeTask::new(shared.clone(), bounds, parts.probes.clone()).run();
+        spawn_until(&shutdown, probing);
+    }
     let polling = PollTask::new(shared.clone(), parts.probes).run();
     spawn_until(&shutdown, after_start_delay(start_delay_ms, polling));
     spawn_until(&shutdown, report_not_ready(shared.clone()));
@@ -229,6 +269,9 @@
         tokio::select! {
             stamp = stamps.recv() => match stamp {
                 Ok(stamp) => {
+                    shared
+                        .relay_responses()
+                        .record(&stamp.node_id, shared.timer.now_ms());
                     shared
                         .reachability
                         .record_member(&stamp.node_id, stamp.is_origin_failing);
--- a/src/documents/mod.rs
+++ b/src/documents/mod.rs
@@ -5,12 +5,15 @@
 mod origin;
 mod poll;
 mod reachability;
+mod relay_loss;
+mod relay_probes;
 mod schedule;
 mod store;
 
 pub use {
     follower::{FollowerInputs, FollowerOutputs, Hint, Peers, spawn_follower},
     origin::DocumentOrigin,
+    relay_loss::{RelayContact, RelayLossBounds, RelayResponses},
     schedule::{PeerPolls, PollBounds, PollRole},
     store::DocumentStore,
 };
--- a/src/documents/poll.rs
+++ b/src/documents/poll.rs
@@ -2,7 +2,7 @@
 //! versions.
 
 use {
-    super::{DocumentKind, DocumentOrigin, PollRole, follower::Shared},
+    super::{DocumentKind, DocumentOrigin, PollBounds, PollRole, follower::Shared},
     crate::{
         backoff::Backoff,
         membership::{MemberProbes, relays},
@@ -24,15 +24,19 @@
     shared: Shared<O>,
     probes: MemberProbes,
     backoff: Backoff,
+    /// Random addition to the age from which this member polls while the relays are silent.
+    delay_ms: u64,
 }
 
 impl<O: DocumentOrigin> PollTask<O> {
-    pub(super) const fn new(shared: Shared<O>, probes: MemberProbes) -> Self {
+    pub(super) fn new(shared: Shared<O>, probes: MemberProbes) -> Self {
         let backoff = shared.backoff();
+        let delay_ms = draw_delay_ms(shared.bounds);
         Self {
             shared,
             probes,
             backoff,
+            delay_ms,
         }
     }
 
@@ -40,6 +44,7 @@
         let mut ticks = self.shared.timer.subscribe(self.shared.bounds.period_ms);
         loop {
             if self.is_due() {
+                self.delay_ms = draw_delay_ms(self.shared.bounds);
                 match self.poll().await {
                     Ok(()) => self.backoff.reset(),
                     Err(_) => self.backoff.wait().await,
@@ -61,7 +66,8 @@
         let role = PollRole {
             rank: self.shared.rank(),
             member_count: self.shared.zone_member_count(),
-            has_connected_relay: self.shared.has_connected_relay(),
+            relays: self.shared.relay_contact(),
+            delay_ms: self.delay_ms,
         };
         let draw = rand::rng().random();
         self.shared.bounds.is_due(role, self.age_ms(), draw)
@@ -96,6 +102,11 @@
     }
 }
 
+fn draw_delay_ms(bounds: PollBounds) -> u64 {
+    let spread_ms = bounds.relay_loss.map_or(0, |loss| loss.poll_spread_ms);
+    rand::rng().random_range(0..=spread_ms)
+}
+
 /// Time for nodes to discover each other after startup. A node that knows no other
 /// member considers itself its zone's first relay, so every node of a fleet that
 /// starts at once would watch.
--- a/src/documents/schedule.rs
+++ b/src/documents/schedule.rs
@@ -1,5 +1,7 @@
 //! Decides which members poll the documents' origin, and when.
 
+use super::{RelayContact, RelayLossBounds};
+
 /// Times that divide the polls among the members of an availability zone.
 ///
 /// Ages are those of the newest confirmed poll, made locally or received.
@@ -18,6 +20,8 @@
     pub query_relays_age_ms: Option<u64>,
     /// When members that are not relays poll; `None` for never.
     pub peer_polls: Option<PeerPolls>,
+    /// When these members poll since no relay responds; `None` for not on that account.
+    pub relay_loss: Option<RelayLossBounds>,
     /// Delay after the first failed call, in milliseconds.
     pub first_backoff_ms: u64,
     /// Longest delay after failed calls, in milliseconds.
@@ -48,10 +52,17 @@
     pub rank: Option<usize>,
     /// Number of members in the zone.
     pub member_count: usize,
-    /// Whether a relay of the zone reaches the origin, as far as known.
-    pub has_connected_relay: bool,
+    /// What is known of the zone's relays.
+    pub relays: RelayContact,
+    /// Random addition to the age from which it polls while the relays are silent, in
+    /// milliseconds.
+    pub delay_ms: u64,
 }
 
+/// Time within which a change has to be in force where the deployment sets no other, in
+/// milliseconds.
+const APPLY_LIMIT_MS: u64 = 2000;
+
 impl PollBounds {
     /// For an origin that bills calls, and confirmations valid for at least four
     /// seconds.
@@ -67,6 +78,7 @@
             without_relay_age_ms: 700,
             without_relay_rate_per_s: 5.0,
         }),
+        relay_loss: Some(RelayLossBounds::new(APPLY_LIMIT_MS)),
         first_backoff_ms: 100,
         longest_backoff_ms: 1600,
     };
@@ -80,6 +92,18 @@
         }
     }
 
+    /// The same bounds for changes that have to be in force within this time, in milliseconds.
+    #[must_use]
+    pub fn with_apply_limit_ms(self, apply_limit_ms: u64) -> Self {
+        Self {
+            period_ms: self.period_ms.min(apply_limit_ms / 10).max(1),
+            first_relay_age_ms: self.first_relay_age_ms.min(apply_limit_ms * 3 / 4),
+            second_relay_age_ms: self.second_relay_age_ms.min(apply_limit_ms),
+            relay_loss: Some(RelayLossBounds::new(apply_limit_ms)),
+            ..self
+        }
+    }
+
     /// Whether a member polls now.
     ///
     /// `age_ms` is `None` while there is no confirmed poll. `draw` is random in 0..1
@@ -87,13 +111,17 @@
     #[must_use]
     pub fn is_due(&self, role: PollRole, age_ms: Option<u64>, draw: f64) -> bool {
         let is_older_than = |limit_ms| age_ms.is_none_or(|age_ms| age_ms >= limit_ms);
-        match role.rank {
-            Some(0) => is_older_than(self.first_relay_age_ms),
-            Some(_) => is_older_than(self.second_relay_age_ms),
-            None => self.peer_polls.is_some_and(|peer_polls| {
-                let (limit_ms, rate_per_s) = match role.has_connected_relay {
-                    true => (peer_polls.age_ms, peer_polls.rate_per_s),
-                    false => (
+        match (role.rank, role.relays, self.relay_loss) {
+            (Some(0), ..) => is_older_than(self.first_relay_age_ms),
+            (Some(_), ..) => is_older_than(self.second_relay_age_ms),
+            (None, RelayContact::Silent, Some(loss)) => {
+                is_older_than(loss.poll_age_ms + role.delay_ms)
+                    && draw < loss.poll_probability(role.member_count)
+            }
+            (None, relays, _) => self.peer_polls.is_some_and(|peer_polls| {
+                let (limit_ms, rate_per_s) = match relays {
+                    RelayContact::Connected => (peer_polls.age_ms, peer_polls.rate_per_s),
+                    RelayContact::Disconnected | RelayContact::Silent => (
                         peer_polls.without_relay_age_ms,
                         peer_polls.without_relay_rate_per_s,
                     ),
--- a/src/events.rs
+++ b/src/events.rs
@@ -53,6 +53,7 @@
     EvacuationsInForce = 205, Info, "The set of evacuated availability zones has changed.";
     EvacuationsRejected = 206, Error, "The list of evacuated availability zones is invalid and is ignored.";
     DocumentFetchFailed = 207, Warn, "A document could not be fetched from a node that holds it.";
+    RelaysSilent = 208, Warn, "No relay of the zone responds; this node polls the origin itself.";
     PlatformReached = 210, Info, "The platform's object API responds again.";
     PlatformLost = 211, Warn, "The platform's object API does not respond.";
     HistoryLost = 212, Info, "The platform no longer has the history that a watch requested; the object is read again.";
--- a/src/platform/origin.rs
+++ b/src/platform/origin.rs
@@ -20,6 +20,7 @@
         second_relay_age_ms: 2500,
         query_relays_age_ms: None,
         peer_polls: None,
+        relay_loss: None,
         first_backoff_ms: 200,
         longest_backoff_ms: 4000,
     };
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -215,6 +215,9 @@
     /// Maximum requests to a cold target in any second, in percent of its service's cold rate
     #[arg(long, env = "DOGWOOD_COLD_PERCENT", default_value_t = 100)]
     pub cold_percent: u32,
+    /// Time within which a change of the configuration has to be in force, in milliseconds
+    #[arg(long, env = "DOGWOOD_CONFIGURATION_APPLY_MS", default_value_t = 2000)]
+    pub configuration_apply_ms: u64,
     /// Interval between two heartbeats of the local target, in milliseconds
     #[arg(long, env = "DOGWOOD_TARGET_HEARTBEAT_MS", default_value_t = 1500)]
     pub target_heartbeat_ms: u64,
@@ -283,6 +286,7 @@
         check_positive("max-held-body-bytes", self.max_held_body_bytes)?;
         check_positive("max-header-bytes", self.max_header_bytes)?;
         check_positive("max-connections", self.max_connections)?;
+        check_positive("configuration-apply-ms", self.configuration_apply_ms)?;
         check_positive("target-heartbeat-ms", self.target_heartbeat_ms)?;
         self.check_ports()
     }
--- a/tests/documents_fetch.rs
+++ b/tests/documents_fetch.rs
@@ -232,3 +232,21 @@
     node.stamps.send(stamp).unwrap();
     node.until_configured(APPLY_LIMIT).await.expect("in time");
 }
+
+/// Guards against a change that is late since both relays of a zone were lost at the moment at
+/// which it was written: their members learned of the loss only by a suspicion.
+#[tokio::test]
+async fn members_poll_when_no_relay_responds() {
+    let relays = RELAY_IDS.map(|node_id| member(node_id, ZONES[0])).to_vec();
+    let node = Node::start(relays, TestOrigin { is_reachable: true });
+    let stamp = PeerStamp {
+        node_id: RELAY_IDS[0].to_owned(),
+        zone: ZONES[0].to_owned(),
+        versions: Versions::default(),
+        platform_seen_ms: Some(node.timer.now_ms()),
+        is_origin_failing: false,
+        probe_sent_ms: node.timer.now_ms(),
+    };
+    node.stamps.send(stamp).unwrap();
+    node.until_configured(APPLY_LIMIT).await.expect("in time");
+}
--- a/tests/objects_support/mod.rs
+++ b/tests/objects_support/mod.rs
@@ -59,6 +59,7 @@
         without_relay_age_ms: 30,
         without_relay_rate_per_s: 100.0,
     }),
+    relay_loss: None,
     first_backoff_ms: 10,
     longest_backoff_ms: 40,
 };
