Pass on no answer without a valid status

Callers got 600, 799 or 999 of a failing target as its complete answer, and 101 at the target's own node (a broken stream by HTTP/2). 000, as seen on another system, did not pass.

Cause: the HTTP library rejects codes below 100 and skips informational ones but 101; it accepts all others up to 999, and nothing else checked them.

Change: an answer whose status is not 200 to 599 ends as bad-answer, where a target's answer is read and where another node's is.

--- a/src/exchange/mod.rs
+++ b/src/exchange/mod.rs
@@ -30,7 +30,7 @@
     memory_budget::MemoryBudget,
     pipeline::{EarlyResponse, Pipeline},
     read_ahead::ReadAheadRoom,
-    response::{ForwardedResponse, refusal_response, response_from_result},
+    response::{ForwardedResponse, is_final_status, refusal_response, response_from_result},
     segments::{SegmentWriter, Segments},
     tracked::{RequestProgress, TrackedBody, request_bytes},
 };
--- a/src/exchange/response.rs
+++ b/src/exchange/response.rs
@@ -43,6 +43,13 @@
     }
 }
 
+/// Whether a status can end an exchange. Others come from a failing target: the library accepts
+/// three digits from 100 on, and HTTP defines final statuses from 200 to 599.
+#[must_use]
+pub fn is_final_status(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Response to the sender of a request: the target's response or a refusal.
 #[must_use]
 pub fn response_from_result(result: Result<ForwardedResponse, Refusal>) -> Response<ResponseBody> {
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -8,7 +8,8 @@
     crate::{
         exchange::{
             ANSWER, ANSWER_AUTH, AUTH, CLOCK, CONTEXT, Collected, ForwardedResponse,
-            IDEMPOTENCY_KEY, OutboundRequest, ResponseBody, Segments, collect, stream_body,
+            IDEMPOTENCY_KEY, OutboundRequest, ResponseBody, Segments, collect, is_final_status,
+            stream_body,
         },
         model::{AdmissionLevel, Names, Reason, Refusal, RequestContext},
         target::{ReportedLimit, UNKNOWN_PROCESS_ID},
@@ -217,6 +218,9 @@
     started: Instant,
 ) -> Result<ForwardedResponse, Refusal> {
     let (parts, mut body) = response.into_parts();
+    if !is_final_status(parts.status) {
+        return Err(Refusal::unknown(Reason::BadAnswer));
+    }
     let body = match collect(&mut body, attempt.buffered_bytes).await {
         Ok(Collected::Complete(bytes)) => ResponseBody::Buffered(bytes),
         Ok(Collected::TooLarge(head)) => {
--- a/src/target/exchange.rs
+++ b/src/target/exchange.rs
@@ -6,7 +6,7 @@
         dialect::{Dialect, TargetCall, TargetSignal},
         event,
         events::Event,
-        exchange::{OutboundRequest, Segments},
+        exchange::{OutboundRequest, Segments, is_final_status},
         model::{Reason, Refusal, RequestId},
     },
     hyper::{Request, Response, StatusCode, Uri},
@@ -82,7 +82,10 @@
         progress.record();
         match sender.try_send_request(request).await {
             Ok(response) => {
-                let signal = dialect.classify_response(&outbound.method, &call, &response);
+                let mut signal = dialect.classify_response(&outbound.method, &call, &response);
+                if !is_final_status(response.status()) {
+                    signal.refusal = Some(Refusal::unknown(Reason::BadAnswer));
+                }
                 let progress = progress.clone();
                 if !D::RESPONSES_NAME_ATTEMPTS && signal.is_rejection() {
                     connection.record_rejected(&sent.request_id);
--- a/tests/peer_faults.rs
+++ b/tests/peer_faults.rs
@@ -6,22 +6,29 @@
 mod local_mesh;
 
 use {
+    bytes::Bytes,
     dogwoodbridge::{
+        exchange::{ANSWER, ANSWER_AUTH, CONTEXT},
         keys::KeyDigest,
-        model::{Class, Names, RequestContext, RequestId},
+        model::{AdmissionLevel, Class, Names, RequestContext, RequestId},
         peer::{
-            AttemptContext, ContentDigest, FleetAuth, PeerHeaderError, PeerLink, decode_context,
-            encode_context,
+            AttemptContext, ContentDigest, FleetAuth, PeerHeaderError, PeerLink, ResponseMetadata,
+            decode_context, encode_context, encode_response_metadata,
         },
         target::ReportedLimit,
         timer::unix_ms,
     },
-    hyper::header::HeaderValue,
+    http_body_util::Full,
+    hyper::{
+        Request, Response, StatusCode, body::Incoming, header::HeaderValue, server::conn::http2,
+        service::service_fn,
+    },
+    hyper_util::rt::{TokioExecutor, TokioIo},
     local_mesh::{
         client::{self, CallerResponse},
-        mesh::{KEY, Mesh},
+        mesh::{KEY, Mesh, SECRET},
     },
-    std::net::SocketAddr,
+    std::{convert::Infallible, net::SocketAddr},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::TcpListener,
@@ -45,6 +52,8 @@
     ClosesConnection,
     /// Sends a well-formed HTTP/2 response without authentication.
     RespondsUnauthenticated,
+    /// Sends an authentic response whose status is none of HTTP's.
+    RespondsWithoutStatus,
 }
 
 async fn start_fake_peer(kind: FakePeer) -> SocketAddr {
@@ -71,21 +80,50 @@
             });
         }
         FakePeer::RespondsUnauthenticated => {
-            tokio::spawn(serve_unauthenticated_responses(listener));
+            tokio::spawn(serve_responses(listener, |_| Response::new(body())));
+        }
+        FakePeer::RespondsWithoutStatus => {
+            tokio::spawn(serve_responses(listener, response_without_status));
         }
     }
     address
 }
 
-async fn serve_unauthenticated_responses(listener: TcpListener) {
-    use hyper_util::rt::{TokioExecutor, TokioIo};
+fn body() -> Full<Bytes> {
+    Full::new(Bytes::from_static(b"mine"))
+}
+
+/// Answers an attempt as a node of the fleet does, but with a status above 599.
+fn response_without_status(request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    let context = request.headers().get(CONTEXT).unwrap();
+    let attempt = decode_context(context, &Names::default(), unix_ms()).unwrap();
+    let metadata = encode_response_metadata(&ResponseMetadata {
+        attempt_id: attempt.attempt_id,
+        refusal: None,
+        unspent: 0,
+        level: AdmissionLevel::idle(),
+        leaving_process_id: 0,
+        reported_limit: None,
+    });
+    let proof = FleetAuth::new(SECRET).sign(&[metadata.as_bytes()]);
+    let mut response = Response::new(body());
+    *response.status_mut() = StatusCode::from_u16(600).unwrap();
+    response.headers_mut().insert(ANSWER, metadata);
+    response.headers_mut().insert(ANSWER_AUTH, proof);
+    response
+}
+
+async fn serve_responses(
+    listener: TcpListener,
+    respond: fn(&Request<Incoming>) -> Response<Full<Bytes>>,
+) {
     loop {
         let (stream, _) = listener.accept().await.unwrap();
-        let service = hyper::service::service_fn(|_request| async {
-            let body = http_body_util::Full::new(bytes::Bytes::from_static(b"mine"));
-            Ok::<_, std::convert::Infallible>(hyper::Response::new(body))
+        let service = service_fn(move |request| {
+            let response = respond(&request);
+            async { Ok::<_, Infallible>(response) }
         });
-        let builder = hyper::server::conn::http2::Builder::new(TokioExecutor::new());
+        let builder = http2::Builder::new(TokioExecutor::new());
         tokio::spawn(builder.serve_connection(TokioIo::new(stream), service));
     }
 }
@@ -117,6 +155,11 @@
             kind: FakePeer::RespondsUnauthenticated,
             expected: (502, "unknown", "bad-answer"),
         },
+        FakePeerCase {
+            name: "responds without a valid status",
+            kind: FakePeer::RespondsWithoutStatus,
+            expected: (502, "unknown", "bad-answer"),
+        },
     ];
     for case in &cases {
         let mesh = Mesh::start(&["a"]).await;
