List evacuations by the time within which they must apply

Cause: one relay of a zone watches the evacuations; polls listed them every third time only, 4.5 to 6 s apart, while 5 s are allowed. A node that polls in place of lost relays and knows an earlier evacuation did not list them at its first poll.

Change: a poll lists them when this node's last listing is four fifths of the limit old, or when there was none. A relay lists them about as often as before.

Result: the_first_poll_of_a_node_lists_the_evacuations failed before (zone a only) and passes.

--- a/src/daemon/hosted/relaying.rs
+++ b/src/daemon/hosted/relaying.rs
@@ -66,11 +66,20 @@
     let (settings, gossip) = (parts.settings, parts.gossip);
     let documents = parts.documents;
     let (client, calls) = rpc::channel();
+    let timer = parts.timer.clone();
+    let origin = ObjectOrigin::new(
+        parts.store,
+        parts.followed,
+        documents.clone(),
+        WATCH_MS,
+        timer,
+    )
+    .with_evacuation_limit_ms(settings.evacuation_apply_ms);
     let follower = FollowerInputs {
         node_id: settings.node_id.clone(),
         zone: settings.zone.clone(),
         store: documents.clone(),
-        origin: ObjectOrigin::new(parts.store, parts.followed, documents.clone(), WATCH_MS),
+        origin,
         bounds: PollBounds::METERED_API
             .with_start_delay_ms(parts.start_delay_ms)
             .with_apply_limit_ms(settings.configuration_apply_ms),
--- a/src/objects/origin.rs
+++ b/src/objects/origin.rs
@@ -11,16 +11,17 @@
         documents::{Document, DocumentKind, DocumentOrigin, DocumentStore, Versions},
         event,
         events::Event,
+        timer::Timer,
     },
     std::sync::{
         Arc,
-        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
 };
 
-/// Polls per listing of the evacuations. Their watch returns a change at once unless
-/// the store drops its history.
-const POLLS_PER_EVACUATION_LISTING: usize = 3;
+/// Time within which an evacuation has to be in force where the deployment sets no other, in
+/// milliseconds.
+const EVACUATION_LIMIT_MS: u64 = 5000;
 
 /// Reads the documents from their objects. Clones share the revisions from which
 /// watches continue.
@@ -36,18 +37,22 @@
     configuration_as_of: Arc<AtomicU64>,
     /// Revision from which the evacuations watch continues; 0 while unknown.
     evacuations_as_of: Arc<AtomicU64>,
-    poll_count: Arc<AtomicUsize>,
+    timer: Timer,
+    evacuation_limit_ms: u64,
+    /// Time from which a poll lists the evacuations as well.
+    next_listing_ms: Arc<AtomicU64>,
     is_down: Arc<AtomicBool>,
 }
 
 impl<S: ObjectStore> ObjectOrigin<S> {
-    /// Creates an origin for these objects. A watch waits up to `watch_ms`;
+    /// Creates an origin for these objects. A watch waits up to `watch_ms` milliseconds;
     /// `documents` holds the evacuations that are already known.
     pub fn new(
         store: S,
         followed: FollowedObjects,
         documents: DocumentStore,
         watch_ms: u64,
+        timer: Timer,
     ) -> Self {
         Self {
             store,
@@ -57,11 +62,22 @@
             watch_ms,
             configuration_as_of: Arc::default(),
             evacuations_as_of: Arc::default(),
-            poll_count: Arc::default(),
+            timer,
+            evacuation_limit_ms: EVACUATION_LIMIT_MS,
+            next_listing_ms: Arc::default(),
             is_down: Arc::default(),
         }
     }
 
+    /// The origin for evacuations that have to be in force within this time, in milliseconds.
+    #[must_use]
+    pub fn with_evacuation_limit_ms(self, evacuation_limit_ms: u64) -> Self {
+        Self {
+            evacuation_limit_ms,
+            ..self
+        }
+    }
+
     async fn list_configuration(&self) -> Result<Option<Document>, StoreError> {
         let listing = self.store.list(&self.followed.kind).await;
         self.record_result(listing.as_ref().err());
@@ -111,6 +127,9 @@
     async fn list_evacuations(&self) -> Result<Option<Document>, StoreError> {
         let Listing { objects, as_of } = self.store.list(&self.evacuations_kind).await?;
         self.evacuations_as_of.fetch_max(as_of, Ordering::Relaxed);
+        let next_listing_ms = self.timer.now_ms() + self.evacuation_limit_ms * 4 / 5;
+        self.next_listing_ms
+            .store(next_listing_ms, Ordering::Relaxed);
         let zones = objects.into_iter().map(|object| object.name).collect();
         let content = Evacuations { zones }.write();
         let held = self.documents.newest(DocumentKind::Evacuations);
@@ -125,11 +144,11 @@
         }))
     }
 
-    /// Lists the evacuations on some polls. A failure does not affect the poll of the
-    /// configuration.
+    /// Lists the evacuations if this node has not done so for a while: their watch may miss a
+    /// change, and a node that polls in place of a lost relay has no watch. A failure does not
+    /// affect the poll of the configuration.
     async fn poll_evacuations(&self) -> Option<Document> {
-        let earlier_poll_count = self.poll_count.fetch_add(1, Ordering::Relaxed);
-        if !(earlier_poll_count + 1).is_multiple_of(POLLS_PER_EVACUATION_LISTING) {
+        if self.timer.now_ms() < self.next_listing_ms.load(Ordering::Relaxed) {
             return None;
         }
         match self.list_evacuations().await {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -218,6 +218,9 @@
     /// Time within which a change of the configuration has to be in force, in milliseconds
     #[arg(long, env = "DOGWOOD_CONFIGURATION_APPLY_MS", default_value_t = 2000)]
     pub configuration_apply_ms: u64,
+    /// Time within which an evacuation of a zone has to be in force, in milliseconds
+    #[arg(long, env = "DOGWOOD_EVACUATION_APPLY_MS", default_value_t = 5000)]
+    pub evacuation_apply_ms: u64,
     /// Interval between two heartbeats of the local target, in milliseconds
     #[arg(long, env = "DOGWOOD_TARGET_HEARTBEAT_MS", default_value_t = 1500)]
     pub target_heartbeat_ms: u64,
@@ -287,6 +290,7 @@
         check_positive("max-header-bytes", self.max_header_bytes)?;
         check_positive("max-connections", self.max_connections)?;
         check_positive("configuration-apply-ms", self.configuration_apply_ms)?;
+        check_positive("evacuation-apply-ms", self.evacuation_apply_ms)?;
         check_positive("target-heartbeat-ms", self.target_heartbeat_ms)?;
         self.check_ports()
     }
--- a/tests/objects_follower.rs
+++ b/tests/objects_follower.rs
@@ -5,12 +5,13 @@
 
 use {
     dogwoodbridge::{
+        conf::Evacuations,
         documents::{Document, DocumentKind, DocumentOrigin, DocumentStore},
         freshness::Freshness,
         objects::{ObjectOrigin, StoreError},
     },
     objects_support::{Fleet, LIMIT, POLL_BOUNDS, StoreFault, WATCH_MS, followed_objects},
-    std::time::Duration,
+    std::{collections::BTreeSet, time::Duration},
     tokio::time::timeout,
 };
 
@@ -97,6 +98,7 @@
         followed_objects(),
         documents.clone(),
         WATCH_MS,
+        fleet.timer.clone(),
     );
     origin.poll(&documents).await.expect("a listing works");
     for _ in 0..3 {
@@ -104,3 +106,34 @@
         assert!(matches!(watched, Err(StoreError::HistoryGone)));
     }
 }
+
+/// Guards against an evacuation that is in force too late after a loss of relays: the first poll of
+/// a node that knew of an earlier evacuation did not ask for newer ones.
+#[tokio::test]
+async fn the_first_poll_of_a_node_lists_the_evacuations() {
+    let fleet = Fleet::new(1, 1, POLL_BOUNDS);
+    let documents = DocumentStore::new();
+    let earlier = Evacuations {
+        zones: BTreeSet::from(["a".to_owned()]),
+    };
+    documents.offer(Document {
+        kind: DocumentKind::Evacuations,
+        version: 1,
+        content: earlier.write().into(),
+    });
+    let origin = ObjectOrigin::new(
+        fleet.store.clone(),
+        followed_objects(),
+        documents.clone(),
+        WATCH_MS,
+        fleet.timer.clone(),
+    );
+    fleet.store.evacuate("a", true);
+    fleet.store.evacuate("b", true);
+    origin.poll(&documents).await.expect("a listing works");
+    let known = documents.newest(DocumentKind::Evacuations).unwrap();
+    let expected = Evacuations {
+        zones: BTreeSet::from(["a".to_owned(), "b".to_owned()]),
+    };
+    assert_eq!(*known.content, *expected.write());
+}
--- a/tests/objects_support/mod.rs
+++ b/tests/objects_support/mod.rs
@@ -44,6 +44,8 @@
 const EVACUATIONS_KIND: &str = "evacuated";
 /// How long a watch waits for a change.
 pub const WATCH_MS: u64 = 40;
+/// Time within which evacuations have to be in force; three polls of a relay.
+const EVACUATION_LIMIT_MS: u64 = 120;
 /// How long a confirmed poll is valid.
 pub const CONFIRMATION_TTL_MS: u64 = 400;
 /// Bounds of followers that poll often.
@@ -337,7 +339,9 @@
                     followed_objects(),
                     own_documents.clone(),
                     WATCH_MS,
-                ),
+                    timer.clone(),
+                )
+                .with_evacuation_limit_ms(EVACUATION_LIMIT_MS),
                 bounds,
                 peers: StubPeers {
                     documents: documents.clone(),
@@ -412,7 +416,9 @@
                 followed_objects(),
                 documents.clone(),
                 WATCH_MS,
-            ),
+                self.timer.clone(),
+            )
+            .with_evacuation_limit_ms(EVACUATION_LIMIT_MS),
             bounds: POLL_BOUNDS,
             peers: StubPeers {
                 documents: vec![documents],
