--- a/src/documents/poll.rs
+++ b/src/documents/poll.rs
@@ -66,7 +66,7 @@
         let role = PollRole {
             rank: self.shared.rank(),
             member_count: self.shared.zone_member_count(),
-            relays: self.shared.relay_contact(),
+            relay_contact: self.shared.relay_contact(),
             delay_ms: self.delay_ms,
         };
         let draw = rand::rng().random();
--- a/src/documents/relay_loss.rs
+++ b/src/documents/relay_loss.rs
@@ -3,8 +3,9 @@
 //! Members that are not relays learn of a change from their relays. Membership excludes lost ones
 //! only after seconds, which is too late for a change that is written right after their loss.
 
-/// When members act on relays that do not respond. A member of a zone of up to 24 polls within four
-/// fifths of the limit.
+/// When members act on relays that do not respond.
+///
+/// In a zone of up to 24 members each polls within four fifths of the limit.
 #[derives::value]
 #[derive(Copy)]
 pub struct RelayLossBounds {
@@ -36,7 +37,8 @@
         }
     }
 
-    /// The bounds in a zone of this size: probes arrive at a relay at a bounded rate.
+    /// The bounds in a zone of this size. Members of a larger one probe less often, so that a relay
+    /// receives probes at a bounded rate.
     #[must_use]
     pub fn for_zone(self, member_count: usize) -> Self {
         let member_count = u64::try_from(member_count).unwrap_or(u64::MAX);
--- a/src/documents/schedule.rs
+++ b/src/documents/schedule.rs
@@ -20,7 +20,8 @@
     pub query_relays_age_ms: Option<u64>,
     /// When members that are not relays poll; `None` for never.
     pub peer_polls: Option<PeerPolls>,
-    /// When these members poll since no relay responds; `None` for not on that account.
+    /// When these members poll because no relay responds; `None` to wait until the relays are
+    /// suspected.
     pub relay_loss: Option<RelayLossBounds>,
     /// Delay after the first failed call, in milliseconds.
     pub first_backoff_ms: u64,
@@ -53,7 +54,7 @@
     /// Number of members in the zone.
     pub member_count: usize,
     /// What is known of the zone's relays.
-    pub relays: RelayContact,
+    pub relay_contact: RelayContact,
     /// Random addition to the age from which it polls while the relays are silent, in
     /// milliseconds.
     pub delay_ms: u64,
@@ -111,15 +112,15 @@
     #[must_use]
     pub fn is_due(&self, role: PollRole, age_ms: Option<u64>, draw: f64) -> bool {
         let is_older_than = |limit_ms| age_ms.is_none_or(|age_ms| age_ms >= limit_ms);
-        match (role.rank, role.relays, self.relay_loss) {
+        match (role.rank, role.relay_contact, self.relay_loss) {
             (Some(0), ..) => is_older_than(self.first_relay_age_ms),
             (Some(_), ..) => is_older_than(self.second_relay_age_ms),
             (None, RelayContact::Silent, Some(loss)) => {
                 is_older_than(loss.poll_age_ms + role.delay_ms)
                     && draw < loss.poll_probability(role.member_count)
             }
-            (None, relays, _) => self.peer_polls.is_some_and(|peer_polls| {
-                let (limit_ms, rate_per_s) = match relays {
+            (None, relay_contact, _) => self.peer_polls.is_some_and(|peer_polls| {
+                let (limit_ms, rate_per_s) = match relay_contact {
                     RelayContact::Connected => (peer_polls.age_ms, peer_polls.rate_per_s),
                     RelayContact::Disconnected | RelayContact::Silent => (
                         peer_polls.without_relay_age_ms,
--- a/src/exchange/response.rs
+++ b/src/exchange/response.rs
@@ -43,8 +43,8 @@
     }
 }
 
-/// Whether a status can end an exchange. Others come from a failing target: the library accepts
-/// three digits from 100 on, and HTTP defines final statuses from 200 to 599.
+/// Whether HTTP defines this as the status of a final response. The library accepts any three
+/// digits from 100 on.
 #[must_use]
 pub fn is_final_status(status: StatusCode) -> bool {
     (200..600).contains(&status.as_u16())
--- a/tests/documents_fetch.rs
+++ b/tests/documents_fetch.rs
@@ -149,6 +149,20 @@
         }
     }
 
+    /// Records that a relay has just polled the origin.
+    fn confirm_now(&self) {
+        let now_ms = self.timer.now_ms();
+        let stamp = PeerStamp {
+            node_id: RELAY_IDS[0].to_owned(),
+            zone: ZONES[0].to_owned(),
+            versions: Versions::default(),
+            platform_seen_ms: Some(now_ms),
+            is_origin_failing: false,
+            probe_sent_ms: now_ms,
+        };
+        self.stamps.send(stamp).unwrap();
+    }
+
     async fn until_configured(&self, limit: Duration) -> Result<(), Elapsed> {
         let mut configuration = self.store.subscribe(DocumentKind::Configuration);
         let held = configuration.wait_for(Option::is_some);
@@ -221,15 +235,7 @@
     let view = View::new([&relays[..], &[member("own", ZONES[0])]].concat());
     assert_eq!(relay_rank(&view, ZONES[0], "own"), None, "it is no relay");
     let node = Node::start(relays, TestOrigin { is_reachable: true });
-    let stamp = PeerStamp {
-        node_id: RELAY_IDS[0].to_owned(),
-        zone: ZONES[0].to_owned(),
-        versions: Versions::default(),
-        platform_seen_ms: Some(node.timer.now_ms()),
-        is_origin_failing: false,
-        probe_sent_ms: node.timer.now_ms(),
-    };
-    node.stamps.send(stamp).unwrap();
+    node.confirm_now();
     node.until_configured(APPLY_LIMIT).await.expect("in time");
 }
 
@@ -239,14 +245,6 @@
 async fn members_poll_when_no_relay_responds() {
     let relays = RELAY_IDS.map(|node_id| member(node_id, ZONES[0])).to_vec();
     let node = Node::start(relays, TestOrigin { is_reachable: true });
-    let stamp = PeerStamp {
-        node_id: RELAY_IDS[0].to_owned(),
-        zone: ZONES[0].to_owned(),
-        versions: Versions::default(),
-        platform_seen_ms: Some(node.timer.now_ms()),
-        is_origin_failing: false,
-        probe_sent_ms: node.timer.now_ms(),
-    };
-    node.stamps.send(stamp).unwrap();
+    node.confirm_now();
     node.until_configured(APPLY_LIMIT).await.expect("in time");
 }
--- a/tests/documents_schedule.rs
+++ b/tests/documents_schedule.rs
@@ -13,7 +13,7 @@
     PollRole {
         rank,
         member_count,
-        relays: RelayContact::Connected,
+        relay_contact: RelayContact::Connected,
         delay_ms: 0,
     }
 }
@@ -21,7 +21,7 @@
 const WITHOUT_CONNECTED_RELAY: PollRole = PollRole {
     rank: None,
     member_count: 16,
-    relays: RelayContact::Disconnected,
+    relay_contact: RelayContact::Disconnected,
     delay_ms: 0,
 };
 
@@ -188,7 +188,7 @@
         let role = PollRole {
             rank: None,
             member_count: self.member_count,
-            relays: match are_silent {
+            relay_contact: match are_silent {
                 true => RelayContact::Silent,
                 false => RelayContact::Connected,
             },
