--- a/src/target/gate.rs
+++ b/src/target/gate.rs
@@ -164,11 +164,17 @@
     }
 
     /// Records how much longer the target stays cold, as its response to a health check reports.
-    /// Unlike a heartbeat it cannot have been sent before it was asked for.
+    ///
+    /// Unlike a heartbeat it cannot have been sent before it was asked for. If it says cold and
+    /// the heartbeat said warm, the heartbeat is outdated, and later ones have to say warm.
     pub fn record_checked_cold_time(&mut self, cold_left_us: u64, now_us: u64) {
         let cold_until_us = now_us + cold_left_us.min(MAX_COLD_US);
         self.cold_until_us = self.cold_until_us.max(cold_until_us);
-        self.missing_warm_heartbeat_count = 0;
+        match cold_left_us {
+            0 => self.missing_warm_heartbeat_count = 0,
+            _ if self.missing_warm_heartbeat_count > 0 => self.suspect_cold(),
+            _ => {}
+        }
     }
 
     /// Treats the target as possibly cold although it has not reported so: it was
--- a/tests/target_gate.rs
+++ b/tests/target_gate.rs
@@ -124,6 +124,25 @@
             },
             is_limited: true,
         },
+        Case {
+            name: "older than the node, a health check says cold for less than a second",
+            prepare: |gate| {
+                gate.begin_older_process();
+                gate.record_cold_time(0, false, 0);
+                gate.record_checked_cold_time(3000, 0);
+                gate.record_cold_time(0, false, 0);
+            },
+            is_limited: true,
+        },
+        Case {
+            name: "older than the node, both say cold for less than a second",
+            prepare: |gate| {
+                gate.begin_older_process();
+                gate.record_cold_time(3000, false, 0);
+                gate.record_checked_cold_time(3000, 0);
+            },
+            is_limited: false,
+        },
         Case {
             name: "older than the node, a heartbeat says cold and a health check warm",
             prepare: |gate| {
